--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Developer entry points. `make demo` and `make test` install what they need.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES := $(shell find source tests bench -name '*.cc' -o -name '*.h' 2>/dev/null)
+
+.PHONY: all deps build format format-check lint unit test demo bench \
+        microbench fault-matrix fault-matrix-selftest sanitize clean
+
+all: build
+
+deps:
+	@tools/install_packages.sh
+
+build:
+	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD).cmake.log 2>&1 || \
+	  { mkdir -p $(BUILD); cat $(BUILD).cmake.log; exit 1; }
+	@mv $(BUILD).cmake.log $(BUILD)/cmake.log
+	@cmake --build $(BUILD) -j $(JOBS)
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+	@echo "format: clean"
+
+lint: build
+	@tools/lint.sh $(BUILD) $(JOBS)
+
+unit: build
+	@tools/run_tests.sh $(BUILD)
+
+test: deps
+	@$(MAKE) --no-print-directory format-check
+	@$(MAKE) --no-print-directory build
+	@$(MAKE) --no-print-directory lint
+	@$(MAKE) --no-print-directory unit
+
+clean:
+	@rm -rf $(BUILD) $(BUILD).cmake.log
--- /dev/null
+++ b/source/gentian_decisions/gentian_decisions.h
@@ -0,0 +1,18 @@
+/** All decisions of the system, as pure state machines.
+
+    A node takes one event and the time and returns commands. It opens no
+    socket, starts no thread, reads no clock and draws no random numbers of its
+    own, so that the daemon, the benchmarks and the fault matrix run the same
+    code.
+
+    Dependencies: gentian_core, gentian_settings.
+*/
+#ifndef GENTIAN_DECISIONS_GENTIAN_DECISIONS_H_
+#define GENTIAN_DECISIONS_GENTIAN_DECISIONS_H_
+
+#include "gentian_decisions/command.h"
+#include "gentian_decisions/event.h"
+#include "gentian_decisions/node.h"
+#include "gentian_decisions/peer_message.h"
+
+#endif  // GENTIAN_DECISIONS_GENTIAN_DECISIONS_H_
--- /dev/null
+++ b/source/gentian_settings/gentian_settings.h
@@ -0,0 +1,12 @@
+/** Operators' configuration: its typed form, the INI reader, the settings tree
+    with inheritance, and the checks made before a version is accepted.
+
+    Dependencies: gentian_core, Boost.PropertyTree.
+*/
+#ifndef GENTIAN_SETTINGS_GENTIAN_SETTINGS_H_
+#define GENTIAN_SETTINGS_GENTIAN_SETTINGS_H_
+
+#include "gentian_settings/budget_limits.h"
+#include "gentian_settings/configuration.h"
+
+#endif  // GENTIAN_SETTINGS_GENTIAN_SETTINGS_H_
