--- /dev/null
+++ b/source/gentian_app/dev_command.cc
@@ -0,0 +1,108 @@
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "gentian_app/dev_environment.h"
+#include "gentian_app/signal_waiter.h"
+#include "gentian_app/subcommand.h"
+#include "gentian_daemon/gentian_daemon.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr unsigned kIoThreads = 2;
+
+std::string NewKey() {
+  system_random random;
+  std::ostringstream text;
+  text << std::hex << std::setfill('0');
+  for (int i = 0; i < 4; ++i) {
+    text << std::setw(16) << random.Next();
+  }
+  return text.str();
+}
+
+int Fail(const error& reason) {
+  std::cerr << "gentianrun dev: " << reason.message << "; " << reason.remedy
+            << "\n";
+  return 1;
+}
+
+int Run(const std::string& address, const std::string& log_level) {
+  signal_waiter signals;
+  const result<success> logging = StartLog(log_level, "dev");
+  if (Failed(logging)) {
+    return Fail(ErrorOf(logging));
+  }
+  io_pool pool(kIoThreads);
+  dev_environment environment(pool);
+  const result<success> fakes = environment.Start();
+  if (Failed(fakes)) {
+    return Fail(ErrorOf(fakes));
+  }
+  const std::string key = NewKey();
+  daemon_settings settings;
+  settings.host = host_id("dev");
+  settings.failure_domain = failure_domain_id("dev");
+  settings.caller_address = address;
+  http_target_gateway targets(pool);
+  http_host_list hosts(pool, environment.AddressOf("host list"));
+  daemon_options options;
+  options.host = settings.host;
+  options.failure_domain = settings.failure_domain;
+  options.caller_address = address;
+  daemon subject(options, environment.MakeConfiguration(key, settings), pool,
+                 daemon_platform{nullptr, &targets, &hosts});
+  const result<success> started = subject.Start();
+  if (Failed(started)) {
+    return Fail(ErrorOf(started));
+  }
+  signals.Start([&subject] { subject.RequestStop(); });
+  std::cout << "address: http://" << subject.caller_address() << "\n"
+            << "key: " << key << "\n"
+            << "team: dev\nprogram: assistant\n";
+  for (const auto& [name, served] : environment.Addresses()) {
+    std::cout << name << ": http://" << served << "\n";
+  }
+  std::cout << "ready" << std::endl;
+  const result<success> stopped = subject.WaitUntilStopped();
+  if (Failed(stopped)) {
+    return Fail(ErrorOf(stopped));
+  }
+  std::cout << "stopped" << std::endl;
+  return 0;
+}
+
+}  // namespace
+
+int RunDev(int argc, char** argv) {
+  cxxopts::Options options("gentianrun dev",
+                           "One daemon with fakes of all outside systems");
+  options.add_options()(
+      "address", "ip:port for callers",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))(
+      "log-level", "debug, info, warning or error",
+      cxxopts::value<std::string>()->default_value("warning"))(
+      "h,help", "Show this help")("version", "Show the version");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << "gentianrun " << Version() << "\n";
+      return 0;
+    }
+    return Run(parsed["address"].as<std::string>(),
+               parsed["log-level"].as<std::string>());
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "gentianrun dev: " << failure.what()
+              << "; see gentianrun dev --help\n";
+    return 2;
+  }
+}
+
+}  // namespace gentian
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -1,23 +1,46 @@
-#include <cxxopts.hpp>
+#include <array>
 #include <iostream>
+#include <string>
 
-#include "gentian_daemon/gentian_daemon.h"
+#include "gentian_app/subcommand.h"
+#include "gentian_daemon/version.h"
+
+namespace {
+
+constexpr std::array<gentian::subcommand, 1> kSubcommands = {{
+    {"dev", "run one daemon with fakes of all outside systems",
+     gentian::RunDev},
+}};
+
+void PrintHelp(std::ostream& out) {
+  out << "Scheduler for agent programs\n\n"
+         "Usage: gentianrun SUBCOMMAND [OPTIONS]\n\n"
+         "Subcommands:\n";
+  for (const auto& next : kSubcommands) {
+    out << "  " << next.name << "\t" << next.summary << "\n";
+  }
+  out << "\ngentianrun SUBCOMMAND --help shows its options.\n"
+         "gentianrun --version shows the version.\n";
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("gentianrun", "Scheduler for agent programs");
-  options.add_options()("h,help", "Show this help")("version",
-                                                    "Show the version");
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("version") > 0) {
-      std::cout << "gentianrun " << gentian::Version() << "\n";
-      return 0;
-    }
-    std::cout << options.help();
+  const std::string name = argc > 1 ? argv[1] : "--help";
+  if (name == "--version") {
+    std::cout << "gentianrun " << gentian::Version() << "\n";
+    return 0;
+  }
+  if (name == "--help" || name == "-h") {
+    PrintHelp(std::cout);
     return 0;
-  } catch (const cxxopts::exceptions::exception& failure) {
-    std::cerr << "gentianrun: " << failure.what()
-              << "; see gentianrun --help\n";
-    return 2;
   }
+  for (const auto& next : kSubcommands) {
+    if (name == next.name) {
+      return next.run(argc - 1, argv + 1);
+    }
+  }
+  std::cerr << "gentianrun: unknown subcommand '" << name
+            << "'; see gentianrun --help\n";
+  return 2;
 }
--- /dev/null
+++ b/source/gentian_app/subcommand.h
@@ -0,0 +1,19 @@
+#ifndef GENTIAN_APP_SUBCOMMAND_H_
+#define GENTIAN_APP_SUBCOMMAND_H_
+
+namespace gentian {
+
+/** One subcommand of the command line. */
+struct subcommand {
+  const char* name;
+  const char* summary;
+  /** Runs it. `argv[0]` is the subcommand's name. Returns the exit status. */
+  int (*run)(int argc, char** argv);
+};
+
+/** Runs a daemon with fakes of all outside systems in one process. */
+int RunDev(int argc, char** argv);
+
+}  // namespace gentian
+
+#endif  // GENTIAN_APP_SUBCOMMAND_H_
--- /dev/null
+++ b/source/gentian_daemon/daemon.cc
@@ -0,0 +1,239 @@
+#include "gentian_daemon/daemon.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "gentian_daemon/caller_api.h"
+#include "gentian_daemon/daemon_log.h"
+#include "gentian_daemon/decision_loop.h"
+#include "gentian_daemon/supervisor.h"
+#include "gentian_net/http_server.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr milliseconds kQuietStreamCheck{250};
+constexpr milliseconds kLoadPollInterval{250};
+constexpr milliseconds kHostListInterval{1'000};
+
+node_identity IdentityOf(const daemon_options& options) {
+  node_identity identity;
+  identity.host = options.host;
+  identity.failure_domain = options.failure_domain;
+  identity.peer_address = options.peer_address;
+  identity.caller_address = options.caller_address;
+  identity.has_data_folder = !options.data_folder.empty();
+  return identity;
+}
+
+}  // namespace
+
+class daemon::parts {
+ public:
+  parts(daemon_options options,
+        configuration initial,
+        io_pool& pool,
+        daemon_platform platform)
+      : options_(std::move(options)),
+        settings_(initial),
+        pool_(pool),
+        platform_(platform),
+        loop_(IdentityOf(options_),
+              std::move(initial),
+              random_,
+              [this](command next) { Execute(std::move(next)); }),
+        api_([this](event input) { loop_.Post(std::move(input)); },
+             [this] { return loop_.IsOverloaded(); }),
+        supervisor_(
+            [this](duration delay, std::function<void()> action) {
+              pool_.After(delay, std::move(action));
+            },
+            [this](const error& reason) { Finish(reason); }) {
+    AddChildren();
+  }
+
+  ~parts() { supervisor_.Stop(); }
+
+  result<success> Start() { return supervisor_.Start(); }
+
+  void RequestStop() {
+    loop_.Post(stop_requested{});
+    pool_.After(options_.stop_deadline, [this] {
+      Finish(error{error_kind::internal, "requests still ran at the deadline",
+                   "give stops more time, or limit calls to less"});
+    });
+  }
+
+  result<success> WaitUntilStopped() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [this] { return outcome_.has_value(); });
+    lock.unlock();
+    supervisor_.Stop();
+    return *outcome_;
+  }
+
+  std::string caller_address() const { return server_->address(); }
+
+ private:
+  void AddChildren() {
+    platform_.targets->SetSink(
+        [this](event input) { loop_.Post(std::move(input)); });
+    supervisor_.Add({"decision loop",
+                     [this] {
+                       loop_.Start();
+                       return result<success>();
+                     },
+                     [this] { loop_.Stop(); },
+                     {}});
+    supervisor_.Add({"target adapters",
+                     [this] { return StartPolling(); },
+                     [this] { load_timer_.reset(); },
+                     {}});
+    supervisor_.Add({"host list",
+                     [this] { return StartHostList(); },
+                     [this] { host_timer_.reset(); },
+                     {}});
+    supervisor_.Add({"callers' interface",
+                     [this] { return StartCallers(); },
+                     [this] { StopCallers(); },
+                     {}});
+  }
+
+  result<success> StartPolling() {
+    load_timer_ = std::make_unique<periodic_timer>(pool_, kLoadPollInterval,
+                                                   [this] { PollTargets(); });
+    return success{};
+  }
+
+  void PollTargets() {
+    for (const auto& [id, target] : settings_.targets) {
+      platform_.targets->PollLoad(id, target.address);
+      if (target.cache_tokens > 0) {
+        platform_.targets->PollCacheEvents(id, target.address);
+      }
+    }
+  }
+
+  result<success> StartHostList() {
+    if (platform_.hosts == nullptr) {
+      return success{};
+    }
+    host_timer_ = std::make_unique<periodic_timer>(pool_, kHostListInterval,
+                                                   [this] { ReadHostList(); });
+    return success{};
+  }
+
+  void ReadHostList() {
+    platform_.hosts->Read(
+        [this](const result<std::vector<host_list_entry>>& entries) {
+          if (!Failed(entries)) {
+            loop_.Post(host_list_received{ValueOf(entries)});
+          }
+        });
+  }
+
+  result<success> StartCallers() {
+    server_ = std::make_unique<http_server>(
+        pool_, [this](const std::shared_ptr<http_exchange>& exchange) {
+          api_.Handle(exchange);
+        });
+    result<success> listening = server_->Listen(options_.caller_address);
+    if (Failed(listening)) {
+      return listening;
+    }
+    quiet_timer_ = std::make_unique<periodic_timer>(
+        pool_, kQuietStreamCheck, [this] { api_.StartQuietStreams(); });
+    return success{};
+  }
+
+  void StopCallers() {
+    quiet_timer_.reset();
+    server_->Stop();
+  }
+
+  void Execute(command next) {
+    std::visit([this](auto& value) { Carry(value); }, next);
+  }
+
+  void Carry(const reply_to_caller& reply) { api_.Reply(reply); }
+  void Carry(const reply_to_operator& /*reply*/) {}
+  void Carry(const send_to_peer& /*message*/) {}
+  void Carry(const call_kv& call) {
+    if (platform_.key_values == nullptr) {
+      kv_answer answer;
+      answer.outcome = kv_answer::status::not_sent;
+      loop_.Post(kv_answered{call.id, answer});
+      return;
+    }
+    platform_.key_values->Call(call.operation, call.deadline,
+                               [this, id = call.id](kv_answer answer) {
+                                 loop_.Post(kv_answered{id, std::move(answer)});
+                               });
+  }
+  void Carry(const dispatch_call& call) { platform_.targets->Dispatch(call); }
+  void Carry(const cancel_dispatch& cancel) {
+    platform_.targets->Cancel(cancel.id);
+  }
+  void Carry(const order_target& order) { platform_.targets->Order(order); }
+  void Carry(const write_log& line) { Log(line); }
+  void Carry(const stop_completed& /*stop*/) { Finish(success{}); }
+
+  void Finish(result<success> outcome) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (outcome_) {
+        return;
+      }
+      outcome_ = std::move(outcome);
+    }
+    changed_.notify_all();
+  }
+
+  daemon_options options_;
+  configuration settings_;
+  io_pool& pool_;
+  daemon_platform platform_;
+  system_random random_;
+  decision_loop loop_;
+  caller_api api_;
+  supervisor supervisor_;
+  std::unique_ptr<http_server> server_;
+  std::unique_ptr<periodic_timer> quiet_timer_;
+  std::unique_ptr<periodic_timer> load_timer_;
+  std::unique_ptr<periodic_timer> host_timer_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::optional<result<success>> outcome_;
+};
+
+daemon::daemon(daemon_options options,
+               configuration initial,
+               io_pool& pool,
+               daemon_platform platform)
+    : parts_(std::make_unique<parts>(std::move(options),
+                                     std::move(initial),
+                                     pool,
+                                     platform)) {}
+
+daemon::~daemon() = default;
+
+result<success> daemon::Start() {
+  return parts_->Start();
+}
+
+void daemon::RequestStop() {
+  parts_->RequestStop();
+}
+
+result<success> daemon::WaitUntilStopped() {
+  return parts_->WaitUntilStopped();
+}
+
+std::string daemon::caller_address() const {
+  return parts_->caller_address();
+}
+
+}  // namespace gentian
--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -6,6 +6,13 @@
 #ifndef GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 #define GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 
+#include "gentian_daemon/caller_api.h"
+#include "gentian_daemon/credential_filter.h"
+#include "gentian_daemon/daemon.h"
+#include "gentian_daemon/daemon_log.h"
+#include "gentian_daemon/daemon_options.h"
+#include "gentian_daemon/decision_loop.h"
+#include "gentian_daemon/supervisor.h"
 #include "gentian_daemon/version.h"
 
 #endif  // GENTIAN_DAEMON_GENTIAN_DAEMON_H_
--- /dev/null
+++ b/source/gentian_net/byte_stream.cc
@@ -0,0 +1,115 @@
+#include "gentian_net/byte_stream.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace gentian::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+template <typename Stream>
+tcp::socket& SocketOf(Stream& stream) {
+  if constexpr (std::is_same_v<Stream, tcp::socket>) {
+    return stream;
+  } else {
+    return stream.next_layer();
+  }
+}
+
+template <typename Stream>
+class stream_holder : public byte_stream {
+ public:
+  template <typename... Arguments>
+  explicit stream_holder(std::shared_ptr<asio::ssl::context> tls,
+                         Arguments&&... arguments)
+      : tls_(std::move(tls)), stream_(std::forward<Arguments>(arguments)...) {}
+
+  void Connect(const tcp::endpoint& endpoint, done_handler handler) override {
+    SocketOf(stream_).async_connect(endpoint,
+                                    [this, handler = std::move(handler)](
+                                        boost::system::error_code failure) {
+                                      if (!failure) {
+                                        SetNoDelay();
+                                      }
+                                      handler(failure);
+                                    });
+  }
+
+  void Handshake(bool as_server, done_handler handler) override {
+    if constexpr (std::is_same_v<Stream, tcp::socket>) {
+      asio::post(executor(), [handler = std::move(handler)] {
+        handler(boost::system::error_code());
+      });
+    } else {
+      stream_.async_handshake(as_server ? asio::ssl::stream_base::server
+                                        : asio::ssl::stream_base::client,
+                              std::move(handler));
+    }
+  }
+
+  void ReadSome(asio::mutable_buffer space, read_handler handler) override {
+    stream_.async_read_some(space, std::move(handler));
+  }
+
+  void Write(asio::const_buffer bytes, read_handler handler) override {
+    asio::async_write(stream_, bytes, std::move(handler));
+  }
+
+  bool HasInput() override {
+    char byte = 0;
+    boost::system::error_code failure;
+    tcp::socket& socket = SocketOf(stream_);
+    socket.non_blocking(true, failure);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+    return failure != asio::error::would_block;
+  }
+
+  void ShutdownSend() override {
+    boost::system::error_code ignored;
+    SocketOf(stream_).shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  void Close() override {
+    boost::system::error_code ignored;
+    SocketOf(stream_).close(ignored);
+  }
+
+  asio::any_io_executor executor() override { return stream_.get_executor(); }
+
+  void SetNoDelay() {
+    boost::system::error_code ignored;
+    SocketOf(stream_).set_option(tcp::no_delay(true), ignored);
+  }
+
+ private:
+  std::shared_ptr<asio::ssl::context> tls_;
+  Stream stream_;
+};
+
+}  // namespace
+
+std::shared_ptr<byte_stream> MakeByteStream(
+    tcp::socket socket,
+    std::shared_ptr<asio::ssl::context> tls) {
+  if (!tls) {
+    auto plain = std::make_shared<stream_holder<tcp::socket>>(
+        nullptr, std::move(socket));
+    plain->SetNoDelay();
+    return plain;
+  }
+  asio::ssl::context& context = *tls;
+  auto secured =
+      std::make_shared<stream_holder<asio::ssl::stream<tcp::socket>>>(
+          std::move(tls), std::move(socket), context);
+  secured->SetNoDelay();
+  return secured;
+}
+
+}  // namespace gentian::detail
--- a/source/gentian_net/gentian_net.h
+++ b/source/gentian_net/gentian_net.h
@@ -6,6 +6,12 @@
 #ifndef GENTIAN_NET_GENTIAN_NET_H_
 #define GENTIAN_NET_GENTIAN_NET_H_
 
+#include "gentian_net/event_stream.h"
+#include "gentian_net/http_client.h"
+#include "gentian_net/http_message.h"
+#include "gentian_net/http_server.h"
+#include "gentian_net/io_pool.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/tls_context.h"
 
 #endif  // GENTIAN_NET_GENTIAN_NET_H_
--- /dev/null
+++ b/source/gentian_net/http_client.cc
@@ -0,0 +1,364 @@
+#include "gentian_net/http_client.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "gentian_net/connection_cache.h"
+#include "gentian_net/ip_endpoint.h"
+
+namespace gentian {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using detail::byte_stream;
+
+struct http_client::state {
+  explicit state(asio::io_context& io) : context(io) {}
+
+  std::shared_ptr<byte_stream> NewStream() {
+    return detail::MakeByteStream(
+        asio::ip::tcp::socket(asio::make_strand(context)),
+        tls ? tls->current() : nullptr);
+  }
+
+  asio::io_context& context;
+  std::shared_ptr<tls_context> tls;
+  detail::connection_cache cache;
+};
+
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+
+std::string RequestText(const http_client_request& request) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  message.set(http::field::host, request.address);
+  for (const auto& [name, value] : request.headers.fields()) {
+    message.set(name, value);
+  }
+  message.keep_alive(request.reuse_connection);
+  message.body() = request.body;
+  message.prepare_payload();
+  std::ostringstream text;
+  text << message;
+  return text.str();
+}
+
+// Collects the bytes that a response_parser hands out, so that they can be
+// passed on as they arrive.
+using response_parser = http::response_parser<http::string_body>;
+
+template <typename State>
+class client_call : public http_call,
+                    public std::enable_shared_from_this<client_call<State>> {
+ public:
+  client_call(std::shared_ptr<State> owner,
+              http_client_request request,
+              http_client_handlers handlers)
+      : owner_(std::move(owner)),
+        request_(std::move(request)),
+        handlers_(std::move(handlers)) {}
+
+  void Start() {
+    const auto endpoint = ParseEndpoint(request_.address);
+    if (!Failed(endpoint)) {
+      endpoint_ = ValueOf(endpoint);
+    }
+    text_ = RequestText(request_);
+    if (request_.reuse_connection) {
+      stream_ = owner_->cache.Take(request_.address);
+    }
+    reused_ = stream_ != nullptr;
+    if (!stream_) {
+      stream_ = owner_->NewStream();
+    }
+    deadline_timer_.emplace(stream_->executor());
+    silence_timer_.emplace(stream_->executor());
+    asio::post(stream_->executor(),
+               [me = this->shared_from_this()] { me->StartOnStrand(); });
+  }
+
+  void Cancel() override {
+    asio::post(stream_->executor(), [me = this->shared_from_this()] {
+      if (!me->ended_) {
+        me->End();
+        me->stream_->Close();
+      }
+    });
+  }
+
+ private:
+  void StartOnStrand() {
+    if (ended_) {
+      return;
+    }
+    if (!endpoint_) {
+      Fail(http_failure::not_sent, "the address is not valid");
+      return;
+    }
+    deadline_timer_->expires_after(request_.deadline);
+    deadline_timer_->async_wait([me = this->shared_from_this()](
+                                    error_code failure) {
+      if (!failure) {
+        me->Fail(me->sent_ ? http_failure::deadline : http_failure::not_sent,
+                 "the deadline passed");
+      }
+    });
+    if (reused_) {
+      SendRequest();
+    } else {
+      Connect();
+    }
+  }
+
+  void Connect() {
+    stream_->Connect(*endpoint_,
+                     [me = this->shared_from_this()](error_code failure) {
+                       if (me->FailedBeforeSending(failure)) {
+                         return;
+                       }
+                       me->Handshake();
+                     });
+  }
+
+  void Handshake() {
+    stream_->Handshake(false,
+                       [me = this->shared_from_this()](error_code failure) {
+                         if (me->FailedBeforeSending(failure)) {
+                           return;
+                         }
+                         me->SendRequest();
+                       });
+  }
+
+  bool FailedBeforeSending(error_code failure) {
+    if (failure && !ended_) {
+      Fail(http_failure::not_sent, failure.message());
+    }
+    return ended_;
+  }
+
+  void SendRequest() {
+    sent_ = true;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(request_.max_body_bytes);
+    if (request_.method == "HEAD") {
+      parser_->skip(true);
+    }
+    ArmSilenceTimer();
+    stream_->Write(asio::buffer(text_), [me = this->shared_from_this()](
+                                            error_code failure, std::size_t) {
+      // A server may answer and close before it has read everything, so a
+      // failed write is reported by the read.
+      (void)failure;
+      (void)me;
+    });
+    Read();
+  }
+
+  void ArmSilenceTimer() {
+    if (request_.silence.count() == 0) {
+      return;
+    }
+    silence_timer_->expires_after(request_.silence);
+    silence_timer_->async_wait(
+        [me = this->shared_from_this()](error_code failure) {
+          if (!failure) {
+            me->Fail(http_failure::silent, "no byte came for too long");
+          }
+        });
+  }
+
+  void Read() {
+    stream_->ReadSome(
+        asio::buffer(space_),
+        [me = this->shared_from_this()](error_code failure, std::size_t size) {
+          if (!me->ended_) {
+            me->OnRead(failure, size);
+          }
+        });
+  }
+
+  void OnRead(error_code failure, std::size_t size) {
+    if (failure) {
+      OnReadFailed(failure);
+      return;
+    }
+    ArmSilenceTimer();
+    input_.append(space_.data(), size);
+    error_code parse_failure;
+    while (!input_.empty() && !parser_->is_done()) {
+      const std::size_t used =
+          parser_->put(asio::buffer(input_), parse_failure);
+      input_.erase(0, used);
+      if (parse_failure || used == 0) {
+        break;
+      }
+    }
+    if (parse_failure && parse_failure != http::error::need_more) {
+      Fail(http_failure::broken, parse_failure.message());
+      return;
+    }
+    Deliver();
+  }
+
+  void OnReadFailed(error_code failure) {
+    error_code finish_failure;
+    if (parser_->is_header_done() && failure == asio::error::eof) {
+      // An answer without a length ends with the connection.
+      parser_->put_eof(finish_failure);
+      if (!finish_failure && parser_->is_done()) {
+        Deliver();
+        return;
+      }
+    }
+    if (reused_ && request_.method == "GET" && !parser_->got_some()) {
+      RetryOnNewConnection();
+      return;
+    }
+    Fail(http_failure::broken, failure.message());
+  }
+
+  void RetryOnNewConnection() {
+    // The timers stay on the strand of the old connection; a fresh call keeps
+    // everything on one strand.
+    End();
+    stream_->Close();
+    request_.reuse_connection = false;
+    auto again = std::make_shared<client_call>(owner_, request_, handlers_);
+    again->Start();
+  }
+
+  void Deliver() {
+    if (!parser_->is_header_done()) {
+      Read();
+      return;
+    }
+    if (!header_delivered_) {
+      header_delivered_ = true;
+      DeliverHeader();
+    }
+    std::string& body = parser_->get().body();
+    if (!body.empty() && !ended_) {
+      const std::string part = std::move(body);
+      body.clear();
+      if (handlers_.on_body) {
+        handlers_.on_body(part);
+      }
+    }
+    if (ended_) {
+      return;
+    }
+    if (!parser_->is_done()) {
+      Read();
+      return;
+    }
+    Complete();
+  }
+
+  void DeliverHeader() {
+    http_headers headers;
+    for (const auto& field : parser_->get()) {
+      headers.Add(std::string(field.name_string()), std::string(field.value()));
+    }
+    if (handlers_.on_header) {
+      handlers_.on_header(static_cast<int>(parser_->get().result_int()),
+                          headers);
+    }
+  }
+
+  void Complete() {
+    End();
+    if (request_.reuse_connection && parser_->get().keep_alive() &&
+        input_.empty()) {
+      owner_->cache.Put(request_.address, stream_);
+    } else {
+      stream_->Close();
+    }
+    handlers_.on_end();
+  }
+
+  void Fail(http_failure failure, const std::string& message) {
+    if (ended_) {
+      return;
+    }
+    End();
+    stream_->Close();
+    handlers_.on_failure(failure, message);
+  }
+
+  void End() {
+    ended_ = true;
+    deadline_timer_->cancel();
+    silence_timer_->cancel();
+  }
+
+  std::shared_ptr<State> owner_;
+  http_client_request request_;
+  http_client_handlers handlers_;
+  std::optional<asio::ip::tcp::endpoint> endpoint_;
+  std::string text_;
+  std::shared_ptr<byte_stream> stream_;
+  std::optional<asio::steady_timer> deadline_timer_;
+  std::optional<asio::steady_timer> silence_timer_;
+  std::array<char, kReadSize> space_{};
+  std::string input_;
+  std::optional<response_parser> parser_;
+  bool reused_ = false;
+  bool sent_ = false;
+  bool header_delivered_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace
+
+http_client::http_client(io_pool& pool, std::shared_ptr<tls_context> tls)
+    : state_(std::make_shared<state>(pool.context())) {
+  state_->tls = std::move(tls);
+}
+
+http_client::~http_client() {
+  state_->cache.Clear();
+}
+
+std::shared_ptr<http_call> http_client::Send(http_client_request request,
+                                             http_client_handlers handlers) {
+  auto call = std::make_shared<client_call<state>>(state_, std::move(request),
+                                                   std::move(handlers));
+  call->Start();
+  return call;
+}
+
+std::shared_ptr<http_call> http_client::Fetch(
+    http_client_request request,
+    std::function<void(http_response)> on_answer,
+    std::function<void(http_failure, const std::string&)> on_failure) {
+  auto answer = std::make_shared<http_response>();
+  http_client_handlers handlers;
+  handlers.on_header = [answer](int status, const http_headers& headers) {
+    answer->status = status;
+    answer->headers = headers;
+  };
+  handlers.on_body = [answer](std::string_view bytes) {
+    answer->body += bytes;
+  };
+  handlers.on_end = [answer, on_answer = std::move(on_answer)] {
+    on_answer(std::move(*answer));
+  };
+  handlers.on_failure = std::move(on_failure);
+  return Send(std::move(request), std::move(handlers));
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_net/http_client.h
@@ -0,0 +1,95 @@
+#ifndef GENTIAN_NET_HTTP_CLIENT_H_
+#define GENTIAN_NET_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gentian_net/http_message.h"
+#include "gentian_net/io_pool.h"
+#include "gentian_net/tls_context.h"
+
+namespace gentian {
+
+/** How a request failed. */
+enum class http_failure {
+  /** No byte of the request left this host. */
+  not_sent,
+  /** The connection broke after bytes may have been sent. */
+  broken,
+  /** No byte came for the silence limit. */
+  silent,
+  /** The deadline passed after bytes may have been sent. */
+  deadline,
+};
+
+/** A request to send. */
+struct http_client_request {
+  /** `ip:port`. */
+  std::string address;
+  std::string method = "GET";
+  std::string target = "/";
+  http_headers headers;
+  std::string body;
+  milliseconds deadline{30'000};
+  /** Longest time without a byte of the answer; 0 for no such limit. */
+  milliseconds silence{0};
+  /** True if an open connection may be used again. A server can close such a
+      connection just when the request is sent; the request then fails as
+      `broken`, except that a GET is sent again on a new connection.
+  */
+  bool reuse_connection = false;
+  std::size_t max_body_bytes = 64 * 1024 * 1024;
+};
+
+/** Receives an answer. Exactly one of on_end and on_failure runs, last. All
+    run on I/O threads, one after the other.
+*/
+struct http_client_handlers {
+  std::function<void(int status, const http_headers& headers)> on_header;
+  std::function<void(std::string_view bytes)> on_body;
+  std::function<void()> on_end;
+  std::function<void(http_failure failure, const std::string& message)>
+      on_failure;
+};
+
+/** A request in progress. */
+class http_call {
+ public:
+  virtual ~http_call() = default;
+
+  /** Closes the connection. No handler starts after the strand has seen it.
+   */
+  virtual void Cancel() = 0;
+};
+
+/** An HTTP/1.1 client that keeps connections open for reuse. */
+class http_client {
+ public:
+  /** @param tls  nothing for plain HTTP */
+  explicit http_client(io_pool& pool,
+                       std::shared_ptr<tls_context> tls = nullptr);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  /** Starts a request. */
+  std::shared_ptr<http_call> Send(http_client_request request,
+                                  http_client_handlers handlers);
+
+  /** Starts a request and collects the whole answer. */
+  std::shared_ptr<http_call> Fetch(
+      http_client_request request,
+      std::function<void(http_response)> on_answer,
+      std::function<void(http_failure, const std::string&)> on_failure);
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/source/gentian_net/http_connection.cc
@@ -0,0 +1,451 @@
+#include "gentian_net/http_connection.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace gentian::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kReadSize = 16 * 1024;
+// Input beyond the current request that is read to notice a lost caller.
+constexpr std::size_t kMaxReadAhead = 64 * 1024;
+constexpr std::chrono::seconds kCommentInterval{1};
+// Time for a caller to read an error while it is still sending its request.
+constexpr std::chrono::seconds kLinger{2};
+
+error TooLarge(const std::string& what, std::size_t limit) {
+  return error{error_kind::too_large, "the request " + what + " is too large",
+               "send at most " + std::to_string(limit) + " bytes"};
+}
+
+class connection : public http_connection,
+                   public std::enable_shared_from_this<connection> {
+ public:
+  connection(std::shared_ptr<byte_stream> stream,
+             std::shared_ptr<const connection_environment> environment,
+             std::function<void()> on_closed)
+      : stream_(std::move(stream)),
+        environment_(std::move(environment)),
+        on_closed_(std::move(on_closed)),
+        receive_timer_(stream_->executor()),
+        send_timer_(stream_->executor()),
+        comment_timer_(stream_->executor()) {}
+
+  void Start() override {
+    Post([](connection& self) {
+      self.ArmReceiveTimer(self.limits().receive_deadline);
+      self.stream_->Handshake(
+          true, [me = self.shared_from_this()](error_code failure) {
+            if (failure) {
+              me->Close();
+              return;
+            }
+            me->ArmReceiveTimer(me->limits().idle_deadline);
+            me->Read();
+          });
+    });
+  }
+
+  void Drain() override {
+    Post([](connection& self) {
+      self.draining_ = true;
+      if (!self.answering_ && self.input_.empty()) {
+        self.Close();
+      }
+    });
+  }
+
+  void Stop() override {
+    Post([](connection& self) { self.Close(); });
+  }
+
+  // Runs a step of the answer to one exchange; steps that come after the
+  // answer's end or for an earlier exchange are dropped.
+  template <typename Step>
+  void PostAnswer(std::uint64_t serial, Step step) {
+    Post([serial, step = std::move(step)](connection& self) mutable {
+      if (self.answering_ && !self.answer_ended_ && serial == self.serial_) {
+        step(self);
+      }
+    });
+  }
+
+  void SendWhole(const http_response& answer) {
+    http::response<http::string_body> message(
+        static_cast<http::status>(answer.status), 11);
+    AddHeaders(message, answer.headers);
+    message.body() = answer.body;
+    message.prepare_payload();
+    std::ostringstream text;
+    text << message;
+    answer_ended_ = true;
+    Queue(text.str());
+  }
+
+  void SendStreamHeader(const http_headers& headers) {
+    http::response<http::empty_body> message(http::status::ok, 11);
+    AddHeaders(message, headers);
+    message.set(http::field::content_type, "text/event-stream");
+    message.set(http::field::cache_control, "no-store");
+    message.chunked(true);
+    std::ostringstream text;
+    text << message.base();
+    Queue(text.str());
+    last_sent_ = std::chrono::steady_clock::now();
+    ArmCommentTimer();
+  }
+
+  void SendChunk(std::string_view text) {
+    last_sent_ = std::chrono::steady_clock::now();
+    Queue(beast::buffers_to_string(
+        http::make_chunk(asio::const_buffer(text.data(), text.size()))));
+  }
+
+  void EndStream() {
+    comment_timer_.cancel();
+    answer_ended_ = true;
+    Queue(beast::buffers_to_string(http::make_chunk_last()));
+  }
+
+  void SetDisconnectHandler(std::uint64_t serial,
+                            std::function<void()> handler) {
+    Post([serial, handler = std::move(handler)](connection& self) mutable {
+      if (serial != self.serial_) {
+        return;
+      }
+      if (self.closed_ && !self.answer_ended_) {
+        handler();
+      } else if (!self.answer_ended_) {
+        self.on_disconnect_ = std::move(handler);
+      }
+    });
+  }
+
+  void Close() {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    receive_timer_.cancel();
+    send_timer_.cancel();
+    comment_timer_.cancel();
+    stream_->Close();
+    // Moved out first: the handlers may hold the last reference to others.
+    auto on_disconnect = std::move(on_disconnect_);
+    on_disconnect_ = nullptr;
+    if (answering_ && !answer_ended_ && on_disconnect) {
+      on_disconnect();
+    }
+    auto on_closed = std::move(on_closed_);
+    on_closed_ = nullptr;
+    on_closed();
+  }
+
+ private:
+  using request_parser = http::request_parser<http::string_body>;
+
+  const http_server_limits& limits() const { return environment_->limits; }
+
+  template <typename Step>
+  void Post(Step step) {
+    asio::post(stream_->executor(),
+               [me = shared_from_this(), step = std::move(step)]() mutable {
+                 step(*me);
+               });
+  }
+
+  void ArmReceiveTimer(milliseconds limit) {
+    receive_timer_.expires_after(limit);
+    receive_timer_.async_wait([me = shared_from_this()](error_code failure) {
+      if (!failure) {
+        me->Close();
+      }
+    });
+  }
+
+  void Read() {
+    if (reading_ || closed_) {
+      return;
+    }
+    reading_ = true;
+    stream_->ReadSome(
+        asio::buffer(space_),
+        [me = shared_from_this()](error_code failure, std::size_t size) {
+          me->reading_ = false;
+          me->OnRead(failure, size);
+        });
+  }
+
+  void OnRead(error_code failure, std::size_t size) {
+    if (failure) {
+      Close();
+      return;
+    }
+    if (discarding_) {
+      Read();
+      return;
+    }
+    input_.append(space_.data(), size);
+    Parse();
+  }
+
+  void Parse() {
+    if (answering_) {
+      if (input_.size() < kMaxReadAhead) {
+        Read();
+      }
+      return;
+    }
+    if (!parser_ && !input_.empty()) {
+      parser_.emplace();
+      parser_->eager(true);
+      parser_->header_limit(
+          static_cast<std::uint32_t>(limits().max_header_bytes));
+      parser_->body_limit(limits().max_body_bytes);
+      sent_continue_ = false;
+      ArmReceiveTimer(limits().receive_deadline);
+    }
+    error_code failure;
+    while (parser_ && !input_.empty() && !parser_->is_done()) {
+      const std::size_t used = parser_->put(asio::buffer(input_), failure);
+      input_.erase(0, used);
+      if (failure || used == 0) {
+        break;
+      }
+    }
+    if (failure && failure != http::error::need_more) {
+      RefuseInput(failure);
+    } else if (parser_ && parser_->is_done()) {
+      BeginExchange();
+    } else {
+      SendContinueIfExpected();
+      Read();
+    }
+  }
+
+  void SendContinueIfExpected() {
+    if (!parser_ || !parser_->is_header_done() || sent_continue_ ||
+        parser_->get()[http::field::expect] != "100-continue") {
+      return;
+    }
+    sent_continue_ = true;
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+
+  void RefuseInput(error_code failure) {
+    error reason{error_kind::malformed_request,
+                 "the request is not valid HTTP/1.1: " + failure.message(),
+                 "use an HTTP/1.1 client"};
+    if (failure == http::error::header_limit) {
+      reason = TooLarge("header", limits().max_header_bytes);
+    } else if (failure == http::error::body_limit) {
+      reason = TooLarge("body", limits().max_body_bytes);
+    }
+    keep_alive_ = false;
+    answering_ = true;
+    answer_ended_ = false;
+    ++serial_;
+    SendWhole(ErrorResponse(reason));
+  }
+
+  void BeginExchange();
+
+  void FinishExchange() {
+    answering_ = false;
+    on_disconnect_ = nullptr;
+    if (!keep_alive_ || draining_) {
+      discarding_ = true;
+      stream_->ShutdownSend();
+      ArmReceiveTimer(kLinger);
+      Read();
+      return;
+    }
+    ArmReceiveTimer(limits().idle_deadline);
+    Parse();
+  }
+
+  template <typename Message>
+  void AddHeaders(Message& message, const http_headers& headers) {
+    for (const auto& [name, value] : headers.fields()) {
+      message.set(name, value);
+    }
+    message.keep_alive(keep_alive_ && !draining_);
+  }
+
+  void ArmCommentTimer() {
+    comment_timer_.expires_after(kCommentInterval);
+    comment_timer_.async_wait([me = shared_from_this()](error_code failure) {
+      if (failure || me->closed_ || me->answer_ended_) {
+        return;
+      }
+      const auto quiet = std::chrono::steady_clock::now() - me->last_sent_;
+      if (quiet >= kCommentInterval) {
+        me->SendChunk(kStreamComment);
+      }
+      me->ArmCommentTimer();
+    });
+  }
+
+  void Queue(std::string text) {
+    unsent_bytes_ += text.size();
+    output_.push_back(std::move(text));
+    if (unsent_bytes_ > limits().max_unsent_bytes && output_.size() > 1) {
+      Close();
+      return;
+    }
+    if (!writing_) {
+      WriteNext();
+    }
+  }
+
+  void WriteNext() {
+    if (closed_) {
+      return;
+    }
+    if (output_.empty()) {
+      if (answering_ && answer_ended_) {
+        FinishExchange();
+      }
+      return;
+    }
+    writing_ = true;
+    send_timer_.expires_after(limits().send_deadline);
+    send_timer_.async_wait([me = shared_from_this()](error_code failure) {
+      if (!failure) {
+        me->Close();
+      }
+    });
+    stream_->Write(
+        asio::buffer(output_.front()),
+        [me = shared_from_this()](error_code failure, std::size_t size) {
+          me->writing_ = false;
+          me->send_timer_.cancel();
+          if (failure) {
+            me->Close();
+            return;
+          }
+          me->unsent_bytes_ -= size;
+          me->output_.pop_front();
+          me->WriteNext();
+        });
+  }
+
+  std::shared_ptr<byte_stream> stream_;
+  std::shared_ptr<const connection_environment> environment_;
+  std::function<void()> on_closed_;
+  asio::steady_timer receive_timer_;
+  asio::steady_timer send_timer_;
+  asio::steady_timer comment_timer_;
+  std::array<char, kReadSize> space_{};
+  std::string input_;
+  std::optional<request_parser> parser_;
+  std::deque<std::string> output_;
+  std::size_t unsent_bytes_ = 0;
+  std::chrono::steady_clock::time_point last_sent_{};
+  std::function<void()> on_disconnect_;
+  std::uint64_t serial_ = 0;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool sent_continue_ = false;
+  bool answering_ = false;
+  bool answer_ended_ = false;
+  bool keep_alive_ = true;
+  bool draining_ = false;
+  bool discarding_ = false;
+  bool closed_ = false;
+};
+
+class connection_exchange : public http_exchange {
+ public:
+  connection_exchange(std::shared_ptr<connection> owner,
+                      std::uint64_t serial,
+                      http_request request)
+      : owner_(std::move(owner)),
+        serial_(serial),
+        request_(std::move(request)) {}
+
+  const http_request& request() const override { return request_; }
+
+  void Respond(http_response answer) override {
+    owner_->PostAnswer(serial_, [answer = std::move(answer)](connection& self) {
+      self.SendWhole(answer);
+    });
+  }
+
+  void StartEvents(http_headers headers) override {
+    owner_->PostAnswer(serial_,
+                       [headers = std::move(headers)](connection& self) {
+                         self.SendStreamHeader(headers);
+                       });
+  }
+
+  void SendEvent(const stream_event& event) override {
+    owner_->PostAnswer(serial_, [text = FormatEvent(event)](connection& self) {
+      self.SendChunk(text);
+    });
+  }
+
+  void EndEvents() override {
+    owner_->PostAnswer(serial_, [](connection& self) { self.EndStream(); });
+  }
+
+  void Abort() override {
+    owner_->PostAnswer(serial_, [](connection& self) { self.Close(); });
+  }
+
+  void SetDisconnectHandler(std::function<void()> handler) override {
+    owner_->SetDisconnectHandler(serial_, std::move(handler));
+  }
+
+ private:
+  std::shared_ptr<connection> owner_;
+  std::uint64_t serial_;
+  http_request request_;
+};
+
+void connection::BeginExchange() {
+  receive_timer_.cancel();
+  http_request request;
+  auto message = parser_->release();
+  parser_.reset();
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  keep_alive_ = message.keep_alive();
+  answering_ = true;
+  answer_ended_ = false;
+  ++serial_;
+  auto exchange = std::make_shared<connection_exchange>(
+      shared_from_this(), serial_, std::move(request));
+  Read();
+  environment_->on_request(std::move(exchange));
+}
+
+}  // namespace
+
+std::shared_ptr<http_connection> MakeHttpConnection(
+    std::shared_ptr<byte_stream> stream,
+    std::shared_ptr<const connection_environment> environment,
+    std::function<void()> on_closed) {
+  return std::make_shared<connection>(std::move(stream), std::move(environment),
+                                      std::move(on_closed));
+}
+
+}  // namespace gentian::detail
--- /dev/null
+++ b/source/gentian_net/http_connection.h
@@ -0,0 +1,39 @@
+#ifndef GENTIAN_NET_HTTP_CONNECTION_H_
+#define GENTIAN_NET_HTTP_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+
+#include "gentian_net/byte_stream.h"
+#include "gentian_net/http_server.h"
+
+namespace gentian::detail {
+
+/** One connection of an http_server. Functions may be called from any thread.
+ */
+class http_connection {
+ public:
+  virtual ~http_connection() = default;
+
+  virtual void Start() = 0;
+  /** Ends the connection after the answer that is in progress. */
+  virtual void Drain() = 0;
+  /** Ends the connection at once. */
+  virtual void Stop() = 0;
+};
+
+/** What the connections of one server share. */
+struct connection_environment {
+  http_server::handler on_request;
+  http_server_limits limits;
+};
+
+/** @param on_closed  runs once, when the connection has ended */
+std::shared_ptr<http_connection> MakeHttpConnection(
+    std::shared_ptr<byte_stream> stream,
+    std::shared_ptr<const connection_environment> environment,
+    std::function<void()> on_closed);
+
+}  // namespace gentian::detail
+
+#endif  // GENTIAN_NET_HTTP_CONNECTION_H_
--- /dev/null
+++ b/source/gentian_net/http_server.cc
@@ -0,0 +1,157 @@
+#include "gentian_net/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <utility>
+
+#include "gentian_net/http_connection.h"
+#include "gentian_net/ip_endpoint.h"
+
+namespace gentian {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// Pause after a failed accept, which usually means that no file descriptor is
+// free: accepting again at once would fail the same way in a busy loop.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+}  // namespace
+
+struct http_server::state : std::enable_shared_from_this<state> {
+  explicit state(asio::io_context& io) : context(io), acceptor(io), pause(io) {}
+
+  void Accept() {
+    acceptor.async_accept(
+        asio::make_strand(context),
+        [me = shared_from_this()](error_code failure, tcp::socket socket) {
+          me->OnAccept(failure, std::move(socket));
+        });
+  }
+
+  void OnAccept(error_code failure, tcp::socket socket) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (stopped) {
+      return;
+    }
+    if (failure) {
+      pause.expires_after(kAcceptPause);
+      pause.async_wait([me = shared_from_this()](error_code cancelled) {
+        const std::lock_guard<std::mutex> inner(me->mutex);
+        if (!cancelled && !me->stopped) {
+          me->Accept();
+        }
+      });
+      return;
+    }
+    // A connection beyond the bound is closed when `socket` is destroyed.
+    if (connections.size() < environment->limits.max_connections) {
+      AddConnection(std::move(socket));
+    }
+    Accept();
+  }
+
+  void AddConnection(tcp::socket socket) {
+    const std::uint64_t id = ++last_id;
+    auto stream = detail::MakeByteStream(std::move(socket),
+                                         tls ? tls->current() : nullptr);
+    auto connection = detail::MakeHttpConnection(
+        std::move(stream), environment, [weak = weak_from_this(), id] {
+          if (const auto me = weak.lock()) {
+            const std::lock_guard<std::mutex> lock(me->mutex);
+            me->connections.erase(id);
+          }
+        });
+    connections[id] = connection;
+    connection->Start();
+  }
+
+  std::map<std::uint64_t, std::shared_ptr<detail::http_connection>>
+  CloseAcceptor() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    stopped = true;
+    error_code ignored;
+    acceptor.close(ignored);
+    pause.cancel();
+    return connections;
+  }
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  asio::steady_timer pause;
+  std::shared_ptr<tls_context> tls;
+  std::shared_ptr<detail::connection_environment> environment;
+  std::mutex mutex;
+  bool stopped = false;
+  std::uint64_t last_id = 0;
+  std::map<std::uint64_t, std::shared_ptr<detail::http_connection>> connections;
+};
+
+http_server::http_server(io_pool& pool,
+                         handler on_request,
+                         http_server_limits limits,
+                         std::shared_ptr<tls_context> tls)
+    : state_(std::make_shared<state>(pool.context())) {
+  state_->tls = std::move(tls);
+  state_->environment = std::make_shared<detail::connection_environment>(
+      detail::connection_environment{std::move(on_request), limits});
+}
+
+http_server::~http_server() {
+  Stop();
+}
+
+result<success> http_server::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (Failed(endpoint)) {
+    return ErrorOf(endpoint);
+  }
+  error_code failure;
+  tcp::acceptor& acceptor = state_->acceptor;
+  acceptor.open(ValueOf(endpoint).protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  }
+  if (!failure) {
+    acceptor.bind(ValueOf(endpoint), failure);
+  }
+  if (!failure) {
+    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return error{error_kind::unavailable,
+                 "cannot listen on " + address + ": " + failure.message(),
+                 "choose an address of this host and a port that is free"};
+  }
+  state_->Accept();
+  return success{};
+}
+
+std::string http_server::address() const {
+  error_code ignored;
+  std::ostringstream text;
+  text << state_->acceptor.local_endpoint(ignored);
+  return text.str();
+}
+
+void http_server::StopAccepting() {
+  for (const auto& [id, connection] : state_->CloseAcceptor()) {
+    connection->Drain();
+  }
+}
+
+void http_server::Stop() {
+  for (const auto& [id, connection] : state_->CloseAcceptor()) {
+    connection->Stop();
+  }
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_net/http_server.h
@@ -0,0 +1,99 @@
+#ifndef GENTIAN_NET_HTTP_SERVER_H_
+#define GENTIAN_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gentian_net/event_stream.h"
+#include "gentian_net/http_message.h"
+#include "gentian_net/io_pool.h"
+#include "gentian_net/tls_context.h"
+
+namespace gentian {
+
+/** One request and the answer to it. All functions may be called from any
+    thread; calls after the end of the answer have no effect.
+*/
+class http_exchange {
+ public:
+  virtual ~http_exchange() = default;
+
+  virtual const http_request& request() const = 0;
+
+  /** Sends the whole answer. */
+  virtual void Respond(http_response answer) = 0;
+
+  /** Starts an answer of server-sent events. A comment line follows in every
+      second in which there is no event.
+  */
+  virtual void StartEvents(http_headers headers) = 0;
+
+  /** Sends one event. Precondition: StartEvents was called. */
+  virtual void SendEvent(const stream_event& event) = 0;
+
+  /** Ends an answer of server-sent events. */
+  virtual void EndEvents() = 0;
+
+  /** Closes the connection without an answer, or in the middle of one. */
+  virtual void Abort() = 0;
+
+  /** Sets what runs when the connection is lost before the answer ended. */
+  virtual void SetDisconnectHandler(std::function<void()> handler) = 0;
+};
+
+/** Bounds of a server. */
+struct http_server_limits {
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  /** Time for one request to arrive, from its first byte. */
+  milliseconds receive_deadline{30'000};
+  /** Time that a connection without a request stays open. */
+  milliseconds idle_deadline{75'000};
+  /** Time without progress after which a reader counts as gone. */
+  milliseconds send_deadline{30'000};
+  /** Bytes that may wait for a slow reader. */
+  std::size_t max_unsent_bytes = 16 * 1024 * 1024;
+  std::size_t max_connections = 10'000;
+};
+
+/** An HTTP/1.1 server with keep-alive, server-sent events and optional TLS. */
+class http_server {
+ public:
+  using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+  /** @param tls  nothing for plain HTTP
+      @param on_request  runs on I/O threads
+  */
+  http_server(io_pool& pool,
+              handler on_request,
+              http_server_limits limits = {},
+              std::shared_ptr<tls_context> tls = nullptr);
+  /** Closes all connections. */
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /** Listens on `ip:port`; port 0 picks a free one. */
+  result<success> Listen(const std::string& address);
+
+  /** The address that is listened on, with the real port. */
+  std::string address() const;
+
+  /** Takes no new connections and ends each open one after the answer that is
+      being sent on it.
+  */
+  void StopAccepting();
+
+  /** Closes everything at once. */
+  void Stop();
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/source/gentian_net/io_pool.cc
@@ -0,0 +1,93 @@
+#include "gentian_net/io_pool.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace gentian {
+
+namespace asio = boost::asio;
+
+struct io_pool::state {
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      context.get_executor()};
+  std::vector<std::thread> threads;
+};
+
+io_pool::io_pool(unsigned threads) : state_(std::make_unique<state>()) {
+  for (unsigned i = 0; i < threads; ++i) {
+    state_->threads.emplace_back([this] { state_->context.run(); });
+  }
+}
+
+io_pool::~io_pool() {
+  Stop();
+}
+
+void io_pool::Stop() {
+  state_->work.reset();
+  state_->context.stop();
+  for (std::thread& thread : state_->threads) {
+    thread.join();
+  }
+  state_->threads.clear();
+}
+
+void io_pool::After(duration delay, std::function<void()> action) {
+  auto timer = std::make_shared<asio::steady_timer>(state_->context, delay);
+  timer->async_wait(
+      [timer, action = std::move(action)](boost::system::error_code failure) {
+        if (!failure) {
+          action();
+        }
+      });
+}
+
+asio::io_context& io_pool::context() {
+  return state_->context;
+}
+
+struct periodic_timer::state {
+  explicit state(asio::io_context& context) : timer(context) {}
+
+  asio::steady_timer timer;
+  duration interval{};
+  std::function<void()> action;
+  std::mutex mutex;
+  bool stopped = false;
+
+  static void Arm(const std::shared_ptr<state>& self) {
+    self->timer.expires_after(self->interval);
+    self->timer.async_wait([self](boost::system::error_code failure) {
+      const std::lock_guard<std::mutex> lock(self->mutex);
+      if (failure || self->stopped) {
+        return;
+      }
+      self->action();
+      Arm(self);
+    });
+  }
+};
+
+periodic_timer::periodic_timer(io_pool& pool,
+                               duration interval,
+                               std::function<void()> action)
+    : state_(std::make_shared<state>(pool.context())) {
+  state_->interval = interval;
+  state_->action = std::move(action);
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  state::Arm(state_);
+}
+
+periodic_timer::~periodic_timer() {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  state_->stopped = true;
+  state_->timer.cancel();
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_net/io_pool.h
@@ -0,0 +1,59 @@
+#ifndef GENTIAN_NET_IO_POOL_H_
+#define GENTIAN_NET_IO_POOL_H_
+
+#include <functional>
+#include <memory>
+
+#include "gentian_core/steady_time.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace gentian {
+
+/** Threads that run all network I/O of a process. */
+class io_pool {
+ public:
+  /** Starts the threads. */
+  explicit io_pool(unsigned threads);
+  /** Stops the threads. Objects that use the pool must be stopped before. */
+  ~io_pool();
+  io_pool(const io_pool&) = delete;
+  io_pool& operator=(const io_pool&) = delete;
+
+  /** Ends the threads; pending operations are dropped. */
+  void Stop();
+
+  /** Runs a function on one of the threads after a delay. */
+  void After(duration delay, std::function<void()> action);
+
+  boost::asio::io_context& context();
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+/** Runs a function repeatedly on an io_pool until it is destroyed. */
+class periodic_timer {
+ public:
+  /** @param action  runs every `interval`, never concurrently with itself;
+                     must not destroy the timer
+  */
+  periodic_timer(io_pool& pool,
+                 duration interval,
+                 std::function<void()> action);
+  /** Stops; waits for an action that is running. */
+  ~periodic_timer();
+  periodic_timer(const periodic_timer&) = delete;
+  periodic_timer& operator=(const periodic_timer&) = delete;
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_NET_IO_POOL_H_
--- a/source/gentian_platform/gentian_platform.h
+++ b/source/gentian_platform/gentian_platform.h
@@ -7,6 +7,14 @@
 #ifndef GENTIAN_PLATFORM_GENTIAN_PLATFORM_H_
 #define GENTIAN_PLATFORM_GENTIAN_PLATFORM_H_
 
+#include "gentian_platform/engine_fake.h"
+#include "gentian_platform/host_list.h"
+#include "gentian_platform/host_list_fake.h"
+#include "gentian_platform/http_host_list.h"
+#include "gentian_platform/http_target_gateway.h"
+#include "gentian_platform/key_value_fake.h"
 #include "gentian_platform/key_value_store.h"
+#include "gentian_platform/target_gateway.h"
+#include "gentian_platform/tool_fake.h"
 
 #endif  // GENTIAN_PLATFORM_GENTIAN_PLATFORM_H_
--- /dev/null
+++ b/source/gentian_platform/target_stream.h
@@ -0,0 +1,48 @@
+#ifndef GENTIAN_PLATFORM_TARGET_STREAM_H_
+#define GENTIAN_PLATFORM_TARGET_STREAM_H_
+
+#include <string>
+#include <string_view>
+
+#include "gentian_net/event_stream.h"
+#include "gentian_net/http_client.h"
+#include "gentian_platform/chat_assembler.h"
+#include "gentian_platform/target_gateway.h"
+
+namespace gentian {
+
+/** Turns the HTTP answer to one dispatch into target events. */
+class target_stream {
+ public:
+  target_stream(const dispatch_call& call, target_gateway::event_sink sink);
+
+  void OnHeader(int status, const http_headers& headers);
+  void OnBody(std::string_view bytes);
+  void OnEnd();
+  void OnFailure(http_failure failure, const std::string& message);
+
+  /** Stream id that the target gave, empty before or without one. */
+  const std::string& stream_id() const { return stream_id_; }
+
+ private:
+  void TakeEvent(const stream_event& event);
+  void Finish(json body);
+  void Fail(target_failure failure, const std::string& message);
+
+  dispatch_id id_;
+  bool resumed_;
+  target_gateway::event_sink sink_;
+  int status_ = 0;
+  bool is_stream_ = false;
+  bool rejected_not_run_ = false;
+  bool complete_ = false;
+  std::string stream_id_;
+  std::string body_;
+  std::uint64_t next_offset_;
+  event_stream_parser parser_;
+  chat_assembler assembler_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_PLATFORM_TARGET_STREAM_H_
