Add the thin call path for sessions on one daemon

A node could only list addresses. It now opens sessions for a key, runs model calls (streamed and not), tool calls and plain calls in order against dispatch commands, with budgets, idempotency keys, history, deadlines, stream resuming and withdrawn keys, and ends sessions. Scheduling (direct_scheduling) and the fleet (standalone_cluster) are minimal and will be replaced; records are not replicated yet.

--- a/source/gentian_decisions/node.h
+++ b/source/gentian_decisions/node.h
@@ -1,11 +1,16 @@
 #ifndef GENTIAN_DECISIONS_NODE_H_
 #define GENTIAN_DECISIONS_NODE_H_
 
+#include <array>
+#include <variant>
 #include <vector>
 
+#include "gentian_decisions/direct_scheduling.h"
 #include "gentian_decisions/event.h"
 #include "gentian_decisions/node_context.h"
 #include "gentian_decisions/node_identity.h"
+#include "gentian_decisions/session_service.h"
+#include "gentian_decisions/standalone_cluster.h"
 
 namespace gentian {
 
@@ -24,7 +29,12 @@
       @param initial   configuration to start with; version 0 if none is known
       @param random    source of random numbers; must outlive the node
   */
-  node(node_identity identity, configuration initial, random_source& random);
+  node(const node_identity& identity,
+       configuration initial,
+       random_source& random);
+
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
 
   /** Handles one event.
 
@@ -39,16 +49,28 @@
   const counter_set& counters() const { return counters_; }
 
  private:
-  void Handle(const caller_request& request, node_context& context);
+  using handler = void (node::*)(const event&, node_context&);
+  using handler_table = std::array<handler, std::variant_size_v<event>>;
+
+  static handler_table MakeHandlers();
 
-  // Events that no part handles yet.
+  // Passes an event to the session part.
   template <typename Event>
-  void Handle(const Event& /*input*/, node_context& /*context*/) {}
+  void ToSessions(const event& input, node_context& context) {
+    sessions_.Handle(std::get<Event>(input), context);
+  }
+
+  // For events that no part needs yet.
+  void Ignore(const event& /*input*/, node_context& /*context*/) {}
+
+  void OnCallerRequest(const event& input, node_context& context);
+  void OnAdminRequest(const event& input, node_context& context);
 
-  node_identity identity_;
-  configuration configuration_;
   random_source& random_;
   counter_set counters_;
+  standalone_cluster cluster_;
+  direct_scheduling scheduling_;
+  session_service sessions_;
 };
 
 }  // namespace gentian
--- /dev/null
+++ b/source/gentian_decisions/session_ending.cc
@@ -0,0 +1,147 @@
+// The second half of session_operations: how sessions end.
+#include <utility>
+
+#include "gentian_decisions/session_errors.h"
+#include "gentian_decisions/session_operations.h"
+
+namespace gentian {
+
+void session_operations::End(const caller_identity& caller,
+                             const end_session& operation,
+                             const answer_route& route,
+                             node_context& context) {
+  session* target = sessions_.Find(operation.session);
+  const bool is_ending = ending_.count(operation.session) > 0;
+  if (!is_ending) {
+    target = Owned(caller, operation.session, route, context);
+  }
+  if (target == nullptr || target->opened().team != caller.team) {
+    if (is_ending) {
+      Refuse(route, session_errors::UnknownSession(), context);
+    }
+    return;
+  }
+  const std::uint64_t pending =
+      AddPending(ShardOf(target->id()), route, false, context);
+  end_requests_.emplace(target->id(), pending);
+  if (!is_ending) {
+    BeginEnd(*target, context);
+  }
+}
+
+void session_operations::BeginEnd(session& target, node_context& context) {
+  if (ending_.count(target.id()) > 0) {
+    return;
+  }
+  // The session may be gone when its children have ended.
+  const session_id id(target.id().text());
+  ending_[id] = false;
+  calls_.AbortSession(id, context);
+  const std::vector<session_id> children(target.children().begin(),
+                                         target.children().end());
+  for (const session_id& child : children) {
+    if (session* running = sessions_.Find(child)) {
+      BeginEnd(*running, context);
+    }
+  }
+  TryEnd(id, context);
+}
+
+void session_operations::TryEnd(const session_id& id, node_context& context) {
+  const auto state = ending_.find(id);
+  session* target = sessions_.Find(id);
+  if (state == ending_.end() || state->second || target == nullptr ||
+      calls_.HasCallsOf(id)) {
+    return;
+  }
+  for (const session_id& child : target->children()) {
+    if (sessions_.Find(child) != nullptr) {
+      return;
+    }
+  }
+  state->second = true;
+  sessions_.Append(
+      *target, session_ended{},
+      [this, id](node_context& later) { Ended(id, later); }, context);
+}
+
+void session_operations::Ended(const session_id& id, node_context& context) {
+  const session* target = sessions_.Find(id);
+  const budget_amount used = target->funds().Committed();
+  const std::optional<session_id> parent = target->opened().parent;
+  context.counters.Add("sessions.ended");
+  scheduling_.SessionEnded(id, context);
+  calls_.events().Erase(id);
+  sessions_.Retire(id, context);
+  ending_.erase(id);
+  const auto requests = end_requests_.equal_range(id);
+  std::vector<std::uint64_t> waiting;
+  for (auto at = requests.first; at != requests.second; ++at) {
+    waiting.push_back(at->second);
+  }
+  end_requests_.erase(id);
+  for (const std::uint64_t pending : waiting) {
+    AnswerPending(pending, json{{"id", id}, {"ended", true}, {"used", used}},
+                  context);
+  }
+  session* funder = parent ? sessions_.Find(*parent) : nullptr;
+  if (funder == nullptr) {
+    return;
+  }
+  child_ended returned;
+  returned.child = id;
+  returned.used = used;
+  sessions_.Append(
+      *funder, std::move(returned), [](node_context& /*later*/) {}, context);
+  TryEnd(*parent, context);
+}
+
+void session_operations::AbandonShard(const shard_id& shard,
+                                      const std::string& owner_address,
+                                      node_context& context) {
+  for (auto at = pending_.begin(); at != pending_.end();) {
+    if (at->second.shard != shard) {
+      ++at;
+      continue;
+    }
+    const pending_request lost = at->second;
+    at = pending_.erase(at);
+    error reason =
+        lost.opening
+            ? session_errors::OutcomeUnknown("the session may have been opened")
+            : session_errors::Moved(owner_address, call_outcome::unknown);
+    answers_.Reply(lost.route, std::move(reason), context);
+  }
+  for (auto at = ending_.begin(); at != ending_.end();) {
+    if (ShardOf(at->first) == shard) {
+      end_requests_.erase(at->first);
+      at = ending_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+void session_operations::Tick(node_context& context) {
+  std::vector<session_id> ending;
+  for (const auto& [id, recorded] : ending_) {
+    ending.push_back(id);
+  }
+  for (const session_id& id : ending) {
+    TryEnd(id, context);
+  }
+  for (auto at = pending_.begin(); at != pending_.end();) {
+    if (context.now < at->second.deadline) {
+      ++at;
+      continue;
+    }
+    const answer_route route = at->second.route;
+    at = pending_.erase(at);
+    answers_.Reply(route,
+                   session_errors::OutcomeUnknown(
+                       "the request could not be recorded in time"),
+                   context);
+  }
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_decisions/target_dispatch.h
@@ -0,0 +1,81 @@
+#ifndef GENTIAN_DECISIONS_TARGET_DISPATCH_H_
+#define GENTIAN_DECISIONS_TARGET_DISPATCH_H_
+
+#include <functional>
+#include <map>
+
+#include "gentian_decisions/call_run.h"
+#include "gentian_decisions/event.h"
+#include "gentian_decisions/node_context.h"
+#include "gentian_decisions/session.h"
+
+namespace gentian {
+
+class call_pipeline;
+
+/** Sends calls to targets and follows them there: chunks in order, silent
+    streams, failures, answers after the deadline.
+*/
+class target_dispatch {
+ public:
+  /** @param pipeline  owner of the calls; must outlive this object */
+  explicit target_dispatch(call_pipeline& pipeline) : pipeline_(pipeline) {}
+
+  void SetFencingSource(std::function<std::uint64_t(const shard_id&)> source) {
+    fencing_ = std::move(source);
+  }
+
+  /** Sends a call that has a slot. */
+  void Dispatch(call_run& run,
+                const session* owner,
+                const target_settings& target,
+                node_context& context);
+
+  /** Gives up a dispatch after its deadline. A late answer of a call that may
+      not be repeated is still recorded.
+  */
+  void GiveUp(call_run& run, node_context& context);
+
+  /** Cancels a dispatch and forgets it. */
+  void Drop(call_run& run, node_context& context);
+
+  /** Resumes a stream that has been silent for too long. */
+  void CheckSilence(call_run& run, node_context& context);
+
+  void Handle(const target_accepted& input, node_context& context);
+  void Handle(const target_chunk& input, node_context& context);
+  void Handle(const target_finished& input, node_context& context);
+  void Handle(const target_failed& input, node_context& context);
+
+ private:
+  /** A call whose deadline passed before its answer came. */
+  struct late_call {
+    session_id session;
+    std::uint64_t call = 0;
+  };
+
+  call_run* Find(dispatch_id id);
+  void Send(call_run& run, dispatch_call message, node_context& context);
+  json BodyOf(const call_run& run, const session* owner) const;
+  void ResumeStream(call_run& run, node_context& context);
+  void TakeChunk(call_run& run, const json& data, node_context& context);
+  void RecordLate(const late_call& late,
+                  const target_finished& input,
+                  node_context& context);
+  call_finished ResultOf(const call_run& run,
+                         const target_finished& input) const;
+  void Fail(call_run& run,
+            target_failure failure,
+            const std::string& message,
+            node_context& context);
+
+  call_pipeline& pipeline_;
+  std::function<std::uint64_t(const shard_id&)> fencing_;
+  std::map<dispatch_id, ticket_id> tickets_;
+  std::map<dispatch_id, late_call> late_;
+  dispatch_id last_dispatch_ = 0;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_DECISIONS_TARGET_DISPATCH_H_
