--- a/source/gentian_settings/settings_problem.h
+++ b/source/gentian_settings/settings_problem.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "gentian_core/gentian_core.h"
+
 namespace gentian {
 
 /** One mistake in settings, with what an operator needs to mend it. */
@@ -17,6 +19,17 @@
   std::string remedy;
 };
 
+/** One line: `file:line: [section] key: reason; remedy`. */
+std::string ToString(const settings_problem& problem);
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settings_problem,
+                                                file,
+                                                line,
+                                                section,
+                                                key,
+                                                reason,
+                                                remedy)
+
 }  // namespace gentian
 
 #endif  // GENTIAN_SETTINGS_SETTINGS_PROBLEM_H_
--- a/source/gentian_settings/settings_tree.h
+++ b/source/gentian_settings/settings_tree.h
@@ -4,9 +4,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "gentian_core/gentian_core.h"
 #include "gentian_settings/configuration.h"
 #include "gentian_settings/settings_change.h"
 #include "gentian_settings/settings_problem.h"
@@ -19,6 +21,14 @@
   std::string origin;
 };
 
+/** Where a value was read. */
+struct settings_position {
+  /** File name, or empty for the configuration held by the fleet. */
+  std::string file;
+  /** Line in the file, 0 if unknown. */
+  int line = 0;
+};
+
 /** The operators' settings: sections in a tree, each with keys and values.
 
     A section is a path such as `/`, `/teams` or `/teams/large/kiosk`. A value
@@ -42,6 +52,18 @@
   /** The tree as INI text that ParseSettings reads back. */
   std::string ToIni() const;
 
+  /** Remembers where a value was read, for the reports of mistakes. An empty
+      key stands for the section header. Apply forgets the positions of the
+      values that it changes.
+  */
+  void SetPosition(const std::string& section,
+                   const std::string& key,
+                   settings_position position);
+
+  /** Where a value was read, or a position without a line. */
+  settings_position PositionOf(const std::string& section,
+                               const std::string& key) const;
+
   /** All sections with the values set in them, in path order. */
   const std::map<std::string, key_values>& sections() const {
     return sections_;
@@ -49,13 +71,26 @@
 
  private:
   std::map<std::string, key_values> sections_;
+  std::map<std::pair<std::string, std::string>, settings_position> positions_;
 };
 
+/** Writes a tree as an object of sections with objects of values. */
+void to_json(json& out, const settings_tree& tree);
+
+/** Reads what to_json wrote. */
+void from_json(const json& in, settings_tree& tree);
+
 /** Reads INI text into a tree. Reports every mistake, not only the first. */
 std::variant<settings_tree, std::vector<settings_problem>> ParseSettings(
     const std::string& text,
     const std::string& file);
 
+/** Checks INI text: its syntax, and the settings in all lines that can be
+    read. Returns every mistake in the order of the lines.
+*/
+std::vector<settings_problem> CheckSettings(const std::string& text,
+                                            const std::string& file);
+
 /** Checks a tree and converts it. Reports every mistake.
 
     @param tree     the settings
