Add the scheduling parts and the call_scheduler facade

Cause: sessions need admission, queueing, target choice and retries behind the call_scheduling interface before they can be joined into the node. Change: conserved shares with delegation (team_limiter, share_keeper, share_bucket), pool queue with start-time fair queueing and least attained service (fair_queue, target_board, pool_scheduler), retry_policy with ejection, engine_memory with orders that repeat until confirmed, the peer messages, and call_scheduler on top of them. Only the paths of a single daemon are tested so far.

--- a/source/gentian_decisions/gentian_decisions.h
+++ b/source/gentian_decisions/gentian_decisions.h
@@ -10,6 +10,7 @@
 #ifndef GENTIAN_DECISIONS_GENTIAN_DECISIONS_H_
 #define GENTIAN_DECISIONS_GENTIAN_DECISIONS_H_
 
+#include "gentian_decisions/call_scheduler.h"
 #include "gentian_decisions/call_scheduling.h"
 #include "gentian_decisions/cluster_view.h"
 #include "gentian_decisions/command.h"
--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -4,11 +4,23 @@
 #include <variant>
 
 #include "gentian_decisions/cluster_messages.h"
+#include "gentian_decisions/scheduling_messages.h"
 
 namespace gentian {
 
 /** A message between daemons. */
-using peer_message = std::variant<heartbeat>;
+using peer_message = std::variant<heartbeat,
+                                  share_offer,
+                                  share_delegation,
+                                  share_release,
+                                  grant_request,
+                                  grant_answer,
+                                  pool_submission,
+                                  pool_accepted,
+                                  pool_assignment,
+                                  pool_departure,
+                                  pool_running,
+                                  pool_session_ended>;
 
 /** Writes a message for the wire format (CBOR of this JSON value). */
 json EncodePeerMessage(const peer_message& message);
--- /dev/null
+++ b/source/gentian_decisions/pool_scheduler.cc
@@ -0,0 +1,253 @@
+#include "gentian_decisions/pool_scheduler.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gentian {
+
+namespace {
+
+// Copying a prefix between engines: fixed part and time per token.
+constexpr double kImportFixedMs = 20;
+constexpr double kImportTokenMs = 0.01;
+// An import has to beat recomputing clearly, as both are estimates.
+constexpr double kImportGain = 0.5;
+
+}  // namespace
+
+double pool_scheduler::WeightOf(const team_id& team) const {
+  const auto found = view_.settings().teams.find(team);
+  return found == view_.settings().teams.end() ? 1.0 : found->second.weight;
+}
+
+std::optional<target_id> pool_scheduler::Submit(const call_key& key,
+                                                const work_item& item,
+                                                milliseconds waited,
+                                                steady_time now) {
+  if (slot_holder* holder = board_.Find(key)) {
+    holder->refreshed = now;
+    return holder->target;
+  }
+  if (queued_call* waiting = queue_.Find(key)) {
+    waiting->refreshed = now;
+    return std::nullopt;
+  }
+  queue_.Add(queued_call{key, item, now - waited, now});
+  return std::nullopt;
+}
+
+std::optional<slot_holder> pool_scheduler::Depart(const call_key& key,
+                                                  pool_departure::reason why,
+                                                  const call_usage& usage,
+                                                  steady_time now) {
+  queue_.Remove(key);
+  std::optional<slot_holder> holder = board_.Free(key, now);
+  if (!holder) {
+    return holder;
+  }
+  double used = 0;
+  if (why == pool_departure::reason::finished) {
+    speed_.Record(holder->item, usage, now - holder->assigned);
+    const std::uint64_t cached =
+        std::min(usage.cached_tokens, usage.prompt_tokens);
+    used = static_cast<double>(usage.prompt_tokens - cached +
+                               usage.generated_tokens);
+  }
+  queue_.Correct(holder->item, WeightOf(holder->item.team),
+                 used - holder->charged_tokens, now);
+  return holder;
+}
+
+void pool_scheduler::ReportRunning(const incarnation& owner,
+                                   const std::vector<running_call>& calls,
+                                   steady_time now) {
+  std::set<ticket_id> listed;
+  for (const running_call& call : calls) {
+    const call_key key{owner, call.item.ticket};
+    listed.insert(key.ticket);
+    queue_.Remove(key);
+    slot_holder* holder = board_.Find(key);
+    if (holder != nullptr && holder->target == call.target) {
+      holder->refreshed = now;
+      continue;
+    }
+    board_.Occupy(key, slot_holder{call.item, call.target, now, now, 0, 0});
+  }
+  for (const call_key& key : board_.HeldBy(owner)) {
+    const bool settled = now - board_.Find(key)->assigned > kAssignmentSettling;
+    if (settled && listed.count(key.ticket) == 0) {
+      Depart(key, pool_departure::reason::withdrawn, {}, now);
+    }
+  }
+}
+
+std::vector<pool_scheduler::candidate> pool_scheduler::Candidates(
+    std::uint32_t parts,
+    steady_time now) const {
+  std::vector<candidate> all;
+  std::size_t slots = 0;
+  for (const auto& [id, target] : view_.settings().targets) {
+    if (target.pool != pool_ || target.leaving || memory_.IsLeaving(id) ||
+        retries_.IsEjected(id, now)) {
+      continue;
+    }
+    candidate each;
+    each.target = &target;
+    each.limit = target.slots / std::max(parts, 1U);
+    each.in_flight = board_.InFlight(id);
+    each.load = board_.Load(id, now);
+    each.pending_prefill =
+        board_.PendingPrefill(id, 1 / speed_.prefill_ms(), now);
+    slots += each.limit;
+    all.push_back(each);
+  }
+  if (slots == 0 && !all.empty()) {
+    // Each daemon keeps one slot in the pool; the daemons spread over targets.
+    const std::uint64_t spread = StableHash(view_.self().host.text());
+    candidate& only = all[spread % all.size()];
+    only.limit = std::min<std::size_t>(only.target->slots, 1);
+  }
+  return all;
+}
+
+bool pool_scheduler::IsFree(const candidate& each) const {
+  return each.in_flight < each.limit &&
+         each.load < static_cast<double>(each.target->slots);
+}
+
+double pool_scheduler::Uncached(const work_item& item,
+                                const target_id& target) const {
+  const auto prompt = static_cast<double>(item.prompt_tokens);
+  const auto cached =
+      static_cast<double>(memory_.CachedTokens(target, item.session));
+  return std::max(prompt - cached, 0.0);
+}
+
+pool_scheduler::choice pool_scheduler::Rate(const work_item& item,
+                                            const candidate& each) const {
+  choice rated;
+  rated.target = &each;
+  rated.uncached = Uncached(item, each.target->id);
+  const double prefill = rated.uncached + each.pending_prefill;
+  const double crowding =
+      each.load * speed_.crowding_ms() * speed_.ExpectedTokens(item);
+  rated.cost_ms = prefill * speed_.prefill_ms() + crowding;
+  if (!IsFree(each)) {
+    const double slots = std::max<double>(each.target->slots, 1);
+    const double beyond = std::max(each.load - slots, 0.0) + 1;
+    rated.cost_ms += beyond * speed_.call_ms() / slots;
+  }
+  return rated;
+}
+
+std::optional<pool_scheduler::choice> pool_scheduler::Choose(
+    const queued_call& call,
+    const std::vector<candidate>& all,
+    double bound,
+    steady_time now) const {
+  std::optional<choice> best_free;
+  std::optional<choice> best;
+  const auto better = [&](const choice& a, const std::optional<choice>& b) {
+    if (!b || a.cost_ms != b->cost_ms) {
+      return !b || a.cost_ms < b->cost_ms;
+    }
+    const std::uint64_t seed = StableHash(call.item.session.text());
+    return StableHash(a.target->target->id.text(), seed) >
+           StableHash(b->target->target->id.text(), seed);
+  };
+  for (const candidate& each : all) {
+    if (each.limit == 0) {
+      continue;
+    }
+    const choice rated = Rate(call.item, each);
+    if (better(rated, best)) {
+      best = rated;
+    }
+    if (IsFree(each) && each.load < bound && better(rated, best_free)) {
+      best_free = rated;
+    }
+  }
+  const bool hold =
+      best && !IsFree(*best->target) && now - call.since < kLongestHold;
+  if (!best_free || hold) {
+    return std::nullopt;
+  }
+  ConsiderImport(call.item, *best_free);
+  return best_free;
+}
+
+void pool_scheduler::ConsiderImport(const work_item& item,
+                                    choice& chosen) const {
+  if (chosen.target->target->cache_tokens == 0 || item.session.empty()) {
+    return;
+  }
+  const target_id& target = chosen.target->target->id;
+  const std::uint64_t here = memory_.CachedTokens(target, item.session);
+  std::uint64_t most = here;
+  for (const auto& [holder, tokens] : memory_.Holders(item.session)) {
+    const bool usable = view_.settings().targets.count(holder) > 0;
+    if (holder != target && tokens > most && usable) {
+      most = tokens;
+      chosen.import_from = holder;
+    }
+  }
+  const auto saved = static_cast<double>(std::min(most, item.prompt_tokens)) -
+                     static_cast<double>(std::min(here, item.prompt_tokens));
+  const double import_ms =
+      kImportFixedMs + kImportTokenMs * static_cast<double>(most);
+  if (import_ms > kImportGain * saved * speed_.prefill_ms()) {
+    chosen.import_from.reset();
+  }
+}
+
+std::vector<slot_decision> pool_scheduler::Assign(std::uint32_t parts,
+                                                  steady_time now) {
+  std::vector<slot_decision> decisions;
+  while (queue_.size() > 0) {
+    const std::vector<candidate> all = Candidates(parts, now);
+    double total = 0;
+    bool any_free = false;
+    for (const candidate& each : all) {
+      total += each.load;
+      any_free = any_free || IsFree(each);
+    }
+    if (!any_free) {
+      break;
+    }
+    const double bound =
+        kLoadFactor * total / static_cast<double>(all.size()) + kLoadSlack;
+    std::optional<choice> chosen;
+    call_key key;
+    queue_.Visit(kLookahead, view_.settings().fleet.max_wait, now,
+                 [&](const queued_call& call) {
+                   chosen = Choose(call, all, bound, now);
+                   key = call.key;
+                   return !chosen;
+                 });
+    if (!chosen) {
+      break;
+    }
+    const queued_call* waiting = queue_.Find(key);
+    const double charge =
+        chosen->uncached + speed_.ExpectedTokens(waiting->item);
+    const queued_call call =
+        queue_.Serve(key, WeightOf(waiting->item.team), charge, now);
+    const target_id target = chosen->target->target->id;
+    board_.Occupy(key, slot_holder{call.item, target, now, now,
+                                   chosen->uncached, charge});
+    decisions.push_back(
+        slot_decision{key, call.item, target, chosen->import_from});
+  }
+  return decisions;
+}
+
+void pool_scheduler::DropStale(steady_time now) {
+  queue_.DropStale(now - kRefreshLimit);
+  for (const call_key& key : board_.Stale(now - kRefreshLimit)) {
+    Depart(key, pool_departure::reason::withdrawn, {}, now);
+  }
+  queue_.Forget(now);
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_decisions/target_orders.h
@@ -0,0 +1,100 @@
+#ifndef GENTIAN_DECISIONS_TARGET_ORDERS_H_
+#define GENTIAN_DECISIONS_TARGET_ORDERS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "gentian_decisions/cluster_view.h"
+#include "gentian_decisions/event.h"
+#include "gentian_decisions/node_context.h"
+
+namespace gentian {
+
+/** Orders to targets that are repeated until confirmed.
+
+    Every order may safely arrive late or twice, because some targets ignore
+    the fencing token: it states a goal, not a step. A newer order of the same
+    subject replaces the older one. A target that refuses a token as stale gets
+    the order again with the newest token known here, if it is still wanted.
+*/
+class target_orders {
+ public:
+  static constexpr milliseconds kFirstRetry{500};
+  static constexpr milliseconds kLongestRetry{10'000};
+  /** Loads of weights that the whole fleet may start, per second. The
+      settings have no value for it yet. */
+  static constexpr double kLoadsPerSecond = 0.5;
+
+  explicit target_orders(const cluster_view& view) : view_(view) {}
+
+  /** The fencing token of a pool's scheduling term at this daemon. */
+  void SetToken(const pool_id& pool, std::uint64_t token);
+
+  /** Sends an order now and again until it is confirmed.
+
+      @param subject  orders of one target with the same subject replace each
+                      other
+  */
+  order_id Send(const target_id& target,
+                const std::string& subject,
+                target_order_body body,
+                node_context& context);
+
+  /** Sends an order once; for orders that are useless later. */
+  order_id SendOnce(const target_id& target,
+                    target_order_body body,
+                    node_context& context);
+
+  /** Orders an engine to load a model or adapter when the share of the weight
+      store's rate allows it. */
+  void Load(const target_id& target, load_model body, node_context& context);
+
+  /** Drops an order that has become needless.
+      @returns  true if there was one */
+  bool Cancel(const target_id& target, const std::string& subject);
+
+  /** Handles an answer.
+      @returns  the order, or nothing if it was not sent from here */
+  struct answered_order {
+    target_id target;
+    target_order_body body;
+    bool repeats = false;
+  };
+  std::optional<answered_order> Receive(const target_order_answered& answer,
+                                        node_context& context);
+
+  /** Repeats unanswered orders and starts waiting loads. */
+  void Tick(node_context& context);
+
+  /** Orders without a confirmation, waiting loads included. */
+  std::size_t open() const { return open_.size() + loads_.size(); }
+
+ private:
+  struct open_order {
+    target_id target;
+    std::string subject;
+    target_order_body body;
+    steady_time next;
+    milliseconds backoff = kFirstRetry;
+    bool repeats = true;
+  };
+  using subject_key = std::pair<target_id, std::string>;
+
+  void Emit(order_id id, const open_order& order, node_context& context);
+  std::uint64_t TokenFor(const target_settings& target) const;
+
+  const cluster_view& view_;
+  std::map<order_id, open_order> open_;
+  std::map<subject_key, order_id> by_subject_;
+  std::map<subject_key, load_model> loads_;
+  std::map<pool_id, std::uint64_t> tokens_;
+  order_id last_id_ = 0;
+  double load_tokens_ = 1;
+  std::optional<steady_time> filled_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_DECISIONS_TARGET_ORDERS_H_
--- /dev/null
+++ b/source/gentian_decisions/team_limiter.cc
@@ -0,0 +1,289 @@
+#include "gentian_decisions/team_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "gentian_decisions/event.h"
+
+namespace gentian {
+
+namespace {
+
+// Tokens are asked for ahead of the arrivals of this time.
+constexpr double kPrefetchSeconds = 0.1;
+// Room in the queue beyond what the rate can serve within the longest wait.
+constexpr double kQueueSlack = 16;
+constexpr double kArrivalSmoothing = 0.3;
+
+}  // namespace
+
+void team_limiter::Refuse(ticket_id ticket,
+                          const team_settings& team,
+                          std::size_t ahead) {
+  const double seconds =
+      static_cast<double>(ahead + 1) / std::max(team.rate, 0.001);
+  error reason{error_kind::rate_limited,
+               "team '" + team.id.text() + "' is above its rate",
+               "retry after the stated time, or ask for a higher rate"};
+  reason.retry_after = ToMilliseconds(FromSeconds(std::min(seconds, 60.0)));
+  decisions_.push_back(limit_decision{ticket, std::move(reason)});
+}
+
+bool team_limiter::TakeToken(const team_settings& team,
+                             team_state& state,
+                             steady_time now) {
+  while (!state.batches.empty()) {
+    granted_batch& batch = state.batches.front();
+    if (now - batch.requested >= kGrantLifetime) {
+      state.settled[batch.granter].push_back({batch.batch, batch.left});
+      state.batches.pop_front();
+      continue;
+    }
+    --batch.left;
+    if (batch.left == 0) {
+      state.settled[batch.granter].push_back({batch.batch, 0});
+      state.batches.pop_front();
+    }
+    return true;
+  }
+  return keeper_.Bucket(team, now).TakeOne();
+}
+
+void team_limiter::Serve(const team_settings& team,
+                         team_state& state,
+                         node_context& context) {
+  while (!state.queue.empty() && TakeToken(team, state, context.now)) {
+    decisions_.push_back(
+        limit_decision{state.queue.front().ticket, std::nullopt});
+    state.queue.pop_front();
+  }
+}
+
+void team_limiter::Acquire(ticket_id ticket,
+                           const team_id& id,
+                           node_context& context) {
+  // Public routes have no team and no rate of their own.
+  if (id.empty()) {
+    decisions_.push_back(limit_decision{ticket, std::nullopt});
+    return;
+  }
+  const auto found = view_.settings().teams.find(id);
+  if (found == view_.settings().teams.end()) {
+    decisions_.push_back(limit_decision{
+        ticket, error{error_kind::unauthorized,
+                      "team '" + id.text() + "' is not configured",
+                      "use a key of a configured team"}});
+    return;
+  }
+  const team_settings& team = found->second;
+  team_state& state = teams_[id];
+  ++state.arrivals;
+  const double wait = ToSeconds(view_.settings().fleet.limits_wait);
+  const double room = team.rate * wait + team.burst + kQueueSlack;
+  if (static_cast<double>(state.queue.size()) >= room) {
+    Refuse(ticket, team, state.queue.size());
+    return;
+  }
+  state.queue.push_back(waiting_ticket{ticket, context.now});
+  Serve(team, state, context);
+  Ask(team, state, context);
+}
+
+void team_limiter::Cancel(ticket_id ticket, const team_id& team) {
+  auto& queue = teams_[team].queue;
+  queue.erase(std::remove_if(queue.begin(), queue.end(),
+                             [&](const waiting_ticket& waiting) {
+                               return waiting.ticket == ticket;
+                             }),
+              queue.end());
+}
+
+void team_limiter::Return(const team_id& id, node_context& context) {
+  const auto found = view_.settings().teams.find(id);
+  if (found == view_.settings().teams.end()) {
+    return;
+  }
+  // A share that was delegated meanwhile has no room, so the token is lost.
+  keeper_.Bucket(found->second, context.now).AddLevel(1.0, found->second.burst);
+  Serve(found->second, teams_[id], context);
+}
+
+void team_limiter::Ask(const team_settings& team,
+                       team_state& state,
+                       node_context& context) {
+  if (state.pending && context.now - state.pending->sent < kRequestTimeout) {
+    return;
+  }
+  const auto granter = keeper_.Granter(share_keeper::GroupOf(team.id));
+  if (!granter) {
+    return;
+  }
+  std::uint32_t held = 0;
+  for (const granted_batch& batch : state.batches) {
+    held += batch.left;
+  }
+  const auto ahead = static_cast<std::uint32_t>(
+      std::floor(state.arrival_rate * kPrefetchSeconds));
+  const auto waiting = static_cast<std::uint32_t>(state.queue.size());
+  if (waiting == 0 && (ahead == 0 || held > ahead / 2)) {
+    return;
+  }
+  if (state.pending) {
+    state.abandoned[state.pending->number] = state.pending->sent;
+  }
+  state.pending = pending_request{*granter, ++state.last_request, context.now};
+  grant_request request;
+  request.granter = *granter;
+  request.team = team.id;
+  request.request = state.last_request;
+  request.tokens = waiting + ahead - std::min(held, ahead);
+  request.settled = std::move(state.settled[*granter]);
+  state.settled.erase(*granter);
+  context.Emit(send_to_peer{granter->host, std::move(request)});
+}
+
+void team_limiter::Expire(const team_settings& team,
+                          team_state& state,
+                          node_context& context) {
+  while (!state.batches.empty() &&
+         context.now - state.batches.front().requested >= kReturnAfter) {
+    const granted_batch& batch = state.batches.front();
+    state.settled[batch.granter].push_back({batch.batch, batch.left});
+    state.batches.pop_front();
+  }
+  for (auto it = state.abandoned.begin(); it != state.abandoned.end();) {
+    const bool old =
+        context.now - it->second > share_bucket::kOutstandingTime * 3;
+    it = old ? state.abandoned.erase(it) : std::next(it);
+  }
+  // The next tick would come after the longest wait.
+  const duration wait = view_.settings().fleet.limits_wait - kTickInterval;
+  while (!state.queue.empty() &&
+         context.now - state.queue.front().since > wait) {
+    Refuse(state.queue.front().ticket, team, state.queue.size());
+    state.queue.pop_front();
+  }
+}
+
+void team_limiter::CountArrivals(team_state& state, steady_time now) {
+  const double seconds = ToSeconds(now - state.counted_from);
+  if (seconds < kPrefetchSeconds) {
+    return;
+  }
+  const double rate = static_cast<double>(state.arrivals) / seconds;
+  state.arrival_rate += kArrivalSmoothing * (rate - state.arrival_rate);
+  state.arrivals = 0;
+  state.counted_from = now;
+}
+
+void team_limiter::SendSettlements(const team_id& team,
+                                   team_state& state,
+                                   node_context& context) {
+  for (auto& [granter, batches] : state.settled) {
+    grant_request message;
+    message.granter = granter;
+    message.team = team;
+    message.request = ++state.last_request;
+    message.settled = std::move(batches);
+    context.Emit(send_to_peer{granter.host, std::move(message)});
+  }
+  state.settled.clear();
+}
+
+void team_limiter::Tick(node_context& context) {
+  keeper_.Tick(context);
+  for (auto& [id, state] : teams_) {
+    const auto found = view_.settings().teams.find(id);
+    if (found == view_.settings().teams.end()) {
+      team_settings removed;
+      removed.id = id;
+      for (const waiting_ticket& waiting : state.queue) {
+        Refuse(waiting.ticket, removed, 0);
+      }
+      state.queue.clear();
+      continue;
+    }
+    CountArrivals(state, context.now);
+    Serve(found->second, state, context);
+    Expire(found->second, state, context);
+    Ask(found->second, state, context);
+    SendSettlements(id, state, context);
+  }
+}
+
+void team_limiter::Receive(const incarnation& from,
+                           const grant_request& request,
+                           node_context& context) {
+  const auto found = view_.settings().teams.find(request.team);
+  if (request.granter != view_.self() ||
+      found == view_.settings().teams.end()) {
+    return;
+  }
+  const team_settings& team = found->second;
+  team_state& state = teams_[request.team];
+  share_bucket& bucket = keeper_.Bucket(team, context.now);
+  for (const grant_settlement& settlement : request.settled) {
+    bucket.Settle(settlement.batch, settlement.unused, team.burst);
+  }
+  std::uint64_t& last = state.served[from];
+  if (request.request <= last) {
+    return;
+  }
+  last = request.request;
+  Serve(team, state, context);
+  if (request.tokens == 0) {
+    return;
+  }
+  grant_answer answer;
+  answer.team = request.team;
+  answer.request = request.request;
+  answer.batch = ++last_batch_;
+  answer.tokens = bucket.Issue(answer.batch, request.tokens, context.now);
+  context.Emit(send_to_peer{from.host, std::move(answer)});
+}
+
+void team_limiter::Receive(const incarnation& from,
+                           const grant_answer& answer,
+                           node_context& context) {
+  const auto team = view_.settings().teams.find(answer.team);
+  if (team == view_.settings().teams.end()) {
+    return;
+  }
+  team_state& state = teams_[answer.team];
+  const bool expected = state.pending &&
+                        state.pending->number == answer.request &&
+                        state.pending->granter == from;
+  if (!expected) {
+    // A repeated answer is not in the list, so it returns nothing twice.
+    if (state.abandoned.erase(answer.request) > 0 && answer.tokens > 0) {
+      state.settled[from].push_back({answer.batch, answer.tokens});
+    }
+    return;
+  }
+  const steady_time sent = state.pending->sent;
+  state.pending.reset();
+  if (answer.tokens > 0) {
+    state.batches.push_back(
+        granted_batch{from, answer.batch, answer.tokens, sent});
+  }
+  Serve(team->second, state, context);
+  if (answer.tokens > 0) {
+    Ask(team->second, state, context);
+  }
+}
+
+std::vector<limit_decision> team_limiter::TakeDecisions() {
+  return std::exchange(decisions_, {});
+}
+
+std::size_t team_limiter::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [id, state] : teams_) {
+    count += state.queue.size();
+  }
+  return count;
+}
+
+}  // namespace gentian
