--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,9 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory unit
 
+demo: deps
+	@$(MAKE) --no-print-directory build
+	@tools/demo.sh $(BUILD)
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "gentian_daemon/daemon.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -18,6 +19,8 @@
 constexpr milliseconds kQuietStreamCheck{250};
 constexpr milliseconds kLoadPollInterval{250};
 constexpr milliseconds kHostListInterval{1'000};
+// Time for the last bytes of answers to reach their callers.
+constexpr milliseconds kFlushDeadline{5'000};
 
 node_identity IdentityOf(const daemon_options& options) {
   node_identity identity;
@@ -60,6 +63,9 @@
   result<success> Start() { return supervisor_.Start(); }
 
   void RequestStop() {
+    Log(write_log::level::info, "graceful shutdown begins");
+    stopping_ = true;
+    server_->CloseAfterAnswers();
     loop_.Post(stop_requested{});
     pool_.After(options_.stop_deadline, [this] {
       Finish(error{error_kind::internal, "requests still ran at the deadline",
@@ -144,13 +150,24 @@
     if (Failed(listening)) {
       return listening;
     }
-    quiet_timer_ = std::make_unique<periodic_timer>(
-        pool_, kQuietStreamCheck, [this] { api_.StartQuietStreams(); });
+    quiet_timer_ = std::make_unique<periodic_timer>(pool_, kQuietStreamCheck,
+                                                    [this] { CheckCallers(); });
     return success{};
   }
 
+  void CheckCallers() {
+    api_.StartQuietStreams();
+    // A fleet of one daemon has no successor to hand its sessions to.
+    const bool alone = settings_.daemons.size() == 1;
+    if (stopping_ && alone && api_.open_requests() == 0) {
+      Finish(success{});
+    }
+  }
+
   void StopCallers() {
     quiet_timer_.reset();
+    server_->StopAccepting();
+    server_->WaitUntilIdle(kFlushDeadline);
     server_->Stop();
   }
 
@@ -204,6 +221,7 @@
   std::unique_ptr<periodic_timer> quiet_timer_;
   std::unique_ptr<periodic_timer> load_timer_;
   std::unique_ptr<periodic_timer> host_timer_;
+  std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::condition_variable changed_;
   std::optional<result<success>> outcome_;
--- a/source/gentian_net/gentian_net.h
+++ b/source/gentian_net/gentian_net.h
@@ -12,6 +12,8 @@
 #include "gentian_net/http_server.h"
 #include "gentian_net/io_pool.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/link_authenticator.h"
+#include "gentian_net/peer_links.h"
 #include "gentian_net/tls_context.h"
 
 #endif  // GENTIAN_NET_GENTIAN_NET_H_
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -157,6 +157,8 @@
  private:
   using request_parser = http::request_parser<http::string_body>;
 
+  bool IsClosing() const { return draining_ || environment_->closing; }
+
   const http_server_limits& limits() const { return environment_->limits; }
 
   template <typename Step>
@@ -266,7 +268,7 @@
   void FinishExchange() {
     answering_ = false;
     on_disconnect_ = nullptr;
-    if (!keep_alive_ || draining_) {
+    if (!keep_alive_ || IsClosing()) {
       discarding_ = true;
       stream_->ShutdownSend();
       ArmReceiveTimer(kLinger);
@@ -282,7 +284,7 @@
     for (const auto& [name, value] : headers.fields()) {
       message.set(name, value);
     }
-    message.keep_alive(keep_alive_ && !draining_);
+    message.keep_alive(keep_alive_ && !IsClosing());
   }
 
   void ArmCommentTimer() {
--- a/source/gentian_net/http_connection.h
+++ b/source/gentian_net/http_connection.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_NET_HTTP_CONNECTION_H_
 #define GENTIAN_NET_HTTP_CONNECTION_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -26,6 +27,8 @@
 struct connection_environment {
   http_server::handler on_request;
   http_server_limits limits;
+  /** Set once the server wants its callers to connect elsewhere. */
+  std::atomic<bool> closing{false};
 };
 
 /** @param on_closed  runs once, when the connection has ended */
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -68,6 +69,7 @@
           if (const auto me = weak.lock()) {
             const std::lock_guard<std::mutex> lock(me->mutex);
             me->connections.erase(id);
+            me->emptied.notify_all();
           }
         });
     connections[id] = connection;
@@ -90,6 +92,7 @@
   std::shared_ptr<tls_context> tls;
   std::shared_ptr<detail::connection_environment> environment;
   std::mutex mutex;
+  std::condition_variable emptied;
   bool stopped = false;
   std::uint64_t last_id = 0;
   std::map<std::uint64_t, std::shared_ptr<detail::http_connection>> connections;
@@ -101,38 +104,29 @@
                          std::shared_ptr<tls_context> tls)
     : state_(std::make_shared<state>(pool.context())) {
   state_->tls = std::move(tls);
-  state_->environment = std::make_shared<detail::connection_environment>(
-      detail::connection_environment{std::move(on_request), limits});
+  state_->environment = std::make_shared<detail::connection_environment>();
+  state_->environment->on_request = std::move(on_request);
+  state_->environment->limits = limits;
 }
 
 http_server::~http_server() {
   Stop();
 }
 
+result<success> http_server::Bind(const std::string& address) {
+  return BindAcceptor(state_->acceptor, address);
+}
+
+void http_server::Serve() {
+  state_->Accept();
+}
+
 result<success> http_server::Listen(const std::string& address) {
-  const auto endpoint = ParseEndpoint(address);
-  if (Failed(endpoint)) {
-    return ErrorOf(endpoint);
-  }
-  error_code failure;
-  tcp::acceptor& acceptor = state_->acceptor;
-  acceptor.open(ValueOf(endpoint).protocol(), failure);
-  if (!failure) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-  }
-  if (!failure) {
-    acceptor.bind(ValueOf(endpoint), failure);
+  result<success> bound = Bind(address);
+  if (!Failed(bound)) {
+    Serve();
   }
-  if (!failure) {
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
-  }
-  if (failure) {
-    return error{error_kind::unavailable,
-                 "cannot listen on " + address + ": " + failure.message(),
-                 "choose an address of this host and a port that is free"};
-  }
-  state_->Accept();
-  return success{};
+  return bound;
 }
 
 std::string http_server::address() const {
@@ -142,6 +136,16 @@
   return text.str();
 }
 
+void http_server::CloseAfterAnswers() {
+  state_->environment->closing = true;
+}
+
+bool http_server::WaitUntilIdle(milliseconds limit) {
+  std::unique_lock<std::mutex> lock(state_->mutex);
+  return state_->emptied.wait_for(
+      lock, limit, [this] { return state_->connections.empty(); });
+}
+
 void http_server::StopAccepting() {
   for (const auto& [id, connection] : state_->CloseAcceptor()) {
     connection->Drain();
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -75,12 +75,28 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
-  /** Listens on `ip:port`; port 0 picks a free one. */
+  /** Binds to `ip:port`; port 0 picks a free one. Connections wait until
+      Serve is called.
+  */
+  result<success> Bind(const std::string& address);
+
+  /** Takes connections. Precondition: Bind succeeded. */
+  void Serve();
+
+  /** Binds and serves. */
   result<success> Listen(const std::string& address);
 
   /** The address that is listened on, with the real port. */
   std::string address() const;
 
+  /** From now on ends each connection after the next answer on it, so that
+      callers connect elsewhere. New connections are still taken.
+  */
+  void CloseAfterAnswers();
+
+  /** Waits until no connection is open. Returns false at the limit. */
+  bool WaitUntilIdle(milliseconds limit);
+
   /** Takes no new connections and ends each open one after the answer that is
       being sent on it.
   */
--- a/source/gentian_net/ip_endpoint.cc
+++ b/source/gentian_net/ip_endpoint.cc
@@ -40,4 +40,30 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+result<success> BindAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                             const std::string& address) {
+  using boost::asio::ip::tcp;
+  const auto endpoint = ParseEndpoint(address);
+  if (Failed(endpoint)) {
+    return ErrorOf(endpoint);
+  }
+  boost::system::error_code failure;
+  acceptor.open(ValueOf(endpoint).protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  }
+  if (!failure) {
+    acceptor.bind(ValueOf(endpoint), failure);
+  }
+  if (!failure) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return error{error_kind::unavailable,
+                 "cannot listen on " + address + ": " + failure.message(),
+                 "choose an address of this host and a port that is free"};
+  }
+  return success{};
+}
+
 }  // namespace gentian
--- a/source/gentian_net/ip_endpoint.h
+++ b/source/gentian_net/ip_endpoint.h
@@ -13,6 +13,10 @@
 */
 result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
 
+/** Opens an acceptor and binds it to `ip:port`; port 0 picks a free one. */
+result<success> BindAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                             const std::string& address);
+
 }  // namespace gentian
 
 #endif  // GENTIAN_NET_IP_ENDPOINT_H_
--- a/source/gentian_platform/chat_assembler.cc
+++ b/source/gentian_platform/chat_assembler.cc
@@ -20,10 +20,11 @@
 
 }  // namespace
 
-void chat_assembler::Add(const json& chunk) {
-  if (!chunk.is_object()) {
+void chat_assembler::Add(std::uint64_t offset, const json& chunk) {
+  if (!chunk.is_object() || offset < next_offset_) {
     return;
   }
+  next_offset_ = offset + 1;
   if (first_.is_null()) {
     first_ = chunk;
   }
--- a/source/gentian_platform/chat_assembler.h
+++ b/source/gentian_platform/chat_assembler.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_PLATFORM_CHAT_ASSEMBLER_H_
 #define GENTIAN_PLATFORM_CHAT_ASSEMBLER_H_
 
+#include <cstdint>
 #include <string>
 
 #include "gentian_core/gentian_core.h"
@@ -10,13 +11,18 @@
 /** Joins the chunks of a streamed chat completion into the whole answer. */
 class chat_assembler {
  public:
-  /** Adds one chunk. */
-  void Add(const json& chunk);
+  /** Adds a chunk. One that was added before is ignored, so that a resumed
+      stream can go on with the same assembler.
+
+      @param offset  position of the chunk in the stream
+  */
+  void Add(std::uint64_t offset, const json& chunk);
 
   /** The answer as a call without streaming would have returned it. */
   json Answer() const;
 
  private:
+  std::uint64_t next_offset_ = 0;
   json first_;
   json usage_;
   json tool_calls_ = json::array();
--- a/source/gentian_platform/http_target_gateway.cc
+++ b/source/gentian_platform/http_target_gateway.cc
@@ -1,5 +1,6 @@
 #include "gentian_platform/http_target_gateway.h"
 
+#include <deque>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -91,6 +92,8 @@
 }
 
 constexpr int kOk = 200;
+// Broken streams whose first part is kept for a resumption.
+constexpr std::size_t kKeptStreams = 1'000;
 
 }  // namespace
 
@@ -99,15 +102,53 @@
   state(io_pool& pool, std::shared_ptr<tls_context> tls)
       : client(pool, std::move(tls)) {}
 
+  // Address of the target and stream id.
+  using stream_name = std::pair<std::string, std::string>;
+
   struct running_call {
     std::string address;
+    std::string stream;
     std::shared_ptr<http_call> call;
-    std::shared_ptr<target_stream> stream;
   };
 
-  void Forget(dispatch_id id) {
+  // Assembler for a dispatch. A resumed stream goes on with the one that has
+  // the first part of the answer.
+  std::shared_ptr<chat_assembler> AssemblerFor(const dispatch_call& call) {
+    const auto found = assemblers.find({call.address, call.resume_stream});
+    return found == assemblers.end() ? std::make_shared<chat_assembler>()
+                                     : found->second;
+  }
+
+  // Notes the stream id of a call that a target accepted.
+  void Accepted(dispatch_id id,
+                const std::string& stream,
+                const std::shared_ptr<chat_assembler>& assembler) {
     const std::lock_guard<std::mutex> lock(mutex);
-    running.erase(id);
+    const auto found = running.find(id);
+    if (found != running.end() && !stream.empty()) {
+      found->second.stream = stream;
+      assemblers[{found->second.address, stream}] = assembler;
+    }
+  }
+
+  // Removes a call; the assembler stays if the stream can be resumed.
+  void Forget(dispatch_id id, bool finished) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    const auto found = running.find(id);
+    if (found == running.end()) {
+      return;
+    }
+    const stream_name name{found->second.address, found->second.stream};
+    if (finished) {
+      assemblers.erase(name);
+    } else if (assemblers.count(name) > 0) {
+      broken_streams.push_back(name);
+      if (broken_streams.size() > kKeptStreams) {
+        assemblers.erase(broken_streams.front());
+        broken_streams.pop_front();
+      }
+    }
+    running.erase(found);
   }
 
   void AnswerOrder(const order_target& order, const http_response& response) {
@@ -200,6 +241,9 @@
   event_sink sink;
   std::mutex mutex;
   std::map<dispatch_id, running_call> running;
+  std::map<stream_name, std::shared_ptr<chat_assembler>> assemblers;
+  // Streams that broke, oldest first; bounds `assemblers`.
+  std::deque<stream_name> broken_streams;
   std::map<target_id, std::uint64_t> cache_position;
 };
 
@@ -214,37 +258,54 @@
 }
 
 void http_target_gateway::Dispatch(const dispatch_call& call) {
-  auto stream = std::make_shared<target_stream>(call, state_->sink);
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  auto assembler = state_->AssemblerFor(call);
+  auto stream = std::make_shared<target_stream>(call, assembler, state_->sink);
   http_client_handlers handlers;
-  handlers.on_header = [stream](int status, const http_headers& headers) {
+  handlers.on_header = [stream, assembler, owner = state_, id = call.id](
+                           int status, const http_headers& headers) {
+    owner->Accepted(id, headers.Find("X-Stream-Id"), assembler);
     stream->OnHeader(status, headers);
   };
   handlers.on_body = [stream](std::string_view bytes) {
     stream->OnBody(bytes);
   };
   handlers.on_end = [stream, owner = state_, id = call.id] {
-    owner->Forget(id);
+    owner->Forget(id, true);
     stream->OnEnd();
   };
   handlers.on_failure = [stream, owner = state_, id = call.id](
                             http_failure failure, const std::string& message) {
-    owner->Forget(id);
+    owner->Forget(id, false);
     stream->OnFailure(failure, message);
   };
-  const std::lock_guard<std::mutex> lock(state_->mutex);
   auto running = state_->client.Send(CallRequest(call), std::move(handlers));
   state_->running[call.id] =
-      state::running_call{call.address, std::move(running), std::move(stream)};
+      state::running_call{call.address, call.resume_stream, std::move(running)};
 }
 
 void http_target_gateway::Cancel(dispatch_id id) {
   const std::lock_guard<std::mutex> lock(state_->mutex);
   const auto found = state_->running.find(id);
-  if (found != state_->running.end()) {
+  if (found == state_->running.end()) {
+    return;
+  }
+  const state::running_call cancelled = found->second;
+  state_->running.erase(found);
+  state_->assemblers.erase({cancelled.address, cancelled.stream});
+  cancelled.call->Cancel();
+  if (cancelled.stream.empty()) {
     // Closing the connection cancels the call at the target.
-    found->second.call->Cancel();
-    state_->running.erase(found);
+    return;
   }
+  http_client_request request;
+  request.address = cancelled.address;
+  request.method = "DELETE";
+  request.target = "/v1/streams/" + cancelled.stream;
+  request.deadline = kControlDeadline;
+  state_->client.Fetch(
+      std::move(request), [](const http_response&) {},
+      [](http_failure, const std::string&) {});
 }
 
 void http_target_gateway::Order(const order_target& order) {
--- a/source/gentian_platform/target_stream.cc
+++ b/source/gentian_platform/target_stream.cc
@@ -36,11 +36,12 @@
 }  // namespace
 
 target_stream::target_stream(const dispatch_call& call,
+                             std::shared_ptr<chat_assembler> assembler,
                              target_gateway::event_sink sink)
     : id_(call.id),
-      resumed_(!call.resume_stream.empty()),
       sink_(std::move(sink)),
-      next_offset_(call.resume_offset) {}
+      next_offset_(call.resume_offset),
+      assembler_(std::move(assembler)) {}
 
 void target_stream::OnHeader(int status, const http_headers& headers) {
   status_ = status;
@@ -61,7 +62,12 @@
     body_ += bytes;
     return;
   }
-  for (const stream_event& event : parser_.Feed(bytes)) {
+  const std::vector<stream_event> events = parser_.Feed(bytes);
+  if (events.empty()) {
+    // A comment shows that an engine whose call still waits is alive.
+    sink_(target_accepted{id_, stream_id_});
+  }
+  for (const stream_event& event : events) {
     TakeEvent(event);
   }
 }
@@ -78,14 +84,14 @@
   std::uint64_t offset = next_offset_;
   std::from_chars(event.id.data(), event.id.data() + event.id.size(), offset);
   next_offset_ = offset + 1;
-  assembler_.Add(chunk);
+  assembler_->Add(offset, chunk);
   sink_(target_chunk{id_, offset, std::move(chunk)});
 }
 
 void target_stream::OnEnd() {
   if (is_stream_) {
     if (complete_) {
-      Finish(assembler_.Answer());
+      Finish(assembler_->Answer());
     } else {
       Fail(target_failure::broken, "the stream ended early");
     }
--- a/source/gentian_platform/target_stream.h
+++ b/source/gentian_platform/target_stream.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_PLATFORM_TARGET_STREAM_H_
 #define GENTIAN_PLATFORM_TARGET_STREAM_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -14,23 +15,22 @@
 /** Turns the HTTP answer to one dispatch into target events. */
 class target_stream {
  public:
-  target_stream(const dispatch_call& call, target_gateway::event_sink sink);
+  /** @param assembler  joins the chunks; the same one for a resumed stream */
+  target_stream(const dispatch_call& call,
+                std::shared_ptr<chat_assembler> assembler,
+                target_gateway::event_sink sink);
 
   void OnHeader(int status, const http_headers& headers);
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnFailure(http_failure failure, const std::string& message);
 
-  /** Stream id that the target gave, empty before or without one. */
-  const std::string& stream_id() const { return stream_id_; }
-
  private:
   void TakeEvent(const stream_event& event);
   void Finish(json body);
   void Fail(target_failure failure, const std::string& message);
 
   dispatch_id id_;
-  bool resumed_;
   target_gateway::event_sink sink_;
   int status_ = 0;
   bool is_stream_ = false;
@@ -40,7 +40,7 @@
   std::string body_;
   std::uint64_t next_offset_;
   event_stream_parser parser_;
-  chat_assembler assembler_;
+  std::shared_ptr<chat_assembler> assembler_;
 };
 
 }  // namespace gentian
