--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -4,11 +4,24 @@
 #include <variant>
 
 #include "gentian_decisions/cluster_messages.h"
+#include "gentian_decisions/session_messages.h"
 
 namespace gentian {
 
 /** A message between daemons. */
-using peer_message = std::variant<heartbeat>;
+using peer_message = std::variant<heartbeat,
+                                  store_records,
+                                  records_stored,
+                                  store_refused,
+                                  shard_copied,
+                                  forget_sessions,
+                                  fence_request,
+                                  fence_promise,
+                                  hand_over,
+                                  owner_changed,
+                                  forward_request,
+                                  forward_part,
+                                  forward_closed>;
 
 /** Writes a message for the wire format (CBOR of this JSON value). */
 json EncodePeerMessage(const peer_message& message);
