--- a/source/gentian_decisions/call_pipeline_end.cc
+++ b/source/gentian_decisions/call_pipeline_end.cc
@@ -84,6 +84,7 @@
                                  node_context& context) {
   call_finished result;
   result.outcome = reason.outcome;
+  result.position_free = reason.outcome == call_outcome::not_run;
   if (reason.outcome == call_outcome::done) {
     // A failed answer does not say what it used.
     result.used = run.reservation;
--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "gentian_decisions/cluster_messages.h"
+#include "gentian_decisions/scheduling_messages.h"
 #include "gentian_decisions/session_messages.h"
 
 namespace gentian {
@@ -21,7 +22,18 @@
                                   owner_changed,
                                   forward_request,
                                   forward_part,
-                                  forward_closed>;
+                                  forward_closed,
+                                  share_offer,
+                                  share_delegation,
+                                  share_release,
+                                  grant_request,
+                                  grant_answer,
+                                  pool_submission,
+                                  pool_accepted,
+                                  pool_assignment,
+                                  pool_departure,
+                                  pool_running,
+                                  pool_session_ended>;
 
 /** Writes a message for the wire format (CBOR of this JSON value). */
 json EncodePeerMessage(const peer_message& message);
--- a/source/gentian_decisions/replica_store.cc
+++ b/source/gentian_decisions/replica_store.cc
@@ -65,7 +65,7 @@
   }
   copy& target = shards_[message.shard].sessions[message.session];
   Store(message, target);
-  target.received = context.now;
+  target.opened = context.now - message.elapsed;
   records_stored answer;
   answer.shard = message.shard;
   answer.generation = message.generation;
@@ -133,7 +133,7 @@
     session_copy page;
     page.session = at->first;
     page.generation = held.generation;
-    page.age = ToMilliseconds(now - held.received);
+    page.elapsed = ToMilliseconds(now - held.opened);
     page.records = held.records;
     records += held.records.size();
     answer.copies.push_back(std::move(page));
--- a/source/gentian_decisions/replica_store.h
+++ b/source/gentian_decisions/replica_store.h
@@ -52,7 +52,8 @@
  private:
   struct copy {
     std::uint64_t generation = 0;
-    steady_time received;
+    /** When the session was opened, on this process's clock. */
+    steady_time opened;
     std::vector<session_record> records;
   };
   struct shard_copies {
--- a/source/gentian_decisions/replicator.cc
+++ b/source/gentian_decisions/replicator.cc
@@ -36,14 +36,28 @@
   added.generation = generation;
   added.sets = {replicas};
   for (const session_id& session : sessions) {
-    if (const auto* records = records_(session)) {
-      added.sessions[session].size = records->size();
-      added.sessions[session].copy_mark = records->size();
+    if (const auto* source = records_(session)) {
+      added.sessions[session].size = source->records().size();
+      added.sessions[session].copy_mark = source->records().size();
     }
   }
   Reconsider(shard, context);
 }
 
+void replicator::Raise(const shard_id& shard,
+                       std::uint64_t generation,
+                       node_context& context) {
+  shard_log* log = Find(shard);
+  if (log == nullptr) {
+    return;
+  }
+  log->generation = generation;
+  for (auto& [session, entry] : log->sessions) {
+    entry.replicas.clear();
+  }
+  Reconsider(shard, context);
+}
+
 void replicator::AddSet(const shard_id& shard,
                         const replica_set& replicas,
                         node_context& context) {
@@ -123,28 +137,30 @@
                         const incarnation& replica,
                         bool again,
                         node_context& context) {
-  const auto* records = records_(session);
-  if (records == nullptr) {
+  const auto* source = records_(session);
+  if (source == nullptr) {
     return;
   }
+  const auto& records = source->records();
   replica_state& state = shard.sessions[session].replicas[replica];
   // The first message of a generation must hold the whole session.
   const bool from_acknowledged = again || state.acknowledged == 0;
   const std::uint64_t first =
       from_acknowledged ? state.acknowledged : state.sent_number;
-  if (first >= records->size()) {
+  if (first >= records.size()) {
     return;
   }
   state.sent = context.now;
-  state.sent_number = records->size();
+  state.sent_number = records.size();
   shard.heard.emplace(replica, context.now);
   store_records message;
   message.to = replica;
   message.shard = id;
   message.generation = shard.generation;
   message.session = session;
-  message.records.assign(records->begin() + static_cast<std::ptrdiff_t>(first),
-                         records->end());
+  message.elapsed = source->Elapsed(context.now);
+  message.records.assign(records.begin() + static_cast<std::ptrdiff_t>(first),
+                         records.end());
   context.Emit(send_to_peer{replica.host, std::move(message)});
 }
 
--- a/source/gentian_decisions/replicator.h
+++ b/source/gentian_decisions/replicator.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gentian_decisions/record_log.h"
+#include "gentian_decisions/session.h"
 #include "gentian_decisions/session_messages.h"
 
 namespace gentian {
@@ -21,9 +22,8 @@
 class replicator : public record_log {
  public:
   using replica_set = std::vector<incarnation>;
-  /** Gives the records of a session, nothing if it is not here. */
-  using record_source =
-      std::function<const std::vector<session_record>*(const session_id&)>;
+  /** Gives a session with its records, nothing if it is not here. */
+  using record_source = std::function<const session*(const session_id&)>;
   using forgotten_handler = std::function<void(const session_id&)>;
 
   /** @param records    gives records to send again
@@ -45,6 +45,13 @@
   /** Stops a shard. Handlers that wait are dropped without a call. */
   void Stop(const shard_id& shard) { shards_.erase(shard); }
 
+  /** Goes on with a shard under a higher generation: everything is copied
+      again, and records that wait for acknowledgements go on waiting.
+  */
+  void Raise(const shard_id& shard,
+             std::uint64_t generation,
+             node_context& context);
+
   /** From now on commits need acknowledgements in this set too. */
   void AddSet(const shard_id& shard,
               const replica_set& replicas,
--- a/source/gentian_decisions/session.cc
+++ b/source/gentian_decisions/session.cc
@@ -76,8 +76,7 @@
     // An unknown call may have used its whole reservation.
     funds_.Settle(CallOwner(body.call), body.used);
   }
-  if (body.outcome == call_outcome::not_run && body.call == calls_.size()) {
-    // The call has not happened: its position and its key are free again.
+  if (body.position_free && body.call == calls_.size()) {
     calls_by_key_.erase(call.start.idempotency_key);
     calls_.pop_back();
     return;
@@ -150,6 +149,16 @@
   return json{{"session", id_}, {"calls", std::move(calls)}};
 }
 
+std::vector<call_started> session::OpenCalls() const {
+  std::vector<call_started> open;
+  for (const session_call& call : calls_) {
+    if (!call.finish) {
+      open.push_back(call.start);
+    }
+  }
+  return open;
+}
+
 milliseconds session::Elapsed(steady_time now) const {
   return ToMilliseconds(now - opened_);
 }
--- a/source/gentian_decisions/session.h
+++ b/source/gentian_decisions/session.h
@@ -57,6 +57,9 @@
   /** Time since the session was opened. */
   milliseconds Elapsed(steady_time now) const;
 
+  /** Calls that were started and have no end. */
+  std::vector<call_started> OpenCalls() const;
+
   const session_id& id() const { return id_; }
   const session_opened& opened() const { return header_; }
   const budget& funds() const { return funds_; }
--- a/source/gentian_decisions/session_messages.h
+++ b/source/gentian_decisions/session_messages.h
@@ -25,6 +25,8 @@
   shard_id shard;
   std::uint64_t generation = 0;
   session_id session;
+  /** Time since the session was opened. */
+  milliseconds elapsed{0};
   std::vector<session_record> records;
 };
 
@@ -74,8 +76,8 @@
   session_id session;
   /** Generation of the owner that sent the copy. */
   std::uint64_t generation = 0;
-  /** Time since the last record arrived. */
-  milliseconds age{0};
+  /** Time since the session was opened. */
+  milliseconds elapsed{0};
   std::vector<session_record> records;
 };
 
@@ -160,6 +162,7 @@
                                    shard,
                                    generation,
                                    session,
+                                   elapsed,
                                    records)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(records_stored,
                                    shard,
@@ -176,7 +179,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_copy,
                                    session,
                                    generation,
-                                   age,
+                                   elapsed,
                                    records)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fence_request, to, shard, generation, after)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fence_promise,
