Add key-value client, membership and configuration store

The facade answered from static settings only. This adds the parts behind it: kv_client (bounds, rate caps, backoff, read-back of lost answers), kv_watcher (no missed change, also after compaction), registration, membership with suspicion and refutation, config_store, withdrawal_store and the operators' requests.

The epoch is kept under /epoch/<host> without a lease: /daemon/<host> vanishes with its lease, and an epoch must never come back. Heartbeats carry ages in place of a bitmap of heard daemons: bitmaps of two isolated daemons would confirm each other for ever.

--- /dev/null
+++ b/source/gentian_decisions/backoff.h
@@ -0,0 +1,35 @@
+#ifndef GENTIAN_DECISIONS_BACKOFF_H_
+#define GENTIAN_DECISIONS_BACKOFF_H_
+
+#include <algorithm>
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+/** Exponential backoff with full jitter. */
+class backoff {
+ public:
+  /** Creates a backoff whose first delay is at most `first`. */
+  backoff(milliseconds first, milliseconds longest)
+      : first_(first), longest_(longest), next_(first) {}
+
+  /** Returns the delay before the next attempt and doubles the bound. */
+  duration NextDelay(random_source& random) {
+    const double bound = ToSeconds(next_);
+    next_ = std::min(longest_, next_ * 2);
+    return FromSeconds(bound * random.Uniform());
+  }
+
+  /** Starts over after a success. */
+  void Reset() { next_ = first_; }
+
+ private:
+  milliseconds first_;
+  milliseconds longest_;
+  milliseconds next_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_DECISIONS_BACKOFF_H_
--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -8,7 +8,13 @@
 namespace gentian {
 
 /** A message between daemons. */
-using peer_message = std::variant<heartbeat>;
+using peer_message = std::variant<heartbeat,
+                                  config_update,
+                                  config_request,
+                                  keys_withdrawn,
+                                  keys_withdrawn_confirmed,
+                                  rollout_request,
+                                  rollout_answer>;
 
 /** Writes a message for the wire format (CBOR of this JSON value). */
 json EncodePeerMessage(const peer_message& message);
