--- /dev/null
+++ b/source/gentian_decisions/shard_owner_listener.h
@@ -0,0 +1,27 @@
+#ifndef GENTIAN_DECISIONS_SHARD_OWNER_LISTENER_H_
+#define GENTIAN_DECISIONS_SHARD_OWNER_LISTENER_H_
+
+#include "gentian_decisions/node_context.h"
+#include "gentian_decisions/shard_record.h"
+
+namespace gentian {
+
+/** Is told when this daemon begins or ceases to own a shard. */
+class shard_owner_listener {
+ public:
+  virtual ~shard_owner_listener() = default;
+
+  /** The shard and its sessions are served from now on. */
+  virtual void ShardAdopted(const shard_id& shard,
+                            const shard_record& record,
+                            node_context& context) = 0;
+
+  /** Another incarnation owns the shard; nothing of it may be released. */
+  virtual void ShardLost(const shard_id& shard,
+                         const incarnation& owner,
+                         node_context& context) = 0;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_DECISIONS_SHARD_OWNER_LISTENER_H_
