Add the etcd adapter and its fake server

The key-value service is reached over the JSON gateway of the etcd v3 API; the fake serves the same paths from memory, with leases and watches.

--- a/source/gentian_daemon/caller_api.cc
+++ b/source/gentian_daemon/caller_api.cc
@@ -170,7 +170,7 @@
     entry.exchange->SendEvent(stream_event{"", "", ToText(AsChunk(part.body))});
   }
   entry.exchange->SendEvent(stream_event{id, "", "[DONE]"});
-  entry.exchange->EndEvents();
+  entry.exchange->EndStream();
 }
 
 void caller_api::SendPart(pending& entry, const error& part) {
@@ -184,7 +184,7 @@
   }
   entry.exchange->SendEvent(
       stream_event{"", "error", ToText(json{{"error", part}})});
-  entry.exchange->EndEvents();
+  entry.exchange->EndStream();
 }
 
 }  // namespace gentian
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -95,17 +95,21 @@
     Queue(text.str());
   }
 
-  void SendStreamHeader(const http_headers& headers) {
+  void SendStreamHeader(const http_headers& headers, bool events) {
     http::response<http::empty_body> message(http::status::ok, 11);
     AddHeaders(message, headers);
-    message.set(http::field::content_type, "text/event-stream");
-    message.set(http::field::cache_control, "no-store");
+    if (events) {
+      message.set(http::field::content_type, "text/event-stream");
+      message.set(http::field::cache_control, "no-store");
+    }
     message.chunked(true);
     std::ostringstream text;
     text << message.base();
     Queue(text.str());
     last_sent_ = std::chrono::steady_clock::now();
-    ArmCommentTimer();
+    if (events) {
+      ArmCommentTimer();
+    }
   }
 
   void SendChunk(std::string_view text) {
@@ -390,17 +394,30 @@
   void StartEvents(http_headers headers) override {
     owner_->PostAnswer(serial_,
                        [headers = std::move(headers)](connection& self) {
-                         self.SendStreamHeader(headers);
+                         self.SendStreamHeader(headers, true);
                        });
   }
 
+  void StartChunks(http_headers headers) override {
+    owner_->PostAnswer(serial_,
+                       [headers = std::move(headers)](connection& self) {
+                         self.SendStreamHeader(headers, false);
+                       });
+  }
+
+  void SendChunk(std::string text) override {
+    owner_->PostAnswer(serial_, [text = std::move(text)](connection& self) {
+      self.SendChunk(text);
+    });
+  }
+
   void SendEvent(const stream_event& event) override {
     owner_->PostAnswer(serial_, [text = FormatEvent(event)](connection& self) {
       self.SendChunk(text);
     });
   }
 
-  void EndEvents() override {
+  void EndStream() override {
     owner_->PostAnswer(serial_, [](connection& self) { self.EndStream(); });
   }
 
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -33,8 +33,14 @@
   /** Sends one event. Precondition: StartEvents was called. */
   virtual void SendEvent(const stream_event& event) = 0;
 
-  /** Ends an answer of server-sent events. */
-  virtual void EndEvents() = 0;
+  /** Starts an answer of unknown length, for protocols that stream JSON. */
+  virtual void StartChunks(http_headers headers) = 0;
+
+  /** Sends a part of such an answer. Precondition: StartChunks was called. */
+  virtual void SendChunk(std::string text) = 0;
+
+  /** Ends an answer that was started by StartEvents or StartChunks. */
+  virtual void EndStream() = 0;
 
   /** Closes the connection without an answer, or in the middle of one. */
   virtual void Abort() = 0;
--- a/source/gentian_platform/engine_fake.cc
+++ b/source/gentian_platform/engine_fake.cc
@@ -118,7 +118,7 @@
   void FinishReader(generation& call) {
     if (call.reader && call.streams) {
       call.reader->SendEvent(stream_event{"", "", "[DONE]"});
-      call.reader->EndEvents();
+      call.reader->EndStream();
     } else if (call.reader) {
       call.reader->Respond(JsonResponse(kOk, WholeAnswer(call)));
     }
--- a/source/gentian_platform/gentian_platform.h
+++ b/source/gentian_platform/gentian_platform.h
@@ -8,6 +8,8 @@
 #define GENTIAN_PLATFORM_GENTIAN_PLATFORM_H_
 
 #include "gentian_platform/engine_fake.h"
+#include "gentian_platform/etcd_fake_server.h"
+#include "gentian_platform/etcd_key_value_store.h"
 #include "gentian_platform/host_list.h"
 #include "gentian_platform/host_list_fake.h"
 #include "gentian_platform/http_host_list.h"
