--- a/source/gentian_decisions/node.cc
+++ b/source/gentian_decisions/node.cc
@@ -42,6 +42,7 @@
   table[IndexOf<admin_request>()] = &node::OnAdminRequest;
   table[IndexOf<caller_disconnected>()] =
       &node::ToSessions<caller_disconnected>;
+  table[IndexOf<peer_received>()] = &node::ToSessions<peer_received>;
   table[IndexOf<target_accepted>()] = &node::ToSessions<target_accepted>;
   table[IndexOf<target_chunk>()] = &node::ToSessions<target_chunk>;
   table[IndexOf<target_finished>()] = &node::ToSessions<target_finished>;
--- a/source/gentian_decisions/replicator.cc
+++ b/source/gentian_decisions/replicator.cc
@@ -218,8 +218,10 @@
 }
 
 void replicator::Advance(const shard_id& id,
-                         const session_id& session,
+                         const session_id& changed,
                          node_context& context) {
+  // The id may belong to a session that a handler removes.
+  const session_id session(changed.text());
   // A handler may append records, retire the session or stop the shard, so
   // that everything is looked up again after each one.
   while (shard_log* shard = Find(id)) {
--- a/source/gentian_decisions/replicator.h
+++ b/source/gentian_decisions/replicator.h
@@ -132,7 +132,7 @@
                      bool only_late,
                      node_context& context);
   void Advance(const shard_id& id,
-               const session_id& session,
+               const session_id& changed,
                node_context& context);
   void CheckHeld(const shard_id& id,
                  const session_id& session,
--- a/source/gentian_decisions/session_ending.cc
+++ b/source/gentian_decisions/session_ending.cc
@@ -122,6 +122,50 @@
   }
 }
 
+void session_operations::CloseInterrupted(session& adopted,
+                                          node_context& context) {
+  for (const call_started& open : adopted.OpenCalls()) {
+    call_finished result;
+    result.call = open.call;
+    result.outcome = call_outcome::unknown;
+    // A call that may be repeated can be asked for again at its position. Its
+    // reservation stays spent.
+    result.position_free = open.repeatable;
+    result.failure = session_errors::OutcomeUnknown(
+        "the daemon that ran the call has failed; the call is not repeated");
+    context.counters.Add("calls.interrupted");
+    sessions_.Append(
+        adopted, std::move(result), [](node_context& /*later*/) {}, context);
+  }
+}
+
+void session_operations::AdoptShard(const shard_id& shard,
+                                    node_context& context) {
+  for (session* adopted : sessions_.InShard(shard)) {
+    CloseInterrupted(*adopted, context);
+  }
+  std::vector<session_id> ended;
+  for (session* adopted : sessions_.InShard(shard)) {
+    if (!adopted->ended()) {
+      continue;
+    }
+    ended.push_back(adopted->id());
+    const auto& parent = adopted->opened().parent;
+    session* funder = parent ? sessions_.Find(*parent) : nullptr;
+    if (funder == nullptr || funder->children().count(adopted->id()) == 0) {
+      continue;
+    }
+    child_ended returned;
+    returned.child = adopted->id();
+    returned.used = adopted->funds().Committed();
+    sessions_.Append(
+        *funder, std::move(returned), [](node_context& /*later*/) {}, context);
+  }
+  for (const session_id& id : ended) {
+    sessions_.Retire(id, context);
+  }
+}
+
 void session_operations::Tick(node_context& context) {
   std::vector<session_id> ending;
   for (const auto& [id, recorded] : ending_) {
--- a/source/gentian_decisions/session_operations.h
+++ b/source/gentian_decisions/session_operations.h
@@ -60,6 +60,11 @@
            const answer_route& route,
            node_context& context);
 
+  /** Brings the sessions of an adopted shard into order: calls that were
+      interrupted get an end, sessions that had ended are given up.
+  */
+  void AdoptShard(const shard_id& shard, node_context& context);
+
   /** Answers requests that wait for records of a shard that was lost. */
   void AbandonShard(const shard_id& shard,
                     const std::string& owner_address,
@@ -101,6 +106,7 @@
                     const std::optional<std::uint64_t>& sequence,
                     const session& owner,
                     const answer_route& route) const;
+  void CloseInterrupted(session& adopted, node_context& context);
   void BeginEnd(session& target, node_context& context);
   void TryEnd(const session_id& id, node_context& context);
   void Ended(const session_id& id, node_context& context);
--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -22,6 +22,27 @@
   return best;
 }
 
+// The shard that an operation is about; nothing for a new session without a
+// parent, which can be opened anywhere.
+std::optional<shard_id> ShardNamedBy(const caller_operation& operation) {
+  return std::visit(
+      [](const auto& value) -> std::optional<shard_id> {
+        using type = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<type, open_session>) {
+          if (!value.parent) {
+            return std::nullopt;
+          }
+          return ShardOf(*value.parent);
+        } else if constexpr (std::is_same_v<type, list_addresses> ||
+                             std::is_same_v<type, plain_call>) {
+          return std::nullopt;
+        } else {
+          return ShardOf(value.session);
+        }
+      },
+      operation);
+}
+
 answer_route LocalRoute(const caller_request& input,
                         const std::string& key_hash) {
   answer_route route;
@@ -40,10 +61,33 @@
                                  call_scheduling& scheduling)
     : cluster_(cluster),
       gate_(cluster),
-      shards_(cluster, store),
-      sessions_(*this),
+      copies_([this](const session_id& id) { return sessions_.Find(id); },
+              [this](const session_id& id) { sessions_.Erase(id); }),
+      sessions_(copies_),
+      shards_(cluster, store, copies_, *this),
+      adopter_(cluster, store, held_, copies_, sessions_, shards_, *this),
       calls_(cluster, scheduling, sessions_, *this),
-      operations_(cluster, scheduling, sessions_, calls_, *this) {
+      operations_(cluster, scheduling, sessions_, calls_, *this),
+      locator_(cluster, store),
+      forwarder_(cluster,
+                 locator_,
+                 *this,
+                 [this](const caller_identity& caller,
+                        const caller_operation& operation,
+                        const answer_route& route,
+                        const shard_id& shard,
+                        node_context& context) {
+                   return RunHere(caller, operation, route, shard, context);
+                 }),
+      intake_(
+          cluster,
+          [this](const caller_identity& caller,
+                 const caller_operation& operation,
+                 const answer_route& route,
+                 node_context& context) {
+            RunForwarded(caller, operation, route, context);
+          },
+          [this](const answer_route& route) { calls_.CallerGone(route); }) {
   calls_.SetFencingSource(
       [this](const shard_id& shard) { return shards_.Generation(shard); });
 }
@@ -66,8 +110,46 @@
     Refuse(LocalRoute(input, ""), ErrorOf(caller), context);
     return;
   }
-  Run(ValueOf(caller), input.operation,
-      LocalRoute(input, ValueOf(caller).key_hash), context);
+  const answer_route route = LocalRoute(input, ValueOf(caller).key_hash);
+  const auto shard = ShardNamedBy(input.operation);
+  if (!shard) {
+    Run(ValueOf(caller), input.operation, route, context);
+    return;
+  }
+  forwarder_.Forward(ValueOf(caller), input.operation, route, *shard, context);
+}
+
+bool session_service::RunHere(const caller_identity& caller,
+                              const caller_operation& operation,
+                              const answer_route& route,
+                              const shard_id& shard,
+                              node_context& context) {
+  if (!shards_.Serves(shard)) {
+    return false;
+  }
+  Run(caller, operation, route, context);
+  return true;
+}
+
+void session_service::RunForwarded(const caller_identity& caller,
+                                   const caller_operation& operation,
+                                   const answer_route& route,
+                                   node_context& context) {
+  // The key may have been withdrawn while the request was on its way.
+  if (auto reason = gate_.Check(caller)) {
+    Refuse(route, std::move(*reason), context);
+    return;
+  }
+  const auto shard = ShardNamedBy(operation);
+  if (!shard || !shards_.Serves(*shard)) {
+    const auto owner = shard ? locator_.OwnerOf(*shard) : std::nullopt;
+    Refuse(route,
+           session_errors::Moved(owner ? AddressOf(*owner) : std::string(),
+                                 call_outcome::not_run),
+           context);
+    return;
+  }
+  Run(caller, operation, route, context);
 }
 
 void session_service::Run(const caller_identity& caller,
@@ -140,10 +222,11 @@
 }
 
 void session_service::Handle(const caller_disconnected& input,
-                             node_context& /*context*/) {
+                             node_context& context) {
   answer_route route;
   route.id = input.id;
   calls_.CallerGone(route);
+  forwarder_.CallerGone(route, context);
 }
 
 void session_service::Handle(const target_accepted& input,
@@ -166,38 +249,113 @@
 }
 
 void session_service::Handle(const tick& /*input*/, node_context& context) {
+  held_.SetSelf(cluster_.self());
   shards_.Tick(context);
+  adopter_.Tick(context);
+  copies_.Tick(context);
   calls_.Tick(context);
   operations_.Tick(context);
+  forwarder_.Tick(context);
+  intake_.Tick();
 }
 
 void session_service::KeyWithdrawn(const std::string& key_hash,
                                    node_context& context) {
   gate_.Withdraw(key_hash);
   calls_.KeyWithdrawn(key_hash, context);
+  forwarder_.KeyWithdrawn(key_hash, context);
 }
 
 json session_service::Status() const {
   return json{{"sessions", sessions_.size()},
               {"calls", calls_.size()},
+              {"forwarded", forwarder_.size()},
+              {"adoptions", adopter_.size()},
               {"shards", shards_.Status()}};
 }
 
 void session_service::Reply(const answer_route& route,
                             answer_part part,
                             node_context& context) {
+  if (!route.IsLocal()) {
+    intake_.Reply(route, part, context);
+    return;
+  }
   context.Emit(reply_to_caller{route.id, std::move(part)});
 }
 
-void session_service::Replicate(const session_id& /*session*/,
-                                const session_record& /*record*/,
-                                commit_handler handler,
-                                node_context& context) {
-  // A fleet of one daemon has no replicas.
-  handler(context);
+void session_service::Handle(const peer_received& input,
+                             node_context& context) {
+  std::visit(
+      [&](const auto& message) {
+        using type = std::decay_t<decltype(message)>;
+        constexpr bool kForReplica = std::is_same_v<type, store_records> ||
+                                     std::is_same_v<type, shard_copied> ||
+                                     std::is_same_v<type, forget_sessions> ||
+                                     std::is_same_v<type, fence_request>;
+        if constexpr (kForReplica) {
+          held_.Handle(input.from, message, context);
+        } else if constexpr (std::is_same_v<type, records_stored>) {
+          copies_.Handle(input.from, message, context);
+        } else if constexpr (std::is_same_v<type, store_refused>) {
+          Take(input.from, message, context);
+        } else if constexpr (std::is_same_v<type, fence_promise> ||
+                             std::is_same_v<type, hand_over>) {
+          adopter_.Handle(input.from, message, context);
+        } else if constexpr (std::is_same_v<type, owner_changed>) {
+          locator_.Learn(message.shard, message.generation, message.owner);
+        } else if constexpr (std::is_same_v<type, forward_request>) {
+          intake_.Handle(input.from, message, context);
+        } else if constexpr (std::is_same_v<type, forward_closed>) {
+          intake_.Handle(input.from, message);
+        } else if constexpr (std::is_same_v<type, forward_part>) {
+          forwarder_.Handle(input.from, message, context);
+        }
+      },
+      input.message);
+}
+
+void session_service::Take(const incarnation& from,
+                           const store_refused& message,
+                           node_context& context) {
+  adopter_.Handle(from, message, context);
+  shards_.Fenced(message.shard, message.promised, message.owner, context);
+}
+
+std::string session_service::AddressOf(const incarnation& owner) const {
+  const auto found = cluster_.FindMember(owner.host);
+  return found ? found->caller_address : std::string();
 }
 
-void session_service::Retire(const session_id& /*session*/,
-                             node_context& /*context*/) {}
+void session_service::ShardAdopted(const shard_id& shard,
+                                   const shard_record& record,
+                                   node_context& context) {
+  operations_.AdoptShard(shard, context);
+  Announce(shard, record, context);
+}
+
+void session_service::Announce(const shard_id& shard,
+                               const shard_record& record,
+                               node_context& context) {
+  locator_.Learn(shard, record.generation, record.owner);
+  for (const member& other : cluster_.LiveMembers()) {
+    if (other.id != cluster_.self()) {
+      context.Emit(
+          send_to_peer{other.id.host,
+                       owner_changed{shard, record.generation, record.owner}});
+    }
+  }
+}
+
+void session_service::ShardLost(const shard_id& shard,
+                                const incarnation& owner,
+                                node_context& context) {
+  const std::string address = AddressOf(owner);
+  locator_.Refresh(shard, context);
+  copies_.Stop(shard);
+  calls_.AbandonShard(shard, address, context);
+  operations_.AbandonShard(shard, address, context);
+  sessions_.EraseShard(shard);
+}
 
 }  // namespace gentian
--- a/source/gentian_decisions/session_service.h
+++ b/source/gentian_decisions/session_service.h
@@ -4,16 +4,22 @@
 #include "gentian_decisions/call_pipeline.h"
 #include "gentian_decisions/caller_gate.h"
 #include "gentian_decisions/event.h"
+#include "gentian_decisions/forward_intake.h"
 #include "gentian_decisions/kv_access.h"
+#include "gentian_decisions/replica_store.h"
+#include "gentian_decisions/replicator.h"
+#include "gentian_decisions/request_forwarder.h"
 #include "gentian_decisions/session_operations.h"
 #include "gentian_decisions/session_table.h"
+#include "gentian_decisions/shard_adopter.h"
+#include "gentian_decisions/shard_locator.h"
 #include "gentian_decisions/shard_manager.h"
 #include "gentian_decisions/target_dispatch.h"
 
 namespace gentian {
 
 /** Sessions and calls of one daemon: the facade that a node uses. */
-class session_service : private answer_sink, private record_log {
+class session_service : private answer_sink, private shard_owner_listener {
  public:
   /** All parameters must outlive the service. It sets itself as the listener
       of the scheduling.
@@ -24,6 +30,7 @@
 
   /** Handles a request of a caller. Precondition: it is not list_addresses. */
   void Handle(const caller_request& input, node_context& context);
+  void Handle(const peer_received& input, node_context& context);
   void Handle(const caller_disconnected& input, node_context& context);
   void Handle(const target_accepted& input, node_context& context);
   void Handle(const target_chunk& input, node_context& context);
@@ -46,24 +53,48 @@
             const open_session& operation,
             const answer_route& route,
             node_context& context);
+  bool RunHere(const caller_identity& caller,
+               const caller_operation& operation,
+               const answer_route& route,
+               const shard_id& shard,
+               node_context& context);
+  void RunForwarded(const caller_identity& caller,
+                    const caller_operation& operation,
+                    const answer_route& route,
+                    node_context& context);
+  void Announce(const shard_id& shard,
+                const shard_record& record,
+                node_context& context);
   void RunPlain(const caller_request& input, node_context& context);
   void Refuse(const answer_route& route, error reason, node_context& context);
 
   void Reply(const answer_route& route,
              answer_part part,
              node_context& context) override;
-  void Replicate(const session_id& session,
-                 const session_record& record,
-                 commit_handler handler,
+  void ShardAdopted(const shard_id& shard,
+                    const shard_record& record,
+                    node_context& context) override;
+  void ShardLost(const shard_id& shard,
+                 const incarnation& owner,
                  node_context& context) override;
-  void Retire(const session_id& session, node_context& context) override;
+
+  void Take(const incarnation& from,
+            const store_refused& message,
+            node_context& context);
+  std::string AddressOf(const incarnation& owner) const;
 
   const cluster_view& cluster_;
   caller_gate gate_;
-  shard_manager shards_;
+  replica_store held_;
+  replicator copies_;
   session_table sessions_;
+  shard_manager shards_;
+  shard_adopter adopter_;
   call_pipeline calls_;
   session_operations operations_;
+  shard_locator locator_;
+  request_forwarder forwarder_;
+  forward_intake intake_;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/session_table.cc
+++ b/source/gentian_decisions/session_table.cc
@@ -51,7 +51,6 @@
 
 void session_table::Retire(const session_id& id, node_context& context) {
   log_.Retire(id, context);
-  sessions_.erase(id);
 }
 
 std::vector<session*> session_table::InShard(const shard_id& shard) {
--- a/source/gentian_decisions/session_table.h
+++ b/source/gentian_decisions/session_table.h
@@ -34,9 +34,13 @@
               record_log::commit_handler handler,
               node_context& context);
 
-  /** Removes a session whose end is committed. */
+  /** Gives up a session whose end is committed. It stays until all replicas
+      know of the end. */
   void Retire(const session_id& id, node_context& context);
 
+  /** Removes one session. */
+  void Erase(const session_id& id) { sessions_.erase(id); }
+
   /** All sessions of a shard, in order of their ids. */
   std::vector<session*> InShard(const shard_id& shard);
 
