Add the administration calls, metrics, health and bounds on input

Cause: an operator needs changes that carry an audited name and whole or no effect, figures for each refusal reason, and daemons that survive damaged input.

Change: ReadAdminCall maps HTTP requests to admin_operation after the key check, AuditLine records each change and refused change, the metrics page has one counter a refusal and retry reason and p50, p95 and p99 by Boost.Accumulators, /health and /ready have their conditions. ParseJson and ParseCbor bound nesting (100 levels) and sizes. The daemon's own file is read by ParseDaemonFile.

--- a/source/gentian_core/gentian_core.h
+++ b/source/gentian_core/gentian_core.h
@@ -6,6 +6,7 @@
 #ifndef GENTIAN_CORE_GENTIAN_CORE_H_
 #define GENTIAN_CORE_GENTIAN_CORE_H_
 
+#include "gentian_core/bounded_json.h"
 #include "gentian_core/counter_set.h"
 #include "gentian_core/error.h"
 #include "gentian_core/hash.h"
--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -6,6 +6,10 @@
 #ifndef GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 #define GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 
+#include "gentian_daemon/admin_call.h"
+#include "gentian_daemon/daemon_health.h"
+#include "gentian_daemon/daemon_metrics.h"
+#include "gentian_daemon/latency_distribution.h"
 #include "gentian_daemon/version.h"
 
 #endif  // GENTIAN_DAEMON_GENTIAN_DAEMON_H_
--- a/source/gentian_settings/check_values.cc
+++ b/source/gentian_settings/check_values.cc
@@ -9,12 +9,23 @@
 
 namespace {
 
+// Text that is not UTF-8 can not be written as JSON, so that it could be neither
+// stored nor shown.
+bool IsUtf8(const std::string& text) {
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::type_error&) {
+    return false;
+  }
+}
+
 bool IsPlain(const std::string& text) {
   const bool control = std::any_of(text.begin(), text.end(), [](char c) {
     const auto byte = static_cast<unsigned char>(c);
     return byte < 0x20 || byte == 0x7f;
   });
-  return !control &&
+  return !control && IsUtf8(text) &&
          (text.empty() || (text.front() != ' ' && text.back() != ' '));
 }
 
@@ -90,8 +101,9 @@
     if (!IsPlain(key) || !IsPlain(value) ||
         key.find_first_of("=[]") != std::string::npos) {
       problems.Add(section, key,
-                   "control characters, brackets or blanks at an end",
-                   "write plain text");
+                   "text with control characters, brackets in the key, "
+                   "blanks at an end or bytes that are not UTF-8",
+                   "write plain UTF-8 text");
       continue;
     }
     const auto parsed = ParseValue(known->rule, value);
--- a/source/gentian_settings/gentian_settings.h
+++ b/source/gentian_settings/gentian_settings.h
@@ -6,8 +6,10 @@
 #ifndef GENTIAN_SETTINGS_GENTIAN_SETTINGS_H_
 #define GENTIAN_SETTINGS_GENTIAN_SETTINGS_H_
 
+#include "gentian_settings/accepted_change.h"
 #include "gentian_settings/budget_limits.h"
 #include "gentian_settings/configuration.h"
+#include "gentian_settings/daemon_file.h"
 #include "gentian_settings/ini_reader.h"
 #include "gentian_settings/section_path.h"
 #include "gentian_settings/settings_change.h"
--- a/tests/settings/settings_tree_test.cc
+++ b/tests/settings/settings_tree_test.cc
@@ -49,14 +49,15 @@
   cr_assert(copy.sections() == tree.sections());
 }
 
-// Guards against a value from the administration API that can not be written
-// to INI text and read back.
-Test(settings_tree, values_with_line_breaks_are_mistakes) {
+// Guards against a value from the administration API or a file that can not be
+// written to INI text or JSON and read back.
+Test(settings_tree, values_without_a_text_form_are_mistakes) {
   settings_tree tree;
   tree.Apply({settings_change{"/pools/p", "model", "a\n[/teams/x]"},
+              settings_change{"/pools/q", "model", "\xff"},
               settings_change{"/teams/a", "key.x]\ny", std::string(64, 'a')}});
   const auto built = BuildConfiguration(tree, 1);
   const auto& problems =
       std::get<std::vector<gentian::settings_problem>>(built);
-  cr_assert_eq(problems.size(), 2);
+  cr_assert_eq(problems.size(), 3);
 }
