--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -6,12 +6,16 @@
 #ifndef GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 #define GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 
+#include "gentian_daemon/admin_call.h"
 #include "gentian_daemon/caller_api.h"
 #include "gentian_daemon/credential_filter.h"
 #include "gentian_daemon/daemon.h"
+#include "gentian_daemon/daemon_health.h"
 #include "gentian_daemon/daemon_log.h"
+#include "gentian_daemon/daemon_metrics.h"
 #include "gentian_daemon/daemon_options.h"
 #include "gentian_daemon/decision_loop.h"
+#include "gentian_daemon/latency_distribution.h"
 #include "gentian_daemon/supervisor.h"
 #include "gentian_daemon/version.h"
 
