--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -11,6 +11,12 @@
 
 /** A message between daemons. */
 using peer_message = std::variant<heartbeat,
+                                  config_update,
+                                  config_request,
+                                  keys_withdrawn,
+                                  keys_withdrawn_confirmed,
+                                  rollout_request,
+                                  rollout_answer,
                                   store_records,
                                   records_stored,
                                   store_refused,
