--- a/source/gentian_decisions/peer_message.h
+++ b/source/gentian_decisions/peer_message.h
@@ -5,6 +5,7 @@
 
 #include "gentian_decisions/cluster_messages.h"
 #include "gentian_decisions/scheduling_messages.h"
+#include "gentian_decisions/session_messages.h"
 
 namespace gentian {
 
@@ -16,6 +17,18 @@
                                   keys_withdrawn_confirmed,
                                   rollout_request,
                                   rollout_answer,
+                                  store_records,
+                                  records_stored,
+                                  store_refused,
+                                  shard_copied,
+                                  forget_sessions,
+                                  fence_request,
+                                  fence_promise,
+                                  hand_over,
+                                  owner_changed,
+                                  forward_request,
+                                  forward_part,
+                                  forward_closed,
                                   share_offer,
                                   share_delegation,
                                   share_release,
