Serve rate claims of all daemons in order of arrival

Change: the granter keeps claims ordered by waiting time; settlements of small bursts go out at once; requests of small bursts repeat more often; prefetch takes at most a tenth of the burst.

--- a/source/gentian_decisions/call_scheduler.cc
+++ b/source/gentian_decisions/call_scheduler.cc
@@ -77,19 +77,25 @@
   Settle(context);
 }
 
+void call_scheduler::SubmitLocally(const call_state& call,
+                                   pool_state& pool,
+                                   node_context& context) {
+  work_item item = call.item;
+  item.ticket = call.submission;
+  pool.local.Submit(call_key{view_.self(), call.submission}, item,
+                    ToMilliseconds(context.now - call.queued_since),
+                    context.now);
+  dirty_.insert(call.item.pool);
+}
+
 void call_scheduler::SubmitCall(call_state& call,
                                 bool to_self,
                                 node_context& context) {
   pool_state& pool = Pool(call.item.pool);
-  const milliseconds waited = ToMilliseconds(context.now - call.queued_since);
-  work_item item = call.item;
-  item.ticket = call.submission;
   call.repeated = context.now;
   if (to_self) {
     call.scheduler.reset();
-    pool.local.Submit(call_key{view_.self(), call.submission}, item, waited,
-                      context.now);
-    dirty_.insert(call.item.pool);
+    SubmitLocally(call, pool, context);
     return;
   }
   if (call.scheduler != pool.scheduler) {
@@ -97,8 +103,12 @@
     call.submitted = context.now;
     call.answered = false;
   }
-  context.Emit(send_to_peer{call.scheduler->host,
-                            pool_submission{item, waited, pool.term}});
+  work_item item = call.item;
+  item.ticket = call.submission;
+  const milliseconds waited = ToMilliseconds(context.now - call.queued_since);
+  context.Emit(
+      send_to_peer{call.scheduler->host,
+                   pool_submission{std::move(item), waited, pool.term}});
 }
 
 void call_scheduler::Withdraw(ticket_id ticket, node_context& context) {
--- a/source/gentian_decisions/call_scheduler.h
+++ b/source/gentian_decisions/call_scheduler.h
@@ -158,6 +158,9 @@
                        const incarnation& next,
                        node_context& context);
   void SubmitCall(call_state& call, bool to_self, node_context& context);
+  void SubmitLocally(const call_state& call,
+                     pool_state& pool,
+                     node_context& context);
   void ReportRunning(const pool_id& id,
                      pool_state& pool,
                      node_context& context);
--- a/source/gentian_decisions/call_scheduler_peers.cc
+++ b/source/gentian_decisions/call_scheduler_peers.cc
@@ -284,15 +284,7 @@
       pool.silent = true;
       call.answered = true;
       // The submission stays in force: whoever assigns first wins.
-      pool.local.Submit(
-          call_key{view_.self(), call.submission},
-          [&] {
-            work_item item = call.item;
-            item.ticket = call.submission;
-            return item;
-          }(),
-          ToMilliseconds(context.now - call.queued_since), context.now);
-      dirty_.insert(call.item.pool);
+      SubmitLocally(call, pool, context);
     }
     if (context.now - call.repeated >= kReportInterval) {
       const bool to_self = SchedulesItself(pool) || pool.silent;
--- a/source/gentian_decisions/scheduling_messages.h
+++ b/source/gentian_decisions/scheduling_messages.h
@@ -59,9 +59,15 @@
 
   incarnation granter;
   team_id team;
-  /** Grows with each request of the sender for the team. */
+  /** Grows with each request of the sender for the team; 0 if the message
+      only settles. */
   std::uint64_t request = 0;
+  /** Tokens for calls that wait now. */
   std::uint32_t tokens = 0;
+  /** Tokens for calls that are expected soon; granted only if nobody waits. */
+  std::uint32_t prefetch = 0;
+  /** How long the oldest of the waiting calls has waited. */
+  milliseconds waited{0};
   std::vector<grant_settlement> settled;
 };
 
@@ -159,6 +165,8 @@
                                    team,
                                    request,
                                    tokens,
+                                   prefetch,
+                                   waited,
                                    settled)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_answer, team, request, batch, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pool_submission, item, waited, term)
--- a/source/gentian_decisions/team_limiter.cc
+++ b/source/gentian_decisions/team_limiter.cc
@@ -13,10 +13,24 @@
 
 // Tokens are asked for ahead of the arrivals of this time.
 constexpr double kPrefetchSeconds = 0.1;
+// Prefetched tokens occupy room of the burst, so they stay a small part.
+constexpr double kPrefetchBurst = 0.1;
 // Room in the queue beyond what the rate can serve within the longest wait.
 constexpr double kQueueSlack = 16;
+// Spent tokens are settled at once, not with the next tick, when they occupy
+// more than this part of the burst: the granter can not fill their room.
+constexpr double kUnsettledBurst = 0.1;
 constexpr double kArrivalSmoothing = 0.3;
 
+// A granter serves waiting claims with its ticks and with each message. A burst
+// that fills up between two ticks needs messages more often, or it overflows.
+duration RequestInterval(const team_settings& team) {
+  constexpr double kShortestSeconds = 0.01;
+  const double longest = ToSeconds(team_limiter::kRequestTimeout);
+  const double fills = 0.5 * team.burst / std::max(team.rate, 0.001);
+  return FromSeconds(std::clamp(fills, kShortestSeconds, longest));
+}
+
 }  // namespace
 
 void team_limiter::Refuse(ticket_id ticket,
@@ -31,33 +45,79 @@
   decisions_.push_back(limit_decision{ticket, std::move(reason)});
 }
 
-bool team_limiter::TakeToken(const team_settings& team,
-                             team_state& state,
-                             steady_time now) {
+void team_limiter::EndBatch(team_state& state) {
+  const granted_batch& batch = state.batches.front();
+  state.settled[batch.granter].push_back({batch.batch, batch.left});
+  state.unsettled += batch.tokens;
+  state.batches.pop_front();
+}
+
+bool team_limiter::TakeGranted(team_state& state, steady_time now) {
   while (!state.batches.empty()) {
     granted_batch& batch = state.batches.front();
-    if (now - batch.requested >= kGrantLifetime) {
-      state.settled[batch.granter].push_back({batch.batch, batch.left});
-      state.batches.pop_front();
-      continue;
+    const bool usable = now - batch.requested < kGrantLifetime;
+    if (usable) {
+      --batch.left;
     }
-    --batch.left;
-    if (batch.left == 0) {
-      state.settled[batch.granter].push_back({batch.batch, 0});
-      state.batches.pop_front();
+    if (!usable || batch.left == 0) {
+      EndBatch(state);
+    }
+    if (usable) {
+      return true;
     }
-    return true;
   }
-  return keeper_.Bucket(team, now).TakeOne();
+  return false;
+}
+
+void team_limiter::Admit(team_state& state) {
+  decisions_.push_back(
+      limit_decision{state.queue.front().ticket, std::nullopt});
+  state.queue.pop_front();
+}
+
+void team_limiter::ServeClaim(const team_settings& team,
+                              team_state& state,
+                              std::map<incarnation, claim>::iterator first,
+                              node_context& context) {
+  share_bucket& bucket = keeper_.Bucket(team, context.now);
+  grant_answer answer;
+  answer.team = team.id;
+  answer.request = first->second.request;
+  answer.batch = ++last_batch_;
+  answer.tokens = bucket.Issue(answer.batch, first->second.tokens, context.now);
+  context.Emit(send_to_peer{first->first.host, std::move(answer)});
+  // The daemon asks again if this was only a part.
+  state.claims.erase(first);
 }
 
 void team_limiter::Serve(const team_settings& team,
                          team_state& state,
                          node_context& context) {
-  while (!state.queue.empty() && TakeToken(team, state, context.now)) {
-    decisions_.push_back(
-        limit_decision{state.queue.front().ticket, std::nullopt});
-    state.queue.pop_front();
+  while (!state.queue.empty() && TakeGranted(state, context.now)) {
+    Admit(state);
+  }
+  for (;;) {
+    // First come, first served across the daemons.
+    auto first = state.claims.end();
+    for (auto it = state.claims.begin(); it != state.claims.end(); ++it) {
+      if (first == state.claims.end() ||
+          it->second.since < first->second.since) {
+        first = it;
+      }
+    }
+    const bool local = !state.queue.empty() &&
+                       (first == state.claims.end() ||
+                        state.queue.front().since <= first->second.since);
+    share_bucket& bucket = keeper_.Bucket(team, context.now);
+    if ((!local && first == state.claims.end()) || bucket.level() < 1) {
+      return;
+    }
+    if (local) {
+      bucket.TakeOne();
+      Admit(state);
+    } else {
+      ServeClaim(team, state, first, context);
+    }
   }
 }
 
@@ -89,6 +149,7 @@
   state.queue.push_back(waiting_ticket{ticket, context.now});
   Serve(team, state, context);
   Ask(team, state, context);
+  SettleSoon(team, state, context);
 }
 
 void team_limiter::Cancel(ticket_id ticket, const team_id& team) {
@@ -113,7 +174,11 @@
 void team_limiter::Ask(const team_settings& team,
                        team_state& state,
                        node_context& context) {
-  if (state.pending && context.now - state.pending->sent < kRequestTimeout) {
+  // Calls that wait do not wait for the answer to a prefetch.
+  const bool answered_soon =
+      state.pending &&
+      context.now - state.pending->sent < RequestInterval(team);
+  if (answered_soon && (state.pending->waits || state.queue.empty())) {
     return;
   }
   const auto granter = keeper_.Granter(share_keeper::GroupOf(team.id));
@@ -124,8 +189,8 @@
   for (const granted_batch& batch : state.batches) {
     held += batch.left;
   }
-  const auto ahead = static_cast<std::uint32_t>(
-      std::floor(state.arrival_rate * kPrefetchSeconds));
+  const auto ahead = static_cast<std::uint32_t>(std::floor(std::min(
+      state.arrival_rate * kPrefetchSeconds, kPrefetchBurst * team.burst)));
   const auto waiting = static_cast<std::uint32_t>(state.queue.size());
   if (waiting == 0 && (ahead == 0 || held > ahead / 2)) {
     return;
@@ -133,14 +198,20 @@
   if (state.pending) {
     state.abandoned[state.pending->number] = state.pending->sent;
   }
-  state.pending = pending_request{*granter, ++state.last_request, context.now};
+  state.pending =
+      pending_request{*granter, ++state.last_request, context.now, waiting > 0};
   grant_request request;
   request.granter = *granter;
   request.team = team.id;
   request.request = state.last_request;
-  request.tokens = waiting + ahead - std::min(held, ahead);
+  request.tokens = waiting;
+  request.prefetch = ahead - std::min(held, ahead);
+  if (waiting > 0) {
+    request.waited = ToMilliseconds(context.now - state.queue.front().since);
+  }
   request.settled = std::move(state.settled[*granter]);
   state.settled.erase(*granter);
+  state.unsettled = 0;
   context.Emit(send_to_peer{granter->host, std::move(request)});
 }
 
@@ -149,15 +220,17 @@
                           node_context& context) {
   while (!state.batches.empty() &&
          context.now - state.batches.front().requested >= kReturnAfter) {
-    const granted_batch& batch = state.batches.front();
-    state.settled[batch.granter].push_back({batch.batch, batch.left});
-    state.batches.pop_front();
+    EndBatch(state);
   }
   for (auto it = state.abandoned.begin(); it != state.abandoned.end();) {
     const bool old =
         context.now - it->second > share_bucket::kOutstandingTime * 3;
     it = old ? state.abandoned.erase(it) : std::next(it);
   }
+  for (auto it = state.claims.begin(); it != state.claims.end();) {
+    const bool old = context.now - it->second.received >= kGrantLifetime;
+    it = old ? state.claims.erase(it) : std::next(it);
+  }
   // The next tick would come after the longest wait.
   const duration wait = view_.settings().fleet.limits_wait - kTickInterval;
   while (!state.queue.empty() &&
@@ -178,6 +251,14 @@
   state.counted_from = now;
 }
 
+void team_limiter::SettleSoon(const team_settings& team,
+                              team_state& state,
+                              node_context& context) {
+  if (state.unsettled > kUnsettledBurst * team.burst) {
+    SendSettlements(team.id, state, context);
+  }
+}
+
 void team_limiter::SendSettlements(const team_id& team,
                                    team_state& state,
                                    node_context& context) {
@@ -185,11 +266,11 @@
     grant_request message;
     message.granter = granter;
     message.team = team;
-    message.request = ++state.last_request;
     message.settled = std::move(batches);
     context.Emit(send_to_peer{granter.host, std::move(message)});
   }
   state.settled.clear();
+  state.unsettled = 0;
 }
 
 void team_limiter::Tick(node_context& context) {
@@ -228,20 +309,30 @@
     bucket.Settle(settlement.batch, settlement.unused, team.burst);
   }
   std::uint64_t& last = state.served[from];
+  // Zero is a settlement alone; it must not replace a waiting claim.
   if (request.request <= last) {
     return;
   }
   last = request.request;
+  state.claims.erase(from);
+  if (request.tokens > 0) {
+    state.claims[from] = claim{request.request, request.tokens,
+                               context.now - request.waited, context.now};
+  }
   Serve(team, state, context);
-  if (request.tokens == 0) {
+  // A request accepts one answer, so one for waiting calls prefetches nothing.
+  if (request.tokens > 0 || request.prefetch == 0 || !state.claims.empty() ||
+      !state.queue.empty()) {
     return;
   }
   grant_answer answer;
   answer.team = request.team;
   answer.request = request.request;
   answer.batch = ++last_batch_;
-  answer.tokens = bucket.Issue(answer.batch, request.tokens, context.now);
-  context.Emit(send_to_peer{from.host, std::move(answer)});
+  answer.tokens = bucket.Issue(answer.batch, request.prefetch, context.now);
+  if (answer.tokens > 0) {
+    context.Emit(send_to_peer{from.host, std::move(answer)});
+  }
 }
 
 void team_limiter::Receive(const incarnation& from,
@@ -252,26 +343,23 @@
     return;
   }
   team_state& state = teams_[answer.team];
-  const bool expected = state.pending &&
-                        state.pending->number == answer.request &&
-                        state.pending->granter == from;
-  if (!expected) {
-    // A repeated answer is not in the list, so it returns nothing twice.
-    if (state.abandoned.erase(answer.request) > 0 && answer.tokens > 0) {
-      state.settled[from].push_back({answer.batch, answer.tokens});
-    }
-    return;
+  if (state.pending && state.pending->number == answer.request &&
+      state.pending->granter == from) {
+    state.abandoned[answer.request] = state.pending->sent;
+    state.pending.reset();
   }
-  const steady_time sent = state.pending->sent;
-  state.pending.reset();
-  if (answer.tokens > 0) {
-    state.batches.push_back(
-        granted_batch{from, answer.batch, answer.tokens, sent});
+  // Each request accepts one answer, so that repeats add nothing.
+  const auto request = state.abandoned.find(answer.request);
+  if (request == state.abandoned.end() || answer.tokens == 0) {
+    return;
   }
+  state.batches.push_back(granted_batch{from, answer.batch, answer.tokens,
+                                        answer.tokens, request->second});
+  state.abandoned.erase(request);
   Serve(team->second, state, context);
-  if (answer.tokens > 0) {
-    Ask(team->second, state, context);
-  }
+  Expire(team->second, state, context);
+  Ask(team->second, state, context);
+  SettleSoon(team->second, state, context);
 }
 
 std::vector<limit_decision> team_limiter::TakeDecisions() {
--- a/source/gentian_decisions/team_limiter.h
+++ b/source/gentian_decisions/team_limiter.h
@@ -75,6 +75,7 @@
   struct granted_batch {
     incarnation granter;
     std::uint64_t batch = 0;
+    std::uint32_t tokens = 0;
     std::uint32_t left = 0;
     steady_time requested;
   };
@@ -82,6 +83,15 @@
     incarnation granter;
     std::uint64_t number = 0;
     steady_time sent;
+    /** True if calls wait for the answer. */
+    bool waits = false;
+  };
+  /** Tokens that another daemon waits for. */
+  struct claim {
+    std::uint64_t request = 0;
+    std::uint32_t tokens = 0;
+    steady_time since;
+    steady_time received;
   };
   struct team_state {
     std::deque<waiting_ticket> queue;
@@ -90,8 +100,11 @@
     /** Requests without an answer in time, with the time of sending. */
     std::map<std::uint64_t, steady_time> abandoned;
     std::map<incarnation, std::vector<grant_settlement>> settled;
+    /** Tokens in `settled`; they occupy room at the granters. */
+    std::uint32_t unsettled = 0;
     /** Last request served, by asking incarnation. */
     std::map<incarnation, std::uint64_t> served;
+    std::map<incarnation, claim> claims;
     std::uint64_t last_request = 0;
     /** Arrivals a second, smoothed. */
     double arrival_rate = 0;
@@ -99,7 +112,12 @@
     steady_time counted_from;
   };
 
-  bool TakeToken(const team_settings& team, team_state& state, steady_time now);
+  bool TakeGranted(team_state& state, steady_time now);
+  void ServeClaim(const team_settings& team,
+                  team_state& state,
+                  std::map<incarnation, claim>::iterator first,
+                  node_context& context);
+  void Admit(team_state& state);
   void Serve(const team_settings& team,
              team_state& state,
              node_context& context);
@@ -108,6 +126,10 @@
               team_state& state,
               node_context& context);
   void CountArrivals(team_state& state, steady_time now);
+  void EndBatch(team_state& state);
+  void SettleSoon(const team_settings& team,
+                  team_state& state,
+                  node_context& context);
   void SendSettlements(const team_id& team,
                        team_state& state,
                        node_context& context);
