--- a/source/gentian_decisions/session_record.h
+++ b/source/gentian_decisions/session_record.h
@@ -53,6 +53,9 @@
 
   std::uint64_t call = 0;
   call_outcome outcome = call_outcome::unknown;
+  /** True if the position and the idempotency key are free again: the call has
+      not run, or it was interrupted and may be repeated. */
+  bool position_free = false;
   json body;
   std::optional<error> failure;
   call_usage usage;
@@ -127,6 +130,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(call_finished,
                                    call,
                                    outcome,
+                                   position_free,
                                    body,
                                    failure,
                                    usage,
