--- a/source/gentian_core/bounded_json.cc
+++ b/source/gentian_core/cbor.cc
@@ -1,4 +1,4 @@
-#include "gentian_core/bounded_json.h"
+#include "gentian_core/cbor.h"
 
 #include <cstddef>
 
@@ -7,9 +7,9 @@
 namespace {
 
 // Checks nesting and announced sizes without building a value. The CBOR reader
-// and the writers of nlohmann-json recurse once a level, so that deep nesting
-// overflows the stack; the reader also throws on excessive sizes although
-// exceptions are switched off.
+// of nlohmann-json recurses once a level, so that deep nesting overflows the
+// stack; it also throws on excessive sizes although exceptions are switched
+// off.
 class bounds_check : public nlohmann::json_sax<json> {
  public:
   explicit bounds_check(std::size_t input_size) : input_size_(input_size) {}
@@ -40,7 +40,7 @@
   bool Enter(std::size_t elements) {
     constexpr auto kUnknownSize = static_cast<std::size_t>(-1);
     ++depth_;
-    return depth_ <= kDeepestNesting &&
+    return depth_ <= kDeepestCbor &&
            (elements == kUnknownSize || elements <= input_size_);
   }
 
@@ -53,33 +53,21 @@
   int depth_ = 0;
 };
 
-template <typename Input>
-result<json> ParseBounded(const Input& input, json::input_format_t format) {
+}  // namespace
+
+result<json> ParseCbor(const std::vector<std::uint8_t>& bytes) {
   const error refusal{error_kind::malformed_request,
                       "the data can not be read or is nested too deeply",
-                      "send complete data with at most " +
-                          std::to_string(kDeepestNesting) +
-                          " levels of nesting"};
+                      "run the same version on all daemons"};
   try {
-    bounds_check check(input.size());
-    if (!json::sax_parse(input, &check, format)) {
+    bounds_check check(bytes.size());
+    if (!json::sax_parse(bytes, &check, json::input_format_t::cbor)) {
       return refusal;
     }
-    return format == json::input_format_t::cbor ? json::from_cbor(input)
-                                                : json::parse(input);
+    return json::from_cbor(bytes);
   } catch (const json::exception&) {
     return refusal;
   }
 }
 
-}  // namespace
-
-result<json> ParseJson(const std::string& text) {
-  return ParseBounded(text, json::input_format_t::json);
-}
-
-result<json> ParseCbor(const std::vector<std::uint8_t>& bytes) {
-  return ParseBounded(bytes, json::input_format_t::cbor);
-}
-
 }  // namespace gentian
--- a/source/gentian_daemon/admin_call.cc
+++ b/source/gentian_daemon/admin_call.cc
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <utility>
 
+#include "gentian_net/http_message.h"
+
 namespace gentian {
 
 namespace {
@@ -61,7 +63,7 @@
     return error{error_kind::too_large, "the request body is too large",
                  "split the change into several"};
   }
-  result<json> parsed = ParseJson(body);
+  result<json> parsed = ParseJsonBody(body);
   if (Failed(parsed) || !ValueOf(parsed).is_object()) {
     return Malformed("the body is not a JSON object",
                      "send a JSON object as docs/operators.md shows");
--- a/source/gentian_daemon/daemon.h
+++ b/source/gentian_daemon/daemon.h
@@ -50,6 +50,9 @@
   /** Address of the callers' interface, with the real port. */
   std::string caller_address() const;
 
+  /** Address of the administration API, empty if it is off. */
+  std::string admin_address() const;
+
  private:
   class parts;
   std::unique_ptr<parts> parts_;
--- a/source/gentian_daemon/daemon_options.h
+++ b/source/gentian_daemon/daemon_options.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_DAEMON_DAEMON_OPTIONS_H_
 #define GENTIAN_DAEMON_DAEMON_OPTIONS_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   std::string peer_address = "127.0.0.1:0";
   /** `ip:port` to listen on for operators; empty for none. */
   std::string admin_address;
+  /** Name of each operator by the SHA-256 of their key. */
+  std::map<std::string, std::string> operators_by_key_hash;
   std::vector<gentian::peer_address> peers;
   /** `ip:port` of the key-value service; empty for none. */
   std::string key_value_address;
--- a/source/gentian_settings/accepted_change.cc
+++ b/source/gentian_settings/accepted_change.cc
@@ -5,6 +5,16 @@
 
 namespace gentian {
 
+void to_json(json& out, const accepted_change& change) {
+  out = change.changes;
+  out["version"] = change.version;
+}
+
+void from_json(const json& in, accepted_change& change) {
+  change.changes = in.get<settings_change_set>();
+  change.version = in.at("version").get<std::uint64_t>();
+}
+
 result<settings_tree> TreeOfVersion(const std::vector<accepted_change>& history,
                                     std::uint64_t version) {
   std::map<std::uint64_t, const settings_change_set*> ordered;
