--- a/source/gentian_daemon/caller_api.cc
+++ b/source/gentian_daemon/caller_api.cc
@@ -51,16 +51,22 @@
 
 }  // namespace
 
-caller_api::caller_api(event_sink sink, std::function<bool()> overloaded)
-    : sink_(std::move(sink)), overloaded_(std::move(overloaded)) {}
+caller_api::caller_api(event_sink sink,
+                       std::function<bool()> overloaded,
+                       std::function<void(error_kind)> on_refused)
+    : sink_(std::move(sink)),
+      overloaded_(std::move(overloaded)),
+      on_refused_(std::move(on_refused)) {}
 
 void caller_api::Handle(const std::shared_ptr<http_exchange>& exchange) {
   result<parsed_request> parsed = ReadCallerRequest(exchange->request());
   if (Failed(parsed)) {
+    on_refused_(ErrorOf(parsed).kind);
     exchange->Respond(ErrorResponse(ErrorOf(parsed)));
     return;
   }
   if (overloaded_()) {
+    on_refused_(error_kind::overloaded);
     exchange->Respond(ErrorResponse(
         error{error_kind::overloaded, "the daemon has too many requests",
               "retry at another address", call_outcome::not_run,
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "gentian_daemon/admin_api.h"
 #include "gentian_daemon/caller_api.h"
 #include "gentian_daemon/daemon_log.h"
 #include "gentian_daemon/decision_loop.h"
@@ -21,6 +22,7 @@
 constexpr milliseconds kHostListInterval{1'000};
 // Time for the last bytes of answers to reach their callers.
 constexpr milliseconds kFlushDeadline{5'000};
+constexpr milliseconds kAdminExpiryCheck{500};
 
 node_identity IdentityOf(const daemon_options& options) {
   node_identity identity;
@@ -48,8 +50,13 @@
               std::move(initial),
               random_,
               [this](command next) { Execute(std::move(next)); }),
-        api_([this](event input) { loop_.Post(std::move(input)); },
-             [this] { return loop_.IsOverloaded(); }),
+        api_([this](event input) { PostFromCaller(std::move(input)); },
+             [this] { return loop_.IsOverloaded(); },
+             [this](error_kind kind) { latencies_.CountRefusal(kind); }),
+        admin_([this](event input) { loop_.Post(std::move(input)); },
+               [](const write_log& line) { Log(line); },
+               options_.operators_by_key_hash,
+               latencies_),
         supervisor_(
             [this](duration delay, std::function<void()> action) {
               pool_.After(delay, std::move(action));
@@ -66,6 +73,7 @@
     Log(write_log::level::info, "graceful shutdown begins");
     stopping_ = true;
     server_->CloseAfterAnswers();
+    admin_.StartDraining();
     loop_.Post(stop_requested{});
     pool_.After(options_.stop_deadline, [this] {
       Finish(error{error_kind::internal, "requests still ran at the deadline",
@@ -82,6 +90,9 @@
   }
 
   std::string caller_address() const { return server_->address(); }
+  std::string admin_address() const {
+    return admin_server_ ? admin_server_->address() : "";
+  }
 
  private:
   void AddChildren() {
@@ -106,6 +117,10 @@
                      [this] { return StartCallers(); },
                      [this] { StopCallers(); },
                      {}});
+    supervisor_.Add({"administration interface",
+                     [this] { return StartAdmin(); },
+                     [this] { StopAdmin(); },
+                     {}});
   }
 
   result<success> StartPolling() {
@@ -171,12 +186,51 @@
     server_->Stop();
   }
 
+  result<success> StartAdmin() {
+    if (options_.admin_address.empty()) {
+      return success{};
+    }
+    std::shared_ptr<tls_context> tls;
+    if (options_.caller_tls.IsServer()) {
+      tls = std::make_shared<tls_context>(options_.caller_tls);
+      result<success> loaded = tls->Reload();
+      if (Failed(loaded)) {
+        return loaded;
+      }
+    }
+    admin_server_ = std::make_unique<http_server>(
+        pool_,
+        [this](const std::shared_ptr<http_exchange>& exchange) {
+          admin_.Handle(exchange);
+        },
+        http_server_limits{}, std::move(tls));
+    admin_timer_ = std::make_unique<periodic_timer>(
+        pool_, kAdminExpiryCheck,
+        [this] { admin_.Expire(std::chrono::steady_clock::now()); });
+    return admin_server_->Listen(options_.admin_address);
+  }
+
+  void StopAdmin() {
+    admin_timer_.reset();
+    if (admin_server_) {
+      admin_server_->Stop();
+    }
+  }
+
+  void PostFromCaller(event input) {
+    latencies_.Observe(input, std::chrono::steady_clock::now());
+    loop_.Post(std::move(input));
+  }
+
   void Execute(command next) {
     std::visit([this](auto& value) { Carry(value); }, next);
   }
 
-  void Carry(const reply_to_caller& reply) { api_.Reply(reply); }
-  void Carry(const reply_to_operator& /*reply*/) {}
+  void Carry(const reply_to_caller& reply) {
+    latencies_.Observe(reply, std::chrono::steady_clock::now());
+    api_.Reply(reply);
+  }
+  void Carry(const reply_to_operator& reply) { admin_.Reply(reply); }
   void Carry(const send_to_peer& /*message*/) {}
   void Carry(const call_kv& call) {
     if (platform_.key_values == nullptr) {
@@ -215,10 +269,14 @@
   daemon_platform platform_;
   system_random random_;
   decision_loop loop_;
+  latency_recorder latencies_;
   caller_api api_;
+  admin_api admin_;
   supervisor supervisor_;
   std::unique_ptr<http_server> server_;
+  std::unique_ptr<http_server> admin_server_;
   std::unique_ptr<periodic_timer> quiet_timer_;
+  std::unique_ptr<periodic_timer> admin_timer_;
   std::unique_ptr<periodic_timer> load_timer_;
   std::unique_ptr<periodic_timer> host_timer_;
   std::atomic<bool> stopping_{false};
@@ -254,4 +312,8 @@
   return parts_->caller_address();
 }
 
+std::string daemon::admin_address() const {
+  return parts_->admin_address();
+}
+
 }  // namespace gentian
--- a/source/gentian_settings/accepted_change.h
+++ b/source/gentian_settings/accepted_change.h
@@ -14,7 +14,11 @@
   settings_change_set changes;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(accepted_change, version, changes)
+/** Writes the version and the members of the change set in one object. */
+void to_json(json& out, const accepted_change& change);
+
+/** Reads what to_json wrote. */
+void from_json(const json& in, accepted_change& change);
 
 /** Replays accepted changes up to a version.
 
