--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,11 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory unit
 
+fault-matrix: build
+	@$(BUILD)/gentian_fault_matrix --output $(BUILD)/fault-matrix.jsonl
+
+fault-matrix-selftest: build
+	@$(BUILD)/gentian_fault_matrix --selftest
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
