--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -11,7 +11,6 @@
 #include "gentian_daemon/caller_api.h"
 #include "gentian_daemon/credential_filter.h"
 #include "gentian_daemon/daemon.h"
-#include "gentian_daemon/daemon_health.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/daemon_log.h"
 #include "gentian_daemon/daemon_metrics.h"
