--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 demo: deps
 	@$(MAKE) --no-print-directory build
 	@tools/demo.sh $(BUILD)
+
 fault-matrix: build
 	@$(BUILD)/gentian_fault_matrix --output $(BUILD)/fault-matrix.jsonl
 
