Add the planned stop of the session part

A stop had no effect on sessions. A draining daemon now refuses new sessions, lets running calls end, freezes each shard, hands it over to a replica by the same two writes as an adoption, and forwards late callers until the addresses that it handed out have expired.

--- a/source/gentian_decisions/caller_gate.cc
+++ b/source/gentian_decisions/caller_gate.cc
@@ -23,6 +23,12 @@
   return team == settings.teams.end() ? nullptr : &team->second;
 }
 
+void caller_gate::Withdraw(const std::string& key_hash) {
+  if (TeamOf(key_hash) != nullptr) {
+    withdrawn_.insert(key_hash);
+  }
+}
+
 result<caller_identity> caller_gate::Identify(const std::string& key) const {
   if (key.empty()) {
     return session_errors::Unauthorized();
--- a/source/gentian_decisions/caller_gate.h
+++ b/source/gentian_decisions/caller_gate.h
@@ -26,8 +26,10 @@
   /** Checks an identity that another daemon established. */
   std::optional<error> Check(const caller_identity& caller) const;
 
-  /** Refuses a key from now on, whatever the settings say. */
-  void Withdraw(const std::string& key_hash) { withdrawn_.insert(key_hash); }
+  /** Refuses a key from now on, even while the settings grant it. A key that
+      the settings do not grant is refused anyway, and may be granted again.
+  */
+  void Withdraw(const std::string& key_hash);
 
  private:
   const team_settings* TeamOf(const std::string& key_hash) const;
--- a/source/gentian_decisions/node.cc
+++ b/source/gentian_decisions/node.cc
@@ -47,7 +47,8 @@
   table[IndexOf<target_chunk>()] = &node::ToSessions<target_chunk>;
   table[IndexOf<target_finished>()] = &node::ToSessions<target_finished>;
   table[IndexOf<target_failed>()] = &node::ToSessions<target_failed>;
-  table[IndexOf<tick>()] = &node::ToSessions<tick>;
+  table[IndexOf<tick>()] = &node::OnTick;
+  table[IndexOf<stop_requested>()] = &node::OnStopRequested;
   return table;
 }
 
@@ -71,6 +72,18 @@
   sessions_.Handle(request, context);
 }
 
+void node::OnTick(const event& input, node_context& context) {
+  sessions_.Handle(std::get<tick>(input), context);
+  if (!stop_completed_ && sessions_.IsDrained(context.now)) {
+    stop_completed_ = true;
+    context.Emit(stop_completed{});
+  }
+}
+
+void node::OnStopRequested(const event& /*input*/, node_context& context) {
+  sessions_.StartDraining(context);
+}
+
 void node::OnAdminRequest(const event& input, node_context& context) {
   const auto& request = std::get<admin_request>(input);
   if (std::holds_alternative<read_status>(request.operation)) {
--- a/source/gentian_decisions/node.h
+++ b/source/gentian_decisions/node.h
@@ -65,12 +65,15 @@
 
   void OnCallerRequest(const event& input, node_context& context);
   void OnAdminRequest(const event& input, node_context& context);
+  void OnTick(const event& input, node_context& context);
+  void OnStopRequested(const event& input, node_context& context);
 
   random_source& random_;
   counter_set counters_;
   standalone_cluster cluster_;
   direct_scheduling scheduling_;
   session_service sessions_;
+  bool stop_completed_ = false;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -87,7 +87,10 @@
                  node_context& context) {
             RunForwarded(caller, operation, route, context);
           },
-          [this](const answer_route& route) { calls_.CallerGone(route); }) {
+          [this](const answer_route& route) { calls_.CallerGone(route); }),
+      drain_(cluster, shards_, [this](const shard_id& shard) {
+        return calls_.HasCallsIn(shard) || operations_.IsWaitingIn(shard);
+      }) {
   calls_.SetFencingSource(
       [this](const shard_id& shard) { return shards_.Generation(shard); });
 }
@@ -182,6 +185,10 @@
   const auto shard = operation.parent
                          ? ShardOf(*operation.parent)
                          : shards_.NextShard().value_or(shard_id());
+  if (!operation.parent && drain_.IsDraining()) {
+    Refuse(route, session_errors::Draining(), context);
+    return;
+  }
   if (shard.empty()) {
     Refuse(route, session_errors::NotReady(), context);
     return;
@@ -257,6 +264,7 @@
   operations_.Tick(context);
   forwarder_.Tick(context);
   intake_.Tick();
+  drain_.Tick(context);
 }
 
 void session_service::KeyWithdrawn(const std::string& key_hash,
@@ -267,11 +275,9 @@
 }
 
 json session_service::Status() const {
-  return json{{"sessions", sessions_.size()},
-              {"calls", calls_.size()},
-              {"forwarded", forwarder_.size()},
-              {"adoptions", adopter_.size()},
-              {"shards", shards_.Status()}};
+  return json{{"sessions", sessions_.size()},    {"calls", calls_.size()},
+              {"forwarded", forwarder_.size()},  {"adoptions", adopter_.size()},
+              {"draining", drain_.IsDraining()}, {"shards", shards_.Status()}};
 }
 
 void session_service::Reply(const answer_route& route,
@@ -303,7 +309,7 @@
                              std::is_same_v<type, hand_over>) {
           adopter_.Handle(input.from, message, context);
         } else if constexpr (std::is_same_v<type, owner_changed>) {
-          locator_.Learn(message.shard, message.generation, message.owner);
+          Take(message, context);
         } else if constexpr (std::is_same_v<type, forward_request>) {
           intake_.Handle(input.from, message, context);
         } else if constexpr (std::is_same_v<type, forward_closed>) {
@@ -322,6 +328,20 @@
   shards_.Fenced(message.shard, message.promised, message.owner, context);
 }
 
+void session_service::Take(const owner_changed& message,
+                           node_context& context) {
+  locator_.Learn(message.shard, message.generation, message.owner);
+  shards_.Fenced(message.shard, message.generation, message.owner, context);
+}
+
+void session_service::StartDraining(node_context& context) {
+  drain_.Start(context.now);
+}
+
+bool session_service::IsDrained(steady_time now) const {
+  return drain_.IsDone(now) && calls_.size() == 0 && forwarder_.size() == 0;
+}
+
 std::string session_service::AddressOf(const incarnation& owner) const {
   const auto found = cluster_.FindMember(owner.host);
   return found ? found->caller_address : std::string();
--- a/source/gentian_decisions/session_service.h
+++ b/source/gentian_decisions/session_service.h
@@ -12,6 +12,7 @@
 #include "gentian_decisions/session_operations.h"
 #include "gentian_decisions/session_table.h"
 #include "gentian_decisions/shard_adopter.h"
+#include "gentian_decisions/shard_drain.h"
 #include "gentian_decisions/shard_locator.h"
 #include "gentian_decisions/shard_manager.h"
 #include "gentian_decisions/target_dispatch.h"
@@ -41,6 +42,12 @@
   /** Refuses a key from now on and cuts off callers that use it. */
   void KeyWithdrawn(const std::string& key_hash, node_context& context);
 
+  /** Begins a planned stop: takes no new sessions, hands the shards over. */
+  void StartDraining(node_context& context);
+
+  /** True if a planned stop has come to its end for this part. */
+  bool IsDrained(steady_time now) const;
+
   /** Sessions, calls and shards of this daemon, for operators. */
   json Status() const;
 
@@ -81,6 +88,7 @@
   void Take(const incarnation& from,
             const store_refused& message,
             node_context& context);
+  void Take(const owner_changed& message, node_context& context);
   std::string AddressOf(const incarnation& owner) const;
 
   const cluster_view& cluster_;
@@ -95,6 +103,7 @@
   shard_locator locator_;
   request_forwarder forwarder_;
   forward_intake intake_;
+  shard_drain drain_;
 };
 
 }  // namespace gentian
