Give a child session its parent's rest where it states no limit

Cause: make demo failed three checks: a sub-agent that stated only tokens and calls got the default cost limit, which is all of its parent's, and was refused with budget_spent after the parent's first call. Change: callers state limits in budget_request, whose fields are optional; what is not stated is capped by the team's settings and the parent's rest, and what is stated and does not fit is still refused.

--- a/source/gentian_daemon/caller_request_reader.cc
+++ b/source/gentian_daemon/caller_request_reader.cc
@@ -62,7 +62,7 @@
     open_session operation;
     operation.program = request.body.at("program").get<program_id>();
     if (request.body.contains("budget")) {
-      operation.budget = request.body.at("budget").get<budget_limits>();
+      operation.budget = request.body.at("budget").get<budget_request>();
     }
     if (request.body.contains("parent")) {
       operation.parent = request.body.at("parent").get<session_id>();
--- a/source/gentian_decisions/caller_operation.h
+++ b/source/gentian_decisions/caller_operation.h
@@ -20,7 +20,7 @@
   static constexpr const char* kType = "open_session";
 
   program_id program;
-  std::optional<budget_limits> budget;
+  budget_request budget;
   std::optional<session_id> parent;
 };
 
--- a/source/gentian_decisions/session_operations.cc
+++ b/source/gentian_decisions/session_operations.cc
@@ -72,25 +72,29 @@
                                                const session* parent,
                                                budget_limits& limits,
                                                node_context& context) const {
-  const budget_limits wanted = operation.budget.value_or(team.budget);
-  limits.tokens = std::min(wanted.tokens, team.budget.tokens);
-  limits.calls = std::min(wanted.calls, team.budget.calls);
-  limits.time_ms = std::min(wanted.time_ms, team.budget.time_ms);
-  limits.cost_micros = std::min(wanted.cost_micros, team.budget.cost_micros);
+  // A limit that the caller does not state must not exceed the parent's rest;
+  // one that the caller states is refused below if it does.
+  budget_amount left{team.budget.tokens, team.budget.calls,
+                     team.budget.cost_micros};
+  if (parent != nullptr) {
+    left = parent->funds().Remaining();
+  }
+  const budget_request& wanted = operation.budget;
+  limits.tokens =
+      std::min(wanted.tokens.value_or(left.tokens), team.budget.tokens);
+  limits.calls = std::min(wanted.calls.value_or(left.calls), team.budget.calls);
+  limits.time_ms = std::min(wanted.time_ms.value_or(team.budget.time_ms),
+                            team.budget.time_ms);
+  limits.cost_micros = std::min(wanted.cost_micros.value_or(left.cost_micros),
+                                team.budget.cost_micros);
   if (parent == nullptr) {
     return std::nullopt;
   }
-  const budget_amount left = parent->funds().Remaining();
   const auto elapsed =
       static_cast<std::uint64_t>(parent->Elapsed(context.now).count());
   const std::uint64_t time = parent->funds().limits().time_ms;
   limits.time_ms =
       std::min(limits.time_ms, time > elapsed ? time - elapsed : 0);
-  if (!operation.budget) {
-    limits.tokens = std::min(limits.tokens, left.tokens);
-    limits.calls = std::min(limits.calls, left.calls);
-    limits.cost_micros = std::min(limits.cost_micros, left.cost_micros);
-  }
   const budget_amount reservation{limits.tokens, limits.calls,
                                   limits.cost_micros};
   if (const auto missing =
--- a/tests/decisions/call_path_test.cc
+++ b/tests/decisions/call_path_test.cc
@@ -130,7 +130,7 @@
 // Guards against a session that spends more than its budget.
 Test(call_path, call_that_does_not_fit_the_budget_is_refused) {
   node_harness world;
-  budget_limits limits;
+  budget_request limits;
   limits.calls = 1;
   const session_id id = world.Open(limits);
   world.Ask(Chat(id, "one"));
@@ -144,10 +144,10 @@
 // against a remainder that does not come back.
 Test(call_path, children_draw_on_the_budget_of_their_parent) {
   node_harness world;
-  budget_limits limits;
+  budget_request limits;
   limits.calls = 4;
   const session_id parent = world.Open(limits);
-  budget_limits part;
+  budget_request part;
   part.calls = 3;
   part.tokens = 1'000;
   part.cost_micros = 1'000;
@@ -163,6 +163,22 @@
   world.Final(world.Ask(open_session{program_id("agent"), part, parent}));
 }
 
+// Guards against a sub-agent that is refused because of limits that its
+// caller did not state, after the parent has spent a part of its budget.
+Test(call_path, limits_that_a_child_does_not_state_are_the_parents_rest) {
+  node_harness world;
+  const session_id parent = world.Open();
+  world.Ask(Chat(parent, "one"));
+  world.Answer(world.Dispatches()[0].id);
+  budget_request part;
+  part.calls = 1;
+  const auto opened =
+      world.Final(world.Ask(open_session{program_id("agent"), part, parent}));
+  const auto limits = opened.body.at("budget").get<budget_limits>();
+  cr_assert(limits.calls == 1);
+  cr_assert(limits.tokens < budget_limits().tokens);
+}
+
 // Guards against callers that learn of or use sessions of another team.
 Test(call_path, session_of_another_team_looks_unknown) {
   node_harness world;
--- a/tests/decisions/drain_test.cc
+++ b/tests/decisions/drain_test.cc
@@ -46,8 +46,8 @@
 Test(drain, new_sessions_are_refused_as_not_run) {
   session_fleet fleet;
   Drain(fleet, "a");
-  const request_id opened = fleet.Ask(
-      "a", open_session{program_id("agent"), std::nullopt, std::nullopt});
+  const request_id opened =
+      fleet.Ask("a", open_session{program_id("agent"), {}, std::nullopt});
   cr_assert(fleet.Error("a", opened).kind == error_kind::draining);
   cr_assert(fleet.Error("a", opened).outcome == call_outcome::not_run);
 }
--- a/tests/decisions/node_harness.h
+++ b/tests/decisions/node_harness.h
@@ -81,7 +81,7 @@
     return last_request_;
   }
 
-  session_id Open(std::optional<budget_limits> budget = std::nullopt) {
+  session_id Open(budget_request budget = {}) {
     const request_id id =
         Ask(open_session{program_id("agent"), budget, std::nullopt});
     return session_id(Final(id).body.at("id").get<std::string>());
--- a/tests/decisions/session_fleet.h
+++ b/tests/decisions/session_fleet.h
@@ -181,8 +181,8 @@
   }
 
   session_id Open(const std::string& host) {
-    const request_id id = Ask(
-        host, open_session{program_id("agent"), std::nullopt, std::nullopt});
+    const request_id id =
+        Ask(host, open_session{program_id("agent"), {}, std::nullopt});
     return session_id(Final(host, id).body.at("id").get<std::string>());
   }
 
--- a/tests/fault_matrix/caller.cc
+++ b/tests/fault_matrix/caller.cc
@@ -111,8 +111,7 @@
   open_session operation;
   operation.program = program_id("agent");
   if (plan_.call_limit > 0) {
-    operation.budget = budget_limits();
-    operation.budget->calls = plan_.call_limit;
+    operation.budget.calls = plan_.call_limit;
   }
   const int attempt = ++attempt_;
   world_.Connect(
