Give no freed slot to calls of a lost shard

When a shard was lost, withdrawing one call could free a slot that a queued call of the same shard then took and dispatched. All calls of the shard now leave the queued phase first.

--- a/source/gentian_decisions/call_pipeline.cc
+++ b/source/gentian_decisions/call_pipeline.cc
@@ -269,9 +269,6 @@
   if (expected && *expected != owner.next_call()) {
     return session_errors::OutOfOrder(*expected, owner.next_call());
   }
-  if (owner.restored() && !run.request.repeatable) {
-    return session_errors::Restored();
-  }
   const auto missing = owner.funds().Missing(ReservationOf(owner, run),
                                              owner.Elapsed(context.now));
   if (missing) {
--- a/source/gentian_decisions/call_pipeline_end.cc
+++ b/source/gentian_decisions/call_pipeline_end.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-bool IsBeforeStart(const call_run& run) {
-  return run.phase == call_phase::waiting || run.phase == call_phase::admitting;
+bool IsBeforeStart(call_phase phase) {
+  return phase == call_phase::waiting || phase == call_phase::admitting;
 }
 
 }  // namespace
@@ -220,19 +220,22 @@
 void call_pipeline::AbandonShard(const shard_id& shard,
                                  const std::string& owner_address,
                                  node_context& context) {
-  for (const ticket_id ticket : Tickets()) {
-    call_run& run = runs_.at(ticket);
-    if (ShardOf(run.request.session) != shard) {
-      continue;
+  std::map<ticket_id, call_phase> lost;
+  for (auto& [ticket, run] : runs_) {
+    if (ShardOf(run.request.session) == shard) {
+      // In this phase a slot that another call frees is not taken.
+      lost[ticket] = std::exchange(run.phase, call_phase::finishing);
     }
+  }
+  for (const auto& [ticket, phase] : lost) {
+    call_run& run = runs_.at(ticket);
     // Once call_started was sent to a replica, the new owner may find it.
     const call_outcome outcome =
-        IsBeforeStart(run) ? call_outcome::not_run : call_outcome::unknown;
-    if (run.phase != call_phase::waiting &&
-        run.phase != call_phase::finishing) {
+        IsBeforeStart(phase) ? call_outcome::not_run : call_outcome::unknown;
+    if (phase != call_phase::waiting && phase != call_phase::finishing) {
       scheduling_.Withdraw(ticket, context);
     }
-    if (run.phase == call_phase::dispatched) {
+    if (phase == call_phase::dispatched) {
       targets_->Drop(run, context);
     }
     AnswerAll(run, session_errors::Moved(owner_address, outcome), context);
@@ -266,7 +269,7 @@
                            const std::string& key_hash,
                            node_context& context) {
   const auto outcome =
-      IsBeforeStart(run) ? call_outcome::not_run : call_outcome::unknown;
+      IsBeforeStart(run.phase) ? call_outcome::not_run : call_outcome::unknown;
   std::vector<answer_route> kept;
   for (const answer_route& route : run.routes) {
     if (route.key_hash != key_hash) {
--- a/source/gentian_decisions/session.h
+++ b/source/gentian_decisions/session.h
@@ -67,9 +67,6 @@
   const std::vector<session_record>& records() const { return records_; }
   const std::vector<session_call>& calls() const { return calls_; }
   bool ended() const { return ended_; }
-  /** True if calls after the last checkpoint are not known. */
-  bool restored() const { return restored_; }
-  void set_restored() { restored_ = true; }
   /** Position of the next call. */
   std::uint64_t next_call() const { return calls_.size() + 1; }
 
@@ -92,7 +89,6 @@
   std::vector<session_record> records_;
   std::uint64_t history_tokens_ = 0;
   bool ended_ = false;
-  bool restored_ = false;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/session_errors.cc
+++ b/source/gentian_decisions/session_errors.cc
@@ -42,13 +42,6 @@
           call_outcome::unknown};
 }
 
-error Restored() {
-  return {error_kind::outcome_unknown,
-          "session_restored: calls after the last checkpoint are not known",
-          "open a new session for calls that may not be repeated",
-          call_outcome::unknown};
-}
-
 error DeadlinePassed(call_outcome outcome) {
   return {error_kind::target_timeout, "the deadline of the call has passed",
           outcome == call_outcome::not_run
--- a/source/gentian_decisions/session_errors.h
+++ b/source/gentian_decisions/session_errors.h
@@ -30,11 +30,6 @@
 /** The call may have run and is not repeated. */
 error OutcomeUnknown(const std::string& message);
 
-/** The session was restored from a checkpoint and takes no call that may not
-    be repeated.
-*/
-error Restored();
-
 /** The deadline passed. */
 error DeadlinePassed(call_outcome outcome);
 
--- a/tests/decisions/adoption_test.cc
+++ b/tests/decisions/adoption_test.cc
@@ -137,3 +137,31 @@
   fleet.Pass(milliseconds(500));
   cr_assert(fleet.Final("a", call).body == "ok");
 }
+
+// Guards against a queued call that is dispatched because the loss of its
+// shard frees the slot of another call.
+Test(adoption, queued_call_of_a_lost_shard_is_not_dispatched) {
+  session_fleet fleet;
+  fleet.settings.targets.at(target_id("service-1")).slots = 1;
+  const session_id first = fleet.Open("a");
+  const auto open_beside = [&] {
+    session_id opened = fleet.Open("a");
+    while (ShardOf(opened) != ShardOf(first)) {
+      opened = fleet.Open("a");
+    }
+    return opened;
+  };
+  const session_id second = open_beside();
+  const session_id third = open_beside();
+  fleet.Ask("a", Tool(first, "refund", "k1"));
+  const request_id queued = fleet.Ask("a", Tool(second, "refund", "k2"));
+  cr_assert(fleet.Dispatched() == 1);
+  fleet["a"].paused = true;
+  fleet.store.entries.erase("/daemon/a");
+  fleet.Pass(kAdoption);
+  fleet["a"].paused = false;
+  fleet.Ask("a", Chat(third, "late"));
+  fleet.Pass(milliseconds(1'000));
+  cr_assert(fleet.Answered("a", queued));
+  cr_assert(fleet["a"].dispatches.size() == 1);
+}
