--- a/source/gentian_decisions/replicator.cc
+++ b/source/gentian_decisions/replicator.cc
@@ -271,9 +271,8 @@
     message.sessions = {session};
     context.Emit(send_to_peer{replica.host, std::move(message)});
   }
-  const session_id ended = session;
   shard->sessions.erase(found);
-  forgotten_(ended);
+  forgotten_(session);
 }
 
 void replicator::Retire(const session_id& session, node_context& context) {
--- a/source/gentian_decisions/shard_locator.cc
+++ b/source/gentian_decisions/shard_locator.cc
@@ -48,7 +48,7 @@
   if (found != owners_.end() && found->second.generation > 0) {
     return found->second.owner;
   }
-  const auto opener = OpenerOf(shard);
+  auto opener = OpenerOf(shard);
   if (!opener) {
     return std::nullopt;
   }
