--- a/source/gentian_settings/check_values.cc
+++ b/source/gentian_settings/check_values.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Text that is not UTF-8 can not be written as JSON, so that it could be neither
-// stored nor shown.
+// Text that is not UTF-8 can not be written as JSON, so that it could be
+// neither stored nor shown.
 bool IsUtf8(const std::string& text) {
   try {
     json(text).dump();
--- a/tests/fault_matrix/caller.cc
+++ b/tests/fault_matrix/caller.cc
@@ -131,6 +131,7 @@
 
 void caller::Opened(const answer_part& part) {
   if (const auto* failure = std::get_if<error>(&part)) {
+    last_refusal_ = NameOf(failure->kind);
     const bool unknown = failure->outcome == call_outcome::unknown;
     if (IsPassing(failure->kind) || unknown) {
       Retry(failure->retry_after.value_or(kRetryDelay));
@@ -269,6 +270,8 @@
 }
 
 void caller::Refused(const error& failure) {
+  last_refusal_ =
+      std::string(NameOf(failure.kind)) + "/" + NameOf(failure.outcome);
   const action current = Current();
   const bool call = current != action::history && current != action::end;
   if (call) {
@@ -296,8 +299,11 @@
     NextAction();
     return;
   }
-  if (failure.kind == error_kind::outcome_unknown) {
-    // Final for this call: the program goes on with the next one.
+  const bool target = failure.kind == error_kind::target_timeout ||
+                      failure.kind == error_kind::target_failed;
+  if (failure.kind == error_kind::outcome_unknown ||
+      (target && failure.outcome == call_outcome::unknown)) {
+    // Recorded for this call: the program goes on with the next one.
     ++position_;
     NextAction();
     return;
@@ -313,7 +319,7 @@
   ++attempt_;
   ++next_address_;
   if (world_.now() - call_began_ >= kPatience) {
-    GiveUp("no answer for " + Marker());
+    GiveUp("no answer for " + Marker() + ", last refusal " + last_refusal_);
     return;
   }
   world_.After(delay + milliseconds(world_.Random(50)), [this] {
--- a/tests/fault_matrix/caller.h
+++ b/tests/fault_matrix/caller.h
@@ -78,6 +78,7 @@
   steady_time call_began_;
   std::map<std::uint64_t, std::string> events_;
   std::vector<std::string> answered_;
+  std::string last_refusal_ = "none";
   bool done_ = false;
 };
 
--- a/tests/fault_matrix/cell_runner.cc
+++ b/tests/fault_matrix/cell_runner.cc
@@ -35,6 +35,9 @@
       world_.After(kBaseAction,
                    [this] { world_.Inject(fault::leaving_target, Host()); });
     }
+    if (plan_.broken == sabotage::kill_on_stop) {
+      world_.After(kBaseAction, [this] { world_.Stop(world_.BusiestOwner()); });
+    }
     const steady_time begin = world_.now();
     while (!Quiet() && world_.now() - begin < kLongestRun) {
       world_.RunUntil(world_.now() + std::chrono::seconds(1));
--- a/tests/fault_matrix/main.cc
+++ b/tests/fault_matrix/main.cc
@@ -1,10 +1,15 @@
 // Injects every fault at every step and checks all invariants.
 //
 // Usage: gentian_fault_matrix [--selftest] [--only TEXT] [--output FILE]
+//        [--jobs N]
+#include <algorithm>
+#include <atomic>
 #include <cstdio>
-#include <cstring>
+#include <cstdlib>
 #include <fstream>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "cell_runner.h"
@@ -19,6 +24,7 @@
   /** Runs only cells whose description contains the text. */
   std::string only;
   std::string output = "build/fault-matrix.jsonl";
+  int jobs = 4;
 };
 
 std::string Describe(const cell& plan) {
@@ -73,18 +79,44 @@
   return line;
 }
 
+std::vector<cell> ChosenCells(const options& chosen) {
+  std::vector<cell> cells;
+  for (cell& plan : AllCells()) {
+    if (Describe(plan).find(chosen.only) != std::string::npos) {
+      cells.push_back(std::move(plan));
+    }
+  }
+  return cells;
+}
+
+// Cells are independent and deterministic, so that their order and the number
+// of threads do not matter.
+std::vector<cell_result> RunCells(const std::vector<cell>& cells, int jobs) {
+  std::vector<cell_result> results(cells.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < jobs; ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t at = next++; at < cells.size(); at = next++) {
+        results[at] = RunCell(cells[at]);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return results;
+}
+
 int RunMatrix(const options& chosen) {
+  const std::vector<cell> cells = ChosenCells(chosen);
+  const std::vector<cell_result> results = RunCells(cells, chosen.jobs);
   std::ofstream output(chosen.output);
   int passed = 0;
   int failed = 0;
-  for (const cell& plan : AllCells()) {
-    const std::string name = Describe(plan);
-    if (name.find(chosen.only) == std::string::npos) {
-      continue;
-    }
-    const cell_result outcome = RunCell(plan);
-    const json line = AsLine(plan, outcome);
-    output << line.dump() << "\n";
+  for (std::size_t i = 0; i < cells.size(); ++i) {
+    const cell_result& outcome = results[i];
+    output << AsLine(cells[i], outcome).dump() << "\n";
     if (outcome.Passed()) {
       ++passed;
       continue;
@@ -92,8 +124,8 @@
     ++failed;
     const std::string reason =
         !outcome.step_reached ? "step not reached" : outcome.emptiness;
-    std::printf("FAILED: %s %s %s\n", name.c_str(), reason.c_str(),
-                ViolationsAsJson(outcome).dump().c_str());
+    std::printf("FAILED: %s %s %s\n", Describe(cells[i]).c_str(),
+                reason.c_str(), ViolationsAsJson(outcome).dump().c_str());
   }
   output.flush();
   if (!output) {
@@ -125,26 +157,34 @@
     {"I12", sabotage::forget_version, step::config_change}};
 
 // A break counts as found only if the unbroken run is clean and the broken
-// run violates this invariant.
+// run violates this invariant and no other one.
+bool IsFound(const broken_invariant& next) {
+  cell plan;
+  plan.at = next.at;
+  if (next.how == sabotage::deny_execution) {
+    // Only a call without an answer is reported as unknown.
+    plan.faults = {fault::tool_hang};
+  }
+  const cell_result clean = RunCell(plan);
+  plan.broken = next.how;
+  const cell_result broken = RunCell(plan);
+  const bool exact =
+      broken.broken.size() == 1 && broken.broken.count(next.name) == 1;
+  const bool ok = clean.Passed() && exact;
+  std::printf("%s %s: %s%s %s\n", next.name, NameOf(next.how),
+              ok ? "found" : "not found",
+              clean.Passed() ? "" : " (the unbroken run is not clean)",
+              ViolationsAsJson(clean.Passed() ? broken : clean).dump().c_str());
+  return ok;
+}
+
 int RunSelftest() {
   int found = 0;
   int missed = 0;
   for (const broken_invariant& next : kBroken) {
-    step at = next.at;
-    if (next.how == sabotage::kill_on_stop) {
-      at = step::drain;
-    }
-    const cell_result clean = RunCell({{}, at, false, sabotage::none});
-    const cell_result broken = RunCell({{}, at, false, next.how});
-    const bool red = broken.broken.count(next.name) > 0;
-    const bool was_clean = clean.broken.count(next.name) == 0;
-    const bool ok = red && was_clean;
+    const bool ok = IsFound(next);
     found += ok ? 1 : 0;
     missed += ok ? 0 : 1;
-    std::printf("%s %s: %s%s %s\n", next.name, NameOf(next.how),
-                ok ? "found" : "not found",
-                was_clean ? "" : " (violated without the break)",
-                ViolationsAsJson(broken).dump().c_str());
   }
   std::printf("%d found, %d not found\n", found, missed);
   return missed == 0 ? 0 : 1;
@@ -160,6 +200,8 @@
       chosen.only = values[++i];
     } else if (name == "--output" && i + 1 < count) {
       chosen.output = values[++i];
+    } else if (name == "--jobs" && i + 1 < count) {
+      chosen.jobs = std::max(1, std::atoi(values[++i]));
     }
   }
   return chosen;
--- a/tests/fault_matrix/simulation.h
+++ b/tests/fault_matrix/simulation.h
@@ -133,6 +133,7 @@
                 milliseconds delay,
                 kv_answer answer);
   void Forge(send_to_peer& value);
+  void Forge(answer_part& part);
   void BreakConnections(process& p);
   bool IsCut(const host_id& a, const host_id& b) const;
   bool IsCutFromService(const host_id& host) const;
@@ -148,6 +149,7 @@
   fake_kv_service service_;
   target_fakes targets_;
   request_id next_request_ = 0;
+  json other_answer_{{"echo", "nobody"}};
   int next_process_ = 0;
   bool armed_ = false;
   bool step_reached_ = false;
--- a/tests/fault_matrix/simulation_commands.cc
+++ b/tests/fault_matrix/simulation_commands.cc
@@ -28,9 +28,25 @@
     p.connections.erase(found);
     p.open_at_stop.erase(value.id);
   }
+  Forge(value.part);
   After(kToCaller, [on_part, part = value.part] { on_part(part); });
 }
 
+// Breaks answers for the self-test.
+void simulation::Forge(answer_part& part) {
+  auto* answer = std::get_if<final_answer>(&part);
+  const bool tool =
+      answer && answer->body.is_object() && answer->body.contains("echo");
+  if (tool && plan_.broken == sabotage::swap_answers) {
+    std::swap(answer->body, other_answer_);
+  }
+  auto* failure = std::get_if<error>(&part);
+  if (failure && plan_.broken == sabotage::deny_execution &&
+      failure->kind == error_kind::outcome_unknown) {
+    failure->outcome = call_outcome::not_run;
+  }
+}
+
 void simulation::Do(const host_id& host, reply_to_operator& value) {
   process& p = processes_.at(host);
   const auto found = p.operators.find(value.id);
--- a/tests/fault_matrix/target_fakes.cc
+++ b/tests/fault_matrix/target_fakes.cc
@@ -99,19 +99,9 @@
   if (now < tools_hang_until_) {
     return;
   }
-  if (broken_ == sabotage::deny_execution && arrived->call.path == kBookPath) {
-    arrived->answer(
-        kToolTime,
-        target_failed{arrived->call.id, target_failure::rejected_not_run, ""});
-    return;
-  }
-  std::string echo = marker;
-  if (broken_ == sabotage::swap_answers) {
-    std::swap(echo, last_tool_answer_);
-  }
   target_finished finish;
   finish.id = arrived->call.id;
-  finish.body = {{"echo", echo}};
+  finish.body = {{"echo", marker}};
   arrived->answer(kToolTime, std::move(finish));
 }
 
--- a/tests/fault_matrix/target_fakes.h
+++ b/tests/fault_matrix/target_fakes.h
@@ -83,8 +83,6 @@
   std::map<target_id, std::set<session_id>> cache_;
   std::map<target_id, std::uint64_t> cache_events_;
   std::vector<target_cache_event> new_events_;
-  std::map<target_id, std::uint32_t> running_;
-  std::string last_tool_answer_;
   std::uint64_t next_stream_ = 0;
 };
 
