--- a/Makefile
+++ b/Makefile
@@ -46,5 +46,9 @@
 fault-matrix-selftest: build
 	@$(BUILD)/gentian_fault_matrix --selftest
 
+demo: deps
+	@$(MAKE) --no-print-directory build
+	@tools/demo.sh $(BUILD)
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
