--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,11 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory unit
 
+bench: build
+	@$(BUILD)/gentian_bench $(BUILD)/bench/results.jsonl $(JOBS)
+
+microbench: build
+	@$(BUILD)/gentian_microbench
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
