--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -82,7 +82,9 @@
   struct reference_bucket {
     double level = 0;
     double filled_ms = 0;
-    bool Take(const team_settings& team, double now_ms, bool always);
+    /** Takes a token, below zero if none is left.
+        @returns  true if there was one */
+    bool Take(const team_settings& team, double now_ms);
   };
 
   void StartAgent(agent* started);
