--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,11 @@
 demo: deps
 	@$(MAKE) --no-print-directory build
 	@tools/demo.sh $(BUILD)
+bench: build
+	@$(BUILD)/gentian_bench $(BUILD)/bench/results.jsonl $(JOBS)
+
+microbench: build
+	@$(BUILD)/gentian_microbench
 
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
