Add the serve subcommand, peer messages and certificate reload

The daemon binds its addresses before the node is created, so that the node tells others the real ports. Removes an include of daemon_health.h, which does not exist.

--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -48,13 +48,15 @@
   settings.failure_domain = failure_domain_id("dev");
   settings.caller_address = address;
   http_target_gateway targets(pool);
+  etcd_key_value_store key_values(pool,
+                                  environment.AddressOf("key-value service"));
   http_host_list hosts(pool, environment.AddressOf("host list"));
   daemon_options options;
   options.host = settings.host;
   options.failure_domain = settings.failure_domain;
   options.caller_address = address;
   daemon subject(options, environment.MakeConfiguration(key, settings), pool,
-                 daemon_platform{nullptr, &targets, &hosts});
+                 daemon_platform{&key_values, &targets, &hosts});
   const result<success> started = subject.Start();
   if (Failed(started)) {
     return Fail(ErrorOf(started));
@@ -68,6 +70,8 @@
   }
   std::cout << "ready" << std::endl;
   const result<success> stopped = subject.WaitUntilStopped();
+  // Handlers that still wait refer to the daemon.
+  pool.Stop();
   if (Failed(stopped)) {
     return Fail(ErrorOf(stopped));
   }
--- a/source/gentian_app/dev_environment.cc
+++ b/source/gentian_app/dev_environment.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-dev_environment::dev_environment(io_pool& pool) : pool_(pool), tools_(pool) {}
+dev_environment::dev_environment(io_pool& pool)
+    : pool_(pool), key_values_(pool, values_), tools_(pool) {}
 
 dev_environment::~dev_environment() {
   for (fake_server& next : servers_) {
@@ -47,6 +48,12 @@
   if (Failed(started)) {
     return started;
   }
+  started = Serve("key-value service", [this](const auto& exchange) {
+    key_values_.Serve(exchange);
+  });
+  if (Failed(started)) {
+    return started;
+  }
   return Serve("host list",
                [this](const auto& exchange) { hosts_.Serve(exchange); });
 }
--- a/source/gentian_app/dev_environment.h
+++ b/source/gentian_app/dev_environment.h
@@ -42,6 +42,8 @@
   result<success> Serve(const std::string& name, http_server::handler handler);
 
   io_pool& pool_;
+  key_value_fake values_;
+  etcd_fake_server key_values_;
   host_list_fake hosts_;
   tool_fake tools_;
   std::vector<std::unique_ptr<engine_fake>> engines_;
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::array<gentian::subcommand, 1> kSubcommands = {{
+constexpr std::array<gentian::subcommand, 2> kSubcommands = {{
+    {"serve", "run a daemon as its settings file describes it",
+     gentian::RunServe},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
 }};
--- /dev/null
+++ b/source/gentian_app/serve_command.cc
@@ -0,0 +1,111 @@
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "gentian_app/signal_waiter.h"
+#include "gentian_app/subcommand.h"
+#include "gentian_daemon/daemon_file.h"
+#include "gentian_daemon/gentian_daemon.h"
+#include "gentian_platform/gentian_platform.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr unsigned kIoThreads = 2;
+
+int Fail(const error& reason) {
+  std::cerr << "gentianrun serve: " << reason.message << "; " << reason.remedy
+            << "\n";
+  return 1;
+}
+
+int RunDaemon(const daemon_options& options) {
+  signal_waiter signals;
+  const result<success> logging =
+      StartLog(options.log_level, options.host.text());
+  if (Failed(logging)) {
+    return Fail(ErrorOf(logging));
+  }
+  io_pool pool(kIoThreads);
+  etcd_key_value_store key_values(pool, options.key_value_address);
+  http_target_gateway targets(pool);
+  http_host_list hosts(pool, options.host_list_address);
+  daemon_platform platform{&key_values, &targets, &hosts};
+  if (options.host_list_address.empty()) {
+    platform.hosts = nullptr;
+  }
+  daemon subject(options, configuration{}, pool, platform);
+  const result<success> started = subject.Start();
+  if (Failed(started)) {
+    return Fail(ErrorOf(started));
+  }
+  signals.Start([&subject] { subject.RequestStop(); });
+  Log(write_log::level::info, "daemon started",
+      {{"caller_address", subject.caller_address()}});
+  const result<success> stopped = subject.WaitUntilStopped();
+  // Handlers that still wait refer to the daemon.
+  pool.Stop();
+  if (Failed(stopped)) {
+    return Fail(ErrorOf(stopped));
+  }
+  Log(write_log::level::info, "daemon stopped");
+  return 0;
+}
+
+int ReadAndRun(const std::string& file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) {
+    return Fail(error{error_kind::invalid_settings, "cannot read " + file,
+                      "check the path and its permissions"});
+  }
+  const auto parsed = ParseDaemonFile(text.str(), file);
+  if (const auto* problems =
+          std::get_if<std::vector<settings_problem>>(&parsed)) {
+    for (const settings_problem& problem : *problems) {
+      std::cerr << problem.file << ":" << problem.line << ": ["
+                << problem.section << "] " << problem.key << ": "
+                << problem.reason << "; " << problem.remedy << "\n";
+    }
+    return 1;
+  }
+  return RunDaemon(std::get<daemon_options>(parsed));
+}
+
+}  // namespace
+
+int RunServe(int argc, char** argv) {
+  cxxopts::Options options("gentianrun serve",
+                           "Runs a daemon as its settings file describes it");
+  options.add_options()("settings", "the daemon's settings file",
+                        cxxopts::value<std::string>())(
+      "h,help", "Show this help")("version", "Show the version");
+  options.parse_positional({"settings"});
+  options.positional_help("FILE");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << "gentianrun " << Version() << "\n";
+      return 0;
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << "gentianrun serve: no settings file; "
+                   "see gentianrun serve --help\n";
+      return 2;
+    }
+    return ReadAndRun(parsed["settings"].as<std::string>());
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "gentianrun serve: " << failure.what()
+              << "; see gentianrun serve --help\n";
+    return 2;
+  }
+}
+
+}  // namespace gentian
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -11,6 +11,9 @@
   int (*run)(int argc, char** argv);
 };
 
+/** Runs a daemon as its settings file describes it. */
+int RunServe(int argc, char** argv);
+
 /** Runs a daemon with fakes of all outside systems in one process. */
 int RunDev(int argc, char** argv);
 
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -10,6 +10,8 @@
 #include "gentian_daemon/caller_api.h"
 #include "gentian_daemon/daemon_log.h"
 #include "gentian_daemon/decision_loop.h"
+#include "gentian_daemon/fleet_snapshot.h"
+#include "gentian_daemon/peer_exchange.h"
 #include "gentian_daemon/supervisor.h"
 #include "gentian_net/http_server.h"
 
@@ -20,6 +22,7 @@
 constexpr milliseconds kQuietStreamCheck{250};
 constexpr milliseconds kLoadPollInterval{250};
 constexpr milliseconds kHostListInterval{1'000};
+constexpr milliseconds kCertificateCheck{5'000};
 // Time for the last bytes of answers to reach their callers.
 constexpr milliseconds kFlushDeadline{5'000};
 constexpr milliseconds kAdminExpiryCheck{500};
@@ -43,17 +46,13 @@
         io_pool& pool,
         daemon_platform platform)
       : options_(std::move(options)),
-        settings_(initial),
+        initial_(std::move(initial)),
         pool_(pool),
         platform_(platform),
-        loop_(IdentityOf(options_),
-              std::move(initial),
-              random_,
-              [this](command next) { Execute(std::move(next)); }),
         api_([this](event input) { PostFromCaller(std::move(input)); },
-             [this] { return loop_.IsOverloaded(); },
+             [this] { return loop_->IsOverloaded(); },
              [this](error_kind kind) { latencies_.CountRefusal(kind); }),
-        admin_([this](event input) { loop_.Post(std::move(input)); },
+        admin_([this](event input) { loop_->Post(std::move(input)); },
                [](const write_log& line) { Log(line); },
                options_.operators_by_key_hash,
                latencies_),
@@ -67,14 +66,21 @@
 
   ~parts() { supervisor_.Stop(); }
 
-  result<success> Start() { return supervisor_.Start(); }
+  result<success> Start() {
+    const result<success> bound = BindAddresses();
+    if (Failed(bound)) {
+      return bound;
+    }
+    CreateLoop();
+    return supervisor_.Start();
+  }
 
   void RequestStop() {
     Log(write_log::level::info, "graceful shutdown begins");
     stopping_ = true;
     server_->CloseAfterAnswers();
     admin_.StartDraining();
-    loop_.Post(stop_requested{});
+    loop_->Post(stop_requested{});
     pool_.After(options_.stop_deadline, [this] {
       Finish(error{error_kind::internal, "requests still ran at the deadline",
                    "give stops more time, or limit calls to less"});
@@ -95,15 +101,87 @@
   }
 
  private:
+  // Before the loop starts, because the node tells others the real ports.
+  result<success> BindAddresses() {
+    if (options_.caller_tls.IsServer()) {
+      caller_tls_ = std::make_shared<tls_context>(options_.caller_tls);
+      result<success> loaded = caller_tls_->Reload();
+      if (Failed(loaded)) {
+        return loaded;
+      }
+    }
+    server_ = std::make_unique<http_server>(
+        pool_,
+        [this](const std::shared_ptr<http_exchange>& exchange) {
+          api_.Handle(exchange);
+        },
+        http_server_limits{}, caller_tls_);
+    result<success> bound = server_->Bind(options_.caller_address);
+    if (Failed(bound)) {
+      return bound;
+    }
+    options_.caller_address = server_->address();
+    return BindPeers();
+  }
+
+  result<success> BindPeers() {
+    if (options_.cluster_key_file.empty()) {
+      return success{};
+    }
+    const result<std::string> key = ReadClusterKey(options_.cluster_key_file);
+    if (Failed(key)) {
+      return ErrorOf(key);
+    }
+    peers_ = std::make_unique<peer_exchange>(
+        pool_, options_.host, ValueOf(key),
+        [this](event input) { loop_->Post(std::move(input)); });
+    result<success> bound = peers_->Bind(options_.peer_address);
+    options_.peer_address = peers_->address();
+    return bound;
+  }
+
+  void CreateLoop() {
+    const auto own = initial_.daemons.find(options_.host);
+    if (own != initial_.daemons.end()) {
+      own->second.caller_address = options_.caller_address;
+      own->second.peer_address = options_.peer_address;
+    }
+    loop_ = std::make_unique<decision_loop>(
+        IdentityOf(options_), initial_, random_,
+        [this](command next) { Execute(std::move(next)); },
+        [this](const cluster_view& view) { Observe(view); },
+        [this](const error& reason) { Finish(reason); });
+  }
+
+  void Observe(const cluster_view& view) {
+    auto addresses = fleet_.Update(view, options_.peers);
+    if (peers_) {
+      peers_->SetAddresses(std::move(addresses));
+    }
+  }
+
   void AddChildren() {
     platform_.targets->SetSink(
-        [this](event input) { loop_.Post(std::move(input)); });
+        [this](event input) { loop_->Post(std::move(input)); });
     supervisor_.Add({"decision loop",
                      [this] {
-                       loop_.Start();
+                       loop_->Start();
+                       return result<success>();
+                     },
+                     [this] { loop_->Stop(); },
+                     {}});
+    supervisor_.Add({"peer links",
+                     [this] {
+                       if (peers_) {
+                         peers_->Serve();
+                       }
                        return result<success>();
                      },
-                     [this] { loop_.Stop(); },
+                     [this] {
+                       if (peers_) {
+                         peers_->Stop();
+                       }
+                     },
                      {}});
     supervisor_.Add({"target adapters",
                      [this] { return StartPolling(); },
@@ -130,10 +208,10 @@
   }
 
   void PollTargets() {
-    for (const auto& [id, target] : settings_.targets) {
-      platform_.targets->PollLoad(id, target.address);
+    for (const target_settings& target : fleet_.Targets()) {
+      platform_.targets->PollLoad(target.id, target.address);
       if (target.cache_tokens > 0) {
-        platform_.targets->PollCacheEvents(id, target.address);
+        platform_.targets->PollCacheEvents(target.id, target.address);
       }
     }
   }
@@ -151,36 +229,42 @@
     platform_.hosts->Read(
         [this](const result<std::vector<host_list_entry>>& entries) {
           if (!Failed(entries)) {
-            loop_.Post(host_list_received{ValueOf(entries)});
+            loop_->Post(host_list_received{ValueOf(entries)});
           }
         });
   }
 
   result<success> StartCallers() {
-    server_ = std::make_unique<http_server>(
-        pool_, [this](const std::shared_ptr<http_exchange>& exchange) {
-          api_.Handle(exchange);
-        });
-    result<success> listening = server_->Listen(options_.caller_address);
-    if (Failed(listening)) {
-      return listening;
+    server_->Serve();
+    if (caller_tls_) {
+      tls_timer_ = std::make_unique<periodic_timer>(
+          pool_, kCertificateCheck, [this] { ReloadCertificates(); });
     }
     quiet_timer_ = std::make_unique<periodic_timer>(pool_, kQuietStreamCheck,
                                                     [this] { CheckCallers(); });
     return success{};
   }
 
+  void ReloadCertificates() {
+    const result<success> loaded = caller_tls_->ReloadIfChanged();
+    if (Failed(loaded)) {
+      Log(write_log::level::error, "the previous certificate stays in use",
+          {{"reason", ErrorOf(loaded).message},
+           {"remedy", ErrorOf(loaded).remedy}});
+    }
+  }
+
   void CheckCallers() {
     api_.StartQuietStreams();
     // A fleet of one daemon has no successor to hand its sessions to.
-    const bool alone = settings_.daemons.size() == 1;
-    if (stopping_ && alone && api_.open_requests() == 0) {
+    if (stopping_ && fleet_.IsAlone() && api_.open_requests() == 0) {
       Finish(success{});
     }
   }
 
   void StopCallers() {
     quiet_timer_.reset();
+    tls_timer_.reset();
     server_->StopAccepting();
     server_->WaitUntilIdle(kFlushDeadline);
     server_->Stop();
@@ -190,20 +274,12 @@
     if (options_.admin_address.empty()) {
       return success{};
     }
-    std::shared_ptr<tls_context> tls;
-    if (options_.caller_tls.IsServer()) {
-      tls = std::make_shared<tls_context>(options_.caller_tls);
-      result<success> loaded = tls->Reload();
-      if (Failed(loaded)) {
-        return loaded;
-      }
-    }
     admin_server_ = std::make_unique<http_server>(
         pool_,
         [this](const std::shared_ptr<http_exchange>& exchange) {
           admin_.Handle(exchange);
         },
-        http_server_limits{}, std::move(tls));
+        http_server_limits{}, caller_tls_);
     admin_timer_ = std::make_unique<periodic_timer>(
         pool_, kAdminExpiryCheck,
         [this] { admin_.Expire(std::chrono::steady_clock::now()); });
@@ -219,7 +295,7 @@
 
   void PostFromCaller(event input) {
     latencies_.Observe(input, std::chrono::steady_clock::now());
-    loop_.Post(std::move(input));
+    loop_->Post(std::move(input));
   }
 
   void Execute(command next) {
@@ -231,18 +307,22 @@
     api_.Reply(reply);
   }
   void Carry(const reply_to_operator& reply) { admin_.Reply(reply); }
-  void Carry(const send_to_peer& /*message*/) {}
+  void Carry(const send_to_peer& message) {
+    if (peers_) {
+      peers_->Send(loop_->cluster().self(), message);
+    }
+  }
   void Carry(const call_kv& call) {
     if (platform_.key_values == nullptr) {
       kv_answer answer;
       answer.outcome = kv_answer::status::not_sent;
-      loop_.Post(kv_answered{call.id, answer});
+      loop_->Post(kv_answered{call.id, answer});
       return;
     }
-    platform_.key_values->Call(call.operation, call.deadline,
-                               [this, id = call.id](kv_answer answer) {
-                                 loop_.Post(kv_answered{id, std::move(answer)});
-                               });
+    platform_.key_values->Call(
+        call.operation, call.deadline, [this, id = call.id](kv_answer answer) {
+          loop_->Post(kv_answered{id, std::move(answer)});
+        });
   }
   void Carry(const dispatch_call& call) { platform_.targets->Dispatch(call); }
   void Carry(const cancel_dispatch& cancel) {
@@ -264,11 +344,14 @@
   }
 
   daemon_options options_;
-  configuration settings_;
+  configuration initial_;
   io_pool& pool_;
   daemon_platform platform_;
   system_random random_;
-  decision_loop loop_;
+  fleet_snapshot fleet_;
+  std::shared_ptr<tls_context> caller_tls_;
+  std::unique_ptr<peer_exchange> peers_;
+  std::unique_ptr<decision_loop> loop_;
   latency_recorder latencies_;
   caller_api api_;
   admin_api admin_;
@@ -276,6 +359,7 @@
   std::unique_ptr<http_server> server_;
   std::unique_ptr<http_server> admin_server_;
   std::unique_ptr<periodic_timer> quiet_timer_;
+  std::unique_ptr<periodic_timer> tls_timer_;
   std::unique_ptr<periodic_timer> admin_timer_;
   std::unique_ptr<periodic_timer> load_timer_;
   std::unique_ptr<periodic_timer> host_timer_;
--- a/source/gentian_daemon/daemon.h
+++ b/source/gentian_daemon/daemon.h
@@ -30,7 +30,9 @@
          configuration initial,
          io_pool& pool,
          daemon_platform platform);
-  /** Stops at once if it still runs. */
+  /** Stops at once if it still runs. The pool must have been stopped before,
+      because handlers of open calls refer to the daemon.
+  */
   ~daemon();
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
--- a/source/gentian_daemon/decision_loop.cc
+++ b/source/gentian_daemon/decision_loop.cc
@@ -1,5 +1,7 @@
 #include "gentian_daemon/decision_loop.h"
 
+#include <exception>
+#include <string>
 #include <utility>
 
 namespace gentian {
@@ -9,15 +11,20 @@
 // At some microseconds an event this is a wait of tens of milliseconds, well
 // below the time after which peers suspect a daemon.
 constexpr std::size_t kMaxBacklog = 10'000;
+constexpr int kTicksPerObservation = 20;
 
 }  // namespace
 
 decision_loop::decision_loop(node_identity identity,
                              configuration initial,
                              random_source& random,
-                             executor execute)
+                             executor execute,
+                             observer observe,
+                             failure_handler on_failure)
     : node_(std::move(identity), std::move(initial), random),
-      execute_(std::move(execute)) {}
+      execute_(std::move(execute)),
+      observe_(std::move(observe)),
+      on_failure_(std::move(on_failure)) {}
 
 decision_loop::~decision_loop() {
   Stop();
@@ -52,6 +59,25 @@
 }
 
 void decision_loop::Run() {
+  try {
+    RunUntilStopped();
+  } catch (const std::exception& failure) {
+    // The node's state may be inconsistent, so it is not used any further.
+    on_failure_(
+        error{error_kind::internal,
+              std::string("the decision loop failed: ") + failure.what(),
+              "start the daemon again and report the log"});
+  }
+}
+
+void decision_loop::Tick() {
+  Step(tick{});
+  if (ticks_++ % kTicksPerObservation == 0) {
+    observe_(node_.cluster());
+  }
+}
+
+void decision_loop::RunUntilStopped() {
   auto next_tick = std::chrono::steady_clock::now();
   std::vector<event> batch;
   while (true) {
@@ -71,7 +97,7 @@
     batch.clear();
     const auto now = std::chrono::steady_clock::now();
     if (now >= next_tick) {
-      Step(tick{});
+      Tick();
       // After a pause of the process there is one tick, not one for each
       // interval that was missed.
       next_tick = now + kTickInterval;
--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -11,7 +11,6 @@
 #include "gentian_daemon/caller_api.h"
 #include "gentian_daemon/credential_filter.h"
 #include "gentian_daemon/daemon.h"
-#include "gentian_daemon/daemon_health.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/daemon_log.h"
 #include "gentian_daemon/daemon_metrics.h"
@@ -19,6 +18,7 @@
 #include "gentian_daemon/decision_loop.h"
 #include "gentian_daemon/latency_distribution.h"
 #include "gentian_daemon/latency_recorder.h"
+#include "gentian_daemon/peer_exchange.h"
 #include "gentian_daemon/supervisor.h"
 #include "gentian_daemon/version.h"
 
--- a/source/gentian_decisions/node.h
+++ b/source/gentian_decisions/node.h
@@ -48,6 +48,9 @@
   /** Counters of refusals, retries and other decisions. */
   const counter_set& counters() const { return counters_; }
 
+  /** Members and configuration, for the I/O side of the daemon. */
+  const cluster_view& cluster() const { return cluster_; }
+
  private:
   using handler = void (node::*)(const event&, node_context&);
   using handler_table = std::array<handler, std::variant_size_v<event>>;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -128,7 +128,7 @@
 
 step "A sub-agent: its budget comes from its parent's"
 status=$(call "$work/answer" POST /v1/sessions \
-  -d "{\"program\":\"assistant\",\"parent\":\"$session\",\"budget\":{\"tokens\":5000,\"calls\":3}}")
+  -d "{\"program\":\"assistant\",\"parent\":\"$session\",\"budget\":{\"tokens\":5000,\"calls\":3,\"cost_micros\":100000}}")
 show "$work/answer"; echo
 child=$(field id "$work/answer")
 check "the sub-agent has a session" test -n "$child"
@@ -160,6 +160,7 @@
   -d '{"stream":true,"messages":[{"role":"user","content":"words=100"}]}' \
   "$address/v1/chat/completions" >"$work/first"
 last=$(sed -n 's/^id: //p' "$work/first" | tail -1)
+last=${last:-0}
 echo "   connection closed after event $last"
 check "the connection broke before the end" test "${last:-0}" -lt 100
 curl -sN --max-time 20 -H "Authorization: Bearer $key" \
