--- a/source/gentian_net/byte_stream.cc
+++ b/source/gentian_net/byte_stream.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/asio/write.hpp>
+#include <string>
 #include <utility>
 
 namespace gentian::detail {
@@ -32,6 +33,7 @@
       : tls_(std::move(tls)), stream_(std::forward<Arguments>(arguments)...) {}
 
   void Connect(const tcp::endpoint& endpoint, done_handler handler) override {
+    peer_address_ = endpoint.address().to_string();
     SocketOf(stream_).async_connect(endpoint,
                                     [this, handler = std::move(handler)](
                                         boost::system::error_code failure) {
@@ -48,6 +50,13 @@
         handler(boost::system::error_code());
       });
     } else {
+      if (!as_server) {
+        // The authorities vouch for many hosts; only the one that was meant
+        // to be reached may answer.
+        boost::system::error_code ignored;
+        stream_.set_verify_callback(
+            asio::ssl::host_name_verification(peer_address_), ignored);
+      }
       stream_.async_handshake(as_server ? asio::ssl::stream_base::server
                                         : asio::ssl::stream_base::client,
                               std::move(handler));
@@ -90,6 +99,7 @@
 
  private:
   std::shared_ptr<asio::ssl::context> tls_;
+  std::string peer_address_;
   Stream stream_;
 };
 
--- /dev/null
+++ b/tests/net/http_test.cc
@@ -0,0 +1,184 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <fstream>
+
+#include "support/synchronous_http.h"
+
+using namespace gentian;
+using namespace gentian::testing;
+
+namespace {
+
+constexpr const char* kAnyPort = "127.0.0.1:0";
+
+// A server whose answer depends on the path, and a client.
+struct server_fixture {
+  explicit server_fixture(http_server_limits limits = {})
+      : server(
+            pool,
+            [this](const std::shared_ptr<http_exchange>& exchange) {
+              Handle(exchange);
+            },
+            limits) {
+    cr_assert(!Failed(server.Listen(kAnyPort)));
+  }
+  ~server_fixture() {
+    server.Stop();
+    pool.Stop();
+  }
+
+  void Handle(const std::shared_ptr<http_exchange>& exchange) {
+    const std::string path = exchange->request().Path();
+    if (path == "/abort") {
+      exchange->Abort();
+    } else if (path == "/events") {
+      exchange->StartEvents({});
+      exchange->SendEvent(stream_event{"1", "", "first\nline"});
+      exchange->SendEvent(stream_event{"2", "note", "second"});
+      exchange->EndStream();
+    } else if (path == "/quiet") {
+      exchange->StartEvents({});
+      exchange->SetDisconnectHandler([this] { ++disconnects; });
+      quiet = exchange;
+    } else if (path != "/never") {
+      exchange->Respond(
+          JsonResponse(200, {{"size", exchange->request().body.size()}}));
+    } else {
+      exchange->SetDisconnectHandler([this] { ++disconnects; });
+      quiet = exchange;
+    }
+  }
+
+  http_client_request Get(const std::string& target) const {
+    http_client_request request;
+    request.address = server.address();
+    request.target = target;
+    return request;
+  }
+
+  io_pool pool{2};
+  std::atomic<int> disconnects{0};
+  std::shared_ptr<http_exchange> quiet;
+  http_server server;
+  http_client client{pool};
+};
+
+}  // namespace
+
+// Guards against a connection that is unusable after its first answer.
+Test(http, connection_is_reused) {
+  server_fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    http_client_request request =
+        PostRequest(fixture.server.address(), "/", std::string(1'000, 'x'));
+    request.reuse_connection = true;
+    const http_outcome outcome = Fetch(fixture.client, request);
+    cr_assert(!outcome.failure);
+    cr_assert(outcome.response.body == R"({"size":1000})");
+  }
+}
+
+// Guards against unbounded memory and against a refusal that is no JSON error.
+Test(http, large_body_and_header_are_refused_with_a_typed_error) {
+  http_server_limits limits;
+  limits.max_body_bytes = 1'000;
+  limits.max_header_bytes = 1'000;
+  server_fixture fixture(limits);
+  const http_outcome body = Fetch(
+      fixture.client,
+      PostRequest(fixture.server.address(), "/", std::string(100'000, 'x')));
+  http_client_request request = fixture.Get("/");
+  request.headers.Add("X-Large", std::string(2'000, 'x'));
+  const http_outcome header = Fetch(fixture.client, request);
+  for (const http_outcome& outcome : {body, header}) {
+    cr_assert(!outcome.failure, "%s", outcome.response.body.c_str());
+    cr_assert(outcome.response.status == 413);
+    cr_assert(json::parse(outcome.response.body)["error"]["kind"] ==
+              "too_large");
+  }
+}
+
+// Guards against events that are lost or joined, and lost ids.
+Test(http, events_arrive_with_ids) {
+  server_fixture fixture;
+  const http_outcome outcome = Fetch(fixture.client, fixture.Get("/events"));
+  event_stream_parser parser;
+  const auto events = parser.Feed(outcome.response.body);
+  cr_assert(events.size() == 2);
+  cr_assert(events[0].id == "1" && events[0].data == "first\nline");
+  cr_assert(events[1].type == "note" && events[1].data == "second");
+}
+
+// Guards against streams on which a caller can not tell silence from loss.
+Test(http, quiet_stream_carries_comments) {
+  server_fixture fixture;
+  http_client_request request = fixture.Get("/quiet");
+  request.silence = milliseconds(2'500);
+  request.deadline = milliseconds(3'500);
+  const http_outcome outcome = Fetch(fixture.client, request);
+  cr_assert(outcome.failure == http_failure::deadline);
+  cr_assert(WaitFor([&] { return fixture.disconnects == 1; }));
+}
+
+// Guards against a failure that is reported as "not sent" after bytes were
+// sent: the call would be repeated although it may have run.
+Test(http, failures_tell_whether_the_request_was_sent) {
+  server_fixture fixture;
+  http_client_request refused = fixture.Get("/");
+  refused.address = "127.0.0.1:1";
+  cr_assert(Fetch(fixture.client, refused).failure == http_failure::not_sent);
+  cr_assert(Fetch(fixture.client, fixture.Get("/abort")).failure ==
+            http_failure::broken);
+  http_client_request late = fixture.Get("/never");
+  late.deadline = milliseconds(200);
+  cr_assert(Fetch(fixture.client, late).failure == http_failure::deadline);
+  http_client_request silent = fixture.Get("/never");
+  silent.silence = milliseconds(200);
+  cr_assert(Fetch(fixture.client, silent).failure == http_failure::silent);
+}
+
+// Guards against lost callers that keep their call running.
+Test(http, disconnect_is_reported) {
+  server_fixture fixture;
+  const auto call = fixture.client.Send(
+      fixture.Get("/never"),
+      {nullptr, nullptr, [] {}, [](http_failure, const std::string&) {}});
+  cr_assert(WaitFor([&] { return fixture.quiet != nullptr; }));
+  call->Cancel();
+  cr_assert(WaitFor([&] { return fixture.disconnects == 1; }));
+}
+
+// Guards against answers that are cut off by a stop.
+Test(http, stop_accepting_finishes_the_answer_in_progress) {
+  server_fixture fixture;
+  auto outcome = std::async(std::launch::async, [&] {
+    return Fetch(fixture.client, fixture.Get("/never"));
+  });
+  cr_assert(WaitFor([&] { return fixture.quiet != nullptr; }));
+  fixture.server.StopAccepting();
+  fixture.quiet->Respond(JsonResponse(200, {{"late", true}}));
+  cr_assert(!outcome.get().failure);
+}
+
+// Guards against a parser that depends on where the network cuts the bytes.
+Test(event_stream, events_are_found_at_every_cut) {
+  const std::string text =
+      ": comment\n\nid: 7\nevent: note\ndata: a\ndata: b\r\n\r\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    event_stream_parser parser;
+    auto events = parser.Feed(text.substr(0, cut));
+    for (stream_event& event : parser.Feed(text.substr(cut))) {
+      events.push_back(event);
+    }
+    cr_assert(events.size() == 1);
+    cr_assert(events[0].id == "7" && events[0].type == "note");
+    cr_assert(events[0].data == "a\nb");
+  }
+}
+
+// Guards against a stack overflow when a deeply nested body is written back.
+Test(json_body, deep_nesting_is_refused) {
+  cr_assert(Failed(ParseJsonBody(std::string(100'000, '['))));
+  cr_assert(!Failed(ParseJsonBody("[[[[1]]]]")));
+}
