--- a/source/gentian_daemon/daemon_log.cc
+++ b/source/gentian_daemon/daemon_log.cc
@@ -5,6 +5,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <array>
+#include <atomic>
 #include <memory>
 
 #include "gentian_daemon/json_layout.h"
@@ -31,6 +32,9 @@
     "key",  "api_key", "authorization", "prompt",
     "body", "content", "messages",      "cluster_key"};
 
+// Lines before StartLog are dropped; tests of parts run without a log.
+std::atomic<bool> log_started{false};
+
 log4cplus::Logger Logger() {
   return log4cplus::Logger::getInstance("gentianrun");
 }
@@ -50,6 +54,7 @@
     Logger().setAdditivity(false);
     Logger().addAppender(appender);
     Logger().setLogLevel(row.level);
+    log_started = true;
     return success{};
   }
   return error{error_kind::invalid_settings,
@@ -64,6 +69,9 @@
 void Log(write_log::level severity,
          const std::string& message,
          const json& fields) {
+  if (!log_started) {
+    return;
+  }
   json content = fields.is_object() ? fields : json::object();
   for (const char* name : kWithheldFields) {
     content.erase(name);
