--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,11 @@
 	@$(MAKE) --no-print-directory build
 	@tools/demo.sh $(BUILD)
 
+fault-matrix: build
+	@$(BUILD)/gentian_fault_matrix --output $(BUILD)/fault-matrix.jsonl
+
+fault-matrix-selftest: build
+	@$(BUILD)/gentian_fault_matrix --selftest
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
