--- /dev/null
+++ b/tests/support/child_process.h
@@ -0,0 +1,93 @@
+#ifndef TESTS_SUPPORT_CHILD_PROCESS_H_
+#define TESTS_SUPPORT_CHILD_PROCESS_H_
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace gentian::testing {
+
+/** A process of the real binary, with its standard output in a file. Killed
+    when the object ends.
+*/
+class child_process {
+ public:
+  explicit child_process(const std::vector<std::string>& arguments)
+      : output_(std::filesystem::temp_directory_path() /
+                ("gentian_child_" + std::to_string(::getpid()) + "_" +
+                 std::to_string(++count_))) {
+    std::vector<std::string> words{GENTIAN_BINARY};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> raw;
+    raw.reserve(words.size() + 1);
+    for (std::string& word : words) {
+      raw.push_back(word.data());
+    }
+    raw.push_back(nullptr);
+    const std::string file = output_.string();
+    id_ = ::fork();
+    if (id_ == 0) {
+      const int out = ::open(file.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
+      ::dup2(out, STDOUT_FILENO);
+      ::execv(raw[0], raw.data());
+      ::_exit(127);
+    }
+  }
+  ~child_process() {
+    if (id_ > 0) {
+      ::kill(id_, SIGKILL);
+      ::waitpid(id_, nullptr, 0);
+    }
+    std::filesystem::remove(output_);
+  }
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  void Signal(int number) const { ::kill(id_, number); }
+
+  /** Waits for the end; the exit status, or -1 after a signal. */
+  int Wait() {
+    int status = 0;
+    ::waitpid(id_, &status, 0);
+    id_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  /** What it has written to standard output so far. */
+  std::string Output() const {
+    std::ifstream in(output_);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+  }
+
+  /** The rest of the output line that starts with `name: `. */
+  std::string Field(const std::string& name) const {
+    std::istringstream lines(Output());
+    const std::string start = name + ": ";
+    std::string line;
+    while (std::getline(lines, line)) {
+      if (line.rfind(start, 0) == 0) {
+        return line.substr(start.size());
+      }
+    }
+    return {};
+  }
+
+ private:
+  static inline int count_ = 0;
+  std::filesystem::path output_;
+  pid_t id_ = 0;
+};
+
+}  // namespace gentian::testing
+
+#endif  // TESTS_SUPPORT_CHILD_PROCESS_H_
