--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -18,6 +18,7 @@
 #include "gentian_daemon/decision_loop.h"
 #include "gentian_daemon/latency_distribution.h"
 #include "gentian_daemon/latency_recorder.h"
+#include "gentian_daemon/peer_exchange.h"
 #include "gentian_daemon/supervisor.h"
 #include "gentian_daemon/version.h"
 
