--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -7,7 +7,10 @@
 
 namespace {
 
-constexpr std::array<gentian::subcommand, 1> kSubcommands = {{
+constexpr std::array<gentian::subcommand, 3> kSubcommands = {{
+    {"check", "check settings files without starting anything",
+     gentian::RunCheck},
+    {"admin", "show and change the settings of a fleet", gentian::RunAdmin},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
 }};
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -11,6 +11,12 @@
   int (*run)(int argc, char** argv);
 };
 
+/** Checks settings files. */
+int RunCheck(int argc, char** argv);
+
+/** Runs one command of an operator against a daemon. */
+int RunAdmin(int argc, char** argv);
+
 /** Runs a daemon with fakes of all outside systems in one process. */
 int RunDev(int argc, char** argv);
 
--- a/source/gentian_settings/gentian_settings.h
+++ b/source/gentian_settings/gentian_settings.h
@@ -9,6 +9,7 @@
 #include "gentian_settings/accepted_change.h"
 #include "gentian_settings/budget_limits.h"
 #include "gentian_settings/configuration.h"
+#include "gentian_settings/effective_change.h"
 #include "gentian_settings/ini_reader.h"
 #include "gentian_settings/section_path.h"
 #include "gentian_settings/settings_change.h"
