--- a/source/gentian_app/check_command.cc
+++ b/source/gentian_app/check_command.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "gentian_app/exit_code.h"
+#include "gentian_app/settings_reference.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_app/text_file.h"
 #include "gentian_daemon/gentian_daemon.h"
@@ -70,9 +71,11 @@
       "Checks settings files without starting anything. Sections that begin "
       "with / are the operators' settings, all others a daemon's file.");
   options.positional_help("FILE...");
-  options.add_options()("json", "Print JSON")("h,help", "Show this help")(
-      "files", "Files to check, - for standard input",
-      cxxopts::value<std::vector<std::string>>());
+  options.add_options()("json", "Print JSON")(
+      "reference", "Print all sections and keys as Markdown")(
+      "h,help", "Show this help")("files",
+                                  "Files to check, - for standard input",
+                                  cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"files"});
   try {
     const auto parsed = options.parse(argc, argv);
@@ -85,6 +88,10 @@
                    "  3  a file can not be read\n";
       return exit_ok;
     }
+    if (parsed.count("reference") > 0) {
+      std::cout << SettingsReference();
+      return exit_ok;
+    }
     if (parsed.count("files") == 0) {
       std::cerr << "gentianrun check: no file; see gentianrun check --help\n";
       return exit_usage;
