--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,6 @@
 fault-matrix-selftest: build
 	@$(BUILD)/gentian_fault_matrix --selftest
 
-demo: deps
-	@$(MAKE) --no-print-directory build
-	@tools/demo.sh $(BUILD)
 bench: build
 	@$(BUILD)/gentian_bench $(BUILD)/bench/results.jsonl $(JOBS)
 
