Join the cluster and scheduling parts into the node

Cause: node still ran on a stand-in for the fleet and the simplest target choice, so that registration, configuration, keys, limits and queues did not reach the daemon. After an outage of the service that outlasts the lease every daemon also became a new incarnation, which made all copies of sessions void. Change: node passes each event to cluster_service, call_scheduler and session_service; the stand-ins are gone or moved to the tests.

--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -36,7 +36,7 @@
   if (options.host_list_address.empty()) {
     platform.hosts = nullptr;
   }
-  daemon subject(options, configuration{}, pool, platform);
+  daemon subject(options, initial_settings(configuration()), pool, platform);
   const result<success> started = subject.Start();
   if (Failed(started)) {
     return Fail(ErrorOf(started));
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -42,7 +42,7 @@
 class daemon::parts {
  public:
   parts(daemon_options options,
-        configuration initial,
+        initial_settings initial,
         io_pool& pool,
         daemon_platform platform)
       : options_(std::move(options)),
@@ -141,8 +141,8 @@
   }
 
   void CreateLoop() {
-    const auto own = initial_.daemons.find(options_.host);
-    if (own != initial_.daemons.end()) {
+    const auto own = initial_.settings.daemons.find(options_.host);
+    if (own != initial_.settings.daemons.end()) {
       own->second.caller_address = options_.caller_address;
       own->second.peer_address = options_.peer_address;
     }
@@ -344,7 +344,7 @@
   }
 
   daemon_options options_;
-  configuration initial_;
+  initial_settings initial_;
   io_pool& pool_;
   daemon_platform platform_;
   system_random random_;
@@ -370,7 +370,7 @@
 };
 
 daemon::daemon(daemon_options options,
-               configuration initial,
+               initial_settings initial,
                io_pool& pool,
                daemon_platform platform)
     : parts_(std::make_unique<parts>(std::move(options),
--- a/source/gentian_daemon/daemon.h
+++ b/source/gentian_daemon/daemon.h
@@ -27,7 +27,7 @@
                       reads it from the key-value service
   */
   daemon(daemon_options options,
-         configuration initial,
+         initial_settings initial,
          io_pool& pool,
          daemon_platform platform);
   /** Stops at once if it still runs. The pool must have been stopped before,
--- a/source/gentian_daemon/decision_loop.cc
+++ b/source/gentian_daemon/decision_loop.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 decision_loop::decision_loop(node_identity identity,
-                             configuration initial,
+                             initial_settings initial,
                              random_source& random,
                              executor execute,
                              observer observe,
--- a/source/gentian_daemon/decision_loop.h
+++ b/source/gentian_daemon/decision_loop.h
@@ -30,7 +30,7 @@
 
   /** @param random  must outlive the loop */
   decision_loop(node_identity identity,
-                configuration initial,
+                initial_settings initial,
                 random_source& random,
                 executor execute,
                 observer observe,
--- a/source/gentian_decisions/node.h
+++ b/source/gentian_decisions/node.h
@@ -5,12 +5,13 @@
 #include <variant>
 #include <vector>
 
-#include "gentian_decisions/direct_scheduling.h"
+#include "gentian_decisions/call_scheduler.h"
+#include "gentian_decisions/cluster_service.h"
 #include "gentian_decisions/event.h"
+#include "gentian_decisions/initial_settings.h"
 #include "gentian_decisions/node_context.h"
 #include "gentian_decisions/node_identity.h"
 #include "gentian_decisions/session_service.h"
-#include "gentian_decisions/standalone_cluster.h"
 
 namespace gentian {
 
@@ -21,16 +22,16 @@
 
     @see event, command
 */
-class node {
+class node : private cluster_listener {
  public:
   /** Creates the node of a daemon that is starting.
 
       @param identity  addresses and failure domain from the daemon's settings
-      @param initial   configuration to start with; version 0 if none is known
+      @param initial   settings to start with; version 0 if none are known
       @param random    source of random numbers; must outlive the node
   */
   node(const node_identity& identity,
-       configuration initial,
+       initial_settings initial,
        random_source& random);
 
   node(const node&) = delete;
@@ -57,26 +58,42 @@
 
   static handler_table MakeHandlers();
 
-  // Passes an event to the session part.
+  // Passes an event to one part.
   template <typename Event>
   void ToSessions(const event& input, node_context& context) {
     sessions_.Handle(std::get<Event>(input), context);
   }
-
-  // For events that no part needs yet.
-  void Ignore(const event& /*input*/, node_context& /*context*/) {}
+  template <typename Event>
+  void ToScheduling(const event& input, node_context& context) {
+    scheduling_.Receive(std::get<Event>(input), context);
+  }
+  template <typename Event>
+  void ToCluster(const event& input, node_context& context) {
+    cluster_.Handle(std::get<Event>(input), context);
+  }
 
   void OnCallerRequest(const event& input, node_context& context);
-  void OnAdminRequest(const event& input, node_context& context);
+  void OnPeerMessage(const event& input, node_context& context);
+  void OnHostList(const event& input, node_context& context);
   void OnTick(const event& input, node_context& context);
   void OnStopRequested(const event& input, node_context& context);
+  void FinishStop(node_context& context);
+
+  // cluster_listener:
+  void KeyWithdrawn(const std::string& key_hash,
+                    node_context& context) override;
+  void ConfigurationChanged(node_context& context) override;
+  void IncarnationChanged(node_context& context) override;
+
+  // Steps of a planned stop.
+  enum class stop_step { running, draining, leaving, completed };
 
   random_source& random_;
   counter_set counters_;
-  standalone_cluster cluster_;
-  direct_scheduling scheduling_;
+  cluster_service cluster_;
+  call_scheduler scheduling_;
   session_service sessions_;
-  bool stop_completed_ = false;
+  stop_step stop_ = stop_step::running;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/registration.cc
+++ b/source/gentian_decisions/registration.cc
@@ -58,13 +58,20 @@
     StartOver(context);
     return;
   }
-  std::uint64_t last = self_.epoch;
+  std::uint64_t last = 0;
   if (!current.entries.empty()) {
     const std::string& value = current.entries.front().value;
-    last = std::max<std::uint64_t>(last,
-                                   std::strtoull(value.c_str(), nullptr, 10));
+    last = std::strtoull(value.c_str(), nullptr, 10);
   }
-  next_epoch_ = last + 1;
+  if (self_.epoch != 0 && last == self_.epoch) {
+    // Only the lease has expired: no other process has registered for this
+    // host. A new epoch would make all copies of sessions that this process
+    // holds for others worthless, on every daemon after a long outage.
+    next_epoch_ = self_.epoch;
+    GrantLease(context);
+    return;
+  }
+  next_epoch_ = std::max(last, self_.epoch) + 1;
   kv_.Call(
       kv_compare_and_swap{EpochKey(), VersionOf(current),
                           std::to_string(next_epoch_), 0},
@@ -123,8 +130,8 @@
           return;
         }
         entry_version_ = VersionOf(answer);
+        changed_ = changed_ || self_.epoch != next_epoch_;
         self_.epoch = next_epoch_;
-        changed_ = true;
         step_ = step::registered;
         delay_.Reset();
         renew_at_ = later.now + kRenewEvery;
--- a/source/gentian_decisions/registration.h
+++ b/source/gentian_decisions/registration.h
@@ -15,8 +15,9 @@
 
     The epoch is kept under `/epoch/<host>` without a lease, because the entry
     `/daemon/<host>` disappears with its lease and an epoch must never come
-    back. A daemon whose lease has expired registers as the next incarnation
-    and serves in the meantime as the previous one.
+    back. A daemon whose lease has expired registers again and serves in the
+    meantime. It stays the same incarnation unless another process has taken a
+    higher epoch for its host.
 */
 class registration {
  public:
--- a/source/gentian_decisions/direct_scheduling.cc
+++ b/tests/decisions/direct_scheduling.cc
@@ -1,4 +1,4 @@
-#include "gentian_decisions/direct_scheduling.h"
+#include "support/direct_scheduling.h"
 
 #include <algorithm>
 
--- a/tests/decisions/session_fleet.h
+++ b/tests/decisions/session_fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decisions/node_harness.h"
+#include "support/direct_scheduling.h"
 
 namespace gentian {
 
--- a/source/gentian_decisions/direct_scheduling.h
+++ b/tests/support/direct_scheduling.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_DECISIONS_DIRECT_SCHEDULING_H_
-#define GENTIAN_DECISIONS_DIRECT_SCHEDULING_H_
+#ifndef TESTS_SUPPORT_DIRECT_SCHEDULING_H_
+#define TESTS_SUPPORT_DIRECT_SCHEDULING_H_
 
 #include <deque>
 #include <map>
@@ -51,4 +51,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_DECISIONS_DIRECT_SCHEDULING_H_
+#endif  // TESTS_SUPPORT_DIRECT_SCHEDULING_H_
