--- a/source/gentian_app/admin_session.cc
+++ b/source/gentian_app/admin_session.cc
@@ -31,7 +31,7 @@
 }
 
 result<json> ReadAnswer(const http_response& answer, bool changes) {
-  const result<json> body = ParseJsonBody(answer.body);
+  result<json> body = ParseJsonBody(answer.body);
   if (Failed(body)) {
     return changes ? NoConfirmation("the answer can not be read")
                    : Unreadable();
