--- a/source/gentian_daemon/caller_request_reader.cc
+++ b/source/gentian_daemon/caller_request_reader.cc
@@ -196,6 +196,7 @@
   parsed.operation = std::move(ValueOf(operation));
   if (const auto* call = std::get_if<model_call>(&parsed.operation)) {
     parsed.streams = call->stream;
+    parsed.call = call->sequence.value_or(0);
   }
   if (const auto* resumed = std::get_if<resume_events>(&parsed.operation)) {
     parsed.streams = true;
--- a/source/gentian_daemon/caller_request_reader.h
+++ b/source/gentian_daemon/caller_request_reader.h
@@ -14,7 +14,7 @@
   caller_operation operation;
   /** True if the answer goes out as server-sent events. */
   bool streams = false;
-  /** Call to repeat in the ids of a stream; 0 if it is not known yet. */
+  /** Position of the call in its session; 0 if it is not known yet. */
   std::uint64_t call = 0;
 };
 
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -67,7 +67,7 @@
   ~parts() { supervisor_.Stop(); }
 
   result<success> Start() {
-    const result<success> bound = BindAddresses();
+    result<success> bound = BindAddresses();
     if (Failed(bound)) {
       return bound;
     }
--- a/source/gentian_daemon/decision_loop.cc
+++ b/source/gentian_daemon/decision_loop.cc
@@ -15,13 +15,13 @@
 
 }  // namespace
 
-decision_loop::decision_loop(node_identity identity,
+decision_loop::decision_loop(const node_identity& identity,
                              configuration initial,
                              random_source& random,
                              executor execute,
                              observer observe,
                              failure_handler on_failure)
-    : node_(std::move(identity), std::move(initial), random),
+    : node_(identity, std::move(initial), random),
       execute_(std::move(execute)),
       observe_(std::move(observe)),
       on_failure_(std::move(on_failure)) {}
--- a/source/gentian_daemon/decision_loop.h
+++ b/source/gentian_daemon/decision_loop.h
@@ -29,7 +29,7 @@
   using failure_handler = std::function<void(const error&)>;
 
   /** @param random  must outlive the loop */
-  decision_loop(node_identity identity,
+  decision_loop(const node_identity& identity,
                 configuration initial,
                 random_source& random,
                 executor execute,
