--- a/Makefile
+++ b/Makefile
@@ -46,5 +46,11 @@
 fault-matrix-selftest: build
 	@$(BUILD)/gentian_fault_matrix --selftest
 
+bench: build
+	@$(BUILD)/gentian_bench $(BUILD)/bench/results.jsonl $(JOBS)
+
+microbench: build
+	@$(BUILD)/gentian_microbench
+
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -11,6 +11,12 @@
   int (*run)(int argc, char** argv);
 };
 
+/** Checks settings files. */
+int RunCheck(int argc, char** argv);
+
+/** Runs one command of an operator against a daemon. */
+int RunAdmin(int argc, char** argv);
+
 /** Runs a daemon as its settings file describes it. */
 int RunServe(int argc, char** argv);
 
