--- a/Makefile
+++ b/Makefile
@@ -36,15 +36,21 @@
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory unit
 
+demo: deps
+	@$(MAKE) --no-print-directory build
+	@tools/demo.sh $(BUILD)
+
 fault-matrix: build
 	@$(BUILD)/gentian_fault_matrix --output $(BUILD)/fault-matrix.jsonl
 
 fault-matrix-selftest: build
 	@$(BUILD)/gentian_fault_matrix --selftest
 
-demo: deps
-	@$(MAKE) --no-print-directory build
-	@tools/demo.sh $(BUILD)
+bench: build
+	@$(BUILD)/gentian_bench $(BUILD)/bench/results.jsonl $(JOBS)
+
+microbench: build
+	@$(BUILD)/gentian_microbench
 
 clean:
 	@rm -rf $(BUILD) $(BUILD).cmake.log
--- a/source/gentian_daemon/caller_api.cc
+++ b/source/gentian_daemon/caller_api.cc
@@ -51,16 +51,22 @@
 
 }  // namespace
 
-caller_api::caller_api(event_sink sink, std::function<bool()> overloaded)
-    : sink_(std::move(sink)), overloaded_(std::move(overloaded)) {}
+caller_api::caller_api(event_sink sink,
+                       std::function<bool()> overloaded,
+                       std::function<void(error_kind)> on_refused)
+    : sink_(std::move(sink)),
+      overloaded_(std::move(overloaded)),
+      on_refused_(std::move(on_refused)) {}
 
 void caller_api::Handle(const std::shared_ptr<http_exchange>& exchange) {
   result<parsed_request> parsed = ReadCallerRequest(exchange->request());
   if (Failed(parsed)) {
+    on_refused_(ErrorOf(parsed).kind);
     exchange->Respond(ErrorResponse(ErrorOf(parsed)));
     return;
   }
   if (overloaded_()) {
+    on_refused_(error_kind::overloaded);
     exchange->Respond(ErrorResponse(
         error{error_kind::overloaded, "the daemon has too many requests",
               "retry at another address", call_outcome::not_run,
@@ -170,7 +176,7 @@
     entry.exchange->SendEvent(stream_event{"", "", ToText(AsChunk(part.body))});
   }
   entry.exchange->SendEvent(stream_event{id, "", "[DONE]"});
-  entry.exchange->EndEvents();
+  entry.exchange->EndStream();
 }
 
 void caller_api::SendPart(pending& entry, const error& part) {
@@ -184,7 +190,7 @@
   }
   entry.exchange->SendEvent(
       stream_event{"", "error", ToText(json{{"error", part}})});
-  entry.exchange->EndEvents();
+  entry.exchange->EndStream();
 }
 
 }  // namespace gentian
--- a/source/gentian_daemon/caller_api.h
+++ b/source/gentian_daemon/caller_api.h
@@ -22,8 +22,11 @@
 
   /** @param sink        receives caller_request and caller_disconnected
       @param overloaded  true if new requests must be refused
+      @param on_refused  told of requests that do not reach the sink
   */
-  caller_api(event_sink sink, std::function<bool()> overloaded);
+  caller_api(event_sink sink,
+             std::function<bool()> overloaded,
+             std::function<void(error_kind)> on_refused);
 
   /** Takes a request; the handler of an http_server. */
   void Handle(const std::shared_ptr<http_exchange>& exchange);
@@ -61,6 +64,7 @@
 
   event_sink sink_;
   std::function<bool()> overloaded_;
+  std::function<void(error_kind)> on_refused_;
   mutable std::mutex mutex_;
   request_id last_id_ = 0;
   pending_map pending_;
--- a/source/gentian_daemon/daemon.h
+++ b/source/gentian_daemon/daemon.h
@@ -30,7 +30,9 @@
          configuration initial,
          io_pool& pool,
          daemon_platform platform);
-  /** Stops at once if it still runs. */
+  /** Stops at once if it still runs. The pool must have been stopped before,
+      because handlers of open calls refer to the daemon.
+  */
   ~daemon();
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
@@ -50,6 +52,9 @@
   /** Address of the callers' interface, with the real port. */
   std::string caller_address() const;
 
+  /** Address of the administration API, empty if it is off. */
+  std::string admin_address() const;
+
  private:
   class parts;
   std::unique_ptr<parts> parts_;
--- a/source/gentian_settings/daemon_file.cc
+++ b/source/gentian_daemon/daemon_file.cc
@@ -1,4 +1,4 @@
-#include "gentian_settings/daemon_file.h"
+#include "gentian_daemon/daemon_file.h"
 
 #include <algorithm>
 #include <utility>
@@ -37,8 +37,8 @@
   daemon_file_builder(ini_reading reading, std::string file)
       : reading_(std::move(reading)), file_(std::move(file)) {}
 
-  daemon_file Build() {
-    daemon_file built;
+  daemon_options Build() {
+    daemon_options built;
     CheckSections();
     for (const daemon_file_section& section : DaemonFileSections()) {
       Fill(section, built);
@@ -78,9 +78,9 @@
     }
   }
 
-  void Fill(const daemon_file_section& section, daemon_file& built) {
+  void Fill(const daemon_file_section& section, daemon_options& built) {
     CheckKeys(section);
-    for (const settings_field<daemon_file>& field : section.fields) {
+    for (const settings_field<daemon_options>& field : section.fields) {
       bool found = false;
       for (const ini_entry& entry : reading_.entries) {
         if (entry.section == section.name && field.key.Matches(entry.key)) {
@@ -96,14 +96,14 @@
 
   void CheckKeys(const daemon_file_section& section) {
     std::vector<std::string> names;
-    for (const settings_field<daemon_file>& field : section.fields) {
+    for (const settings_field<daemon_options>& field : section.fields) {
       names.push_back(field.key.name);
     }
     for (const ini_entry& entry : reading_.entries) {
       const bool known =
           entry.section != section.name ||
           std::any_of(section.fields.begin(), section.fields.end(),
-                      [&](const settings_field<daemon_file>& field) {
+                      [&](const settings_field<daemon_options>& field) {
                         return field.key.Matches(entry.key);
                       });
       if (!known) {
@@ -113,9 +113,9 @@
     }
   }
 
-  void Store(const settings_field<daemon_file>& field,
+  void Store(const settings_field<daemon_options>& field,
              const ini_entry& entry,
-             daemon_file& built) {
+             daemon_options& built) {
     const auto parsed = ParseValue(field.key.rule, entry.value);
     if (const auto* mistake = std::get_if<value_mistake>(&parsed)) {
       Report(entry.line, entry.section, entry.key, mistake->reason,
@@ -125,10 +125,13 @@
     field.assign(built, std::get<parsed_value>(parsed));
     if (field.key.name == "key.*") {
       StoreOperator(entry, built);
+    } else if (field.key.name == "peer.*") {
+      const host_id host(entry.key.substr(std::string("peer.").size()));
+      built.peers.push_back({host, entry.value});
     }
   }
 
-  void StoreOperator(const ini_entry& entry, daemon_file& built) {
+  void StoreOperator(const ini_entry& entry, daemon_options& built) {
     const std::string name = entry.key.substr(std::string("key.").size());
     const auto [owner, added] =
         built.operators_by_key_hash.emplace(entry.value, name);
@@ -140,8 +143,8 @@
   }
 
   void FillMissing(const daemon_file_section& section,
-                   const settings_field<daemon_file>& field,
-                   daemon_file& built) {
+                   const settings_field<daemon_options>& field,
+                   daemon_options& built) {
     if (field.key.need == presence::required) {
       Report(LineOf(section.name), section.name, field.key.name,
              "the key is missing", "add it: " + field.key.description);
@@ -160,8 +163,9 @@
     return 0;
   }
 
-  void CheckContradictions(const daemon_file& built) {
-    if (built.tls_certificate.empty() != built.tls_private_key.empty()) {
+  void CheckContradictions(const daemon_options& built) {
+    if (built.caller_tls.certificate.empty() !=
+        built.caller_tls.private_key.empty()) {
       Report(LineOf("tls"), "tls", "",
              "a certificate and its private key belong together",
              "set both certificate and private_key, or none");
@@ -171,10 +175,11 @@
              "the administration API has an address but no key",
              "add key.<operator> = SHA-256 of a key");
     }
-    if (built.kv_tls && built.tls_authority.empty()) {
-      Report(LineOf("key-value"), "key-value", "tls",
-             "TLS needs certificates to check the service against",
-             "set authority in [tls]");
+    for (const peer_address& peer : built.peers) {
+      if (peer.host == built.host) {
+        Report(LineOf("peers"), "peers", "peer." + peer.host.text(),
+               "the daemon lists itself as a peer", "remove the line");
+      }
     }
   }
 
@@ -184,11 +189,11 @@
 
 }  // namespace
 
-std::variant<daemon_file, std::vector<settings_problem>> ParseDaemonFile(
+std::variant<daemon_options, std::vector<settings_problem>> ParseDaemonFile(
     const std::string& text,
     const std::string& file) {
   daemon_file_builder builder(ReadIni(text, file), file);
-  daemon_file built = builder.Build();
+  daemon_options built = builder.Build();
   std::vector<settings_problem> problems = builder.TakeProblems();
   if (!problems.empty()) {
     return problems;
--- a/source/gentian_decisions/node.h
+++ b/source/gentian_decisions/node.h
@@ -48,6 +48,9 @@
   /** Counters of refusals, retries and other decisions. */
   const counter_set& counters() const { return counters_; }
 
+  /** Members and configuration, for the I/O side of the daemon. */
+  const cluster_view& cluster() const { return cluster_; }
+
  private:
   using handler = void (node::*)(const event&, node_context&);
   using handler_table = std::array<handler, std::variant_size_v<event>>;
@@ -65,12 +68,15 @@
 
   void OnCallerRequest(const event& input, node_context& context);
   void OnAdminRequest(const event& input, node_context& context);
+  void OnTick(const event& input, node_context& context);
+  void OnStopRequested(const event& input, node_context& context);
 
   random_source& random_;
   counter_set counters_;
   standalone_cluster cluster_;
   direct_scheduling scheduling_;
   session_service sessions_;
+  bool stop_completed_ = false;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -87,7 +87,10 @@
                  node_context& context) {
             RunForwarded(caller, operation, route, context);
           },
-          [this](const answer_route& route) { calls_.CallerGone(route); }) {
+          [this](const answer_route& route) { calls_.CallerGone(route); }),
+      drain_(cluster, shards_, [this](const shard_id& shard) {
+        return calls_.HasCallsIn(shard) || operations_.IsWaitingIn(shard);
+      }) {
   calls_.SetFencingSource(
       [this](const shard_id& shard) { return shards_.Generation(shard); });
 }
@@ -105,6 +108,11 @@
     RunPlain(input, context);
     return;
   }
+  if (cluster_.self().epoch == 0) {
+    // Keys and numbers of forwarded requests are unique only with an epoch.
+    Refuse(LocalRoute(input, ""), session_errors::NotReady(), context);
+    return;
+  }
   const auto caller = gate_.Identify(input.key);
   if (Failed(caller)) {
     Refuse(LocalRoute(input, ""), ErrorOf(caller), context);
@@ -182,6 +190,10 @@
   const auto shard = operation.parent
                          ? ShardOf(*operation.parent)
                          : shards_.NextShard().value_or(shard_id());
+  if (!operation.parent && drain_.IsDraining()) {
+    Refuse(route, session_errors::Draining(), context);
+    return;
+  }
   if (shard.empty()) {
     Refuse(route, session_errors::NotReady(), context);
     return;
@@ -257,6 +269,7 @@
   operations_.Tick(context);
   forwarder_.Tick(context);
   intake_.Tick();
+  drain_.Tick(context);
 }
 
 void session_service::KeyWithdrawn(const std::string& key_hash,
@@ -267,11 +280,9 @@
 }
 
 json session_service::Status() const {
-  return json{{"sessions", sessions_.size()},
-              {"calls", calls_.size()},
-              {"forwarded", forwarder_.size()},
-              {"adoptions", adopter_.size()},
-              {"shards", shards_.Status()}};
+  return json{{"sessions", sessions_.size()},    {"calls", calls_.size()},
+              {"forwarded", forwarder_.size()},  {"adoptions", adopter_.size()},
+              {"draining", drain_.IsDraining()}, {"shards", shards_.Status()}};
 }
 
 void session_service::Reply(const answer_route& route,
@@ -284,78 +295,4 @@
   context.Emit(reply_to_caller{route.id, std::move(part)});
 }
 
-void session_service::Handle(const peer_received& input,
-                             node_context& context) {
-  std::visit(
-      [&](const auto& message) {
-        using type = std::decay_t<decltype(message)>;
-        constexpr bool kForReplica = std::is_same_v<type, store_records> ||
-                                     std::is_same_v<type, shard_copied> ||
-                                     std::is_same_v<type, forget_sessions> ||
-                                     std::is_same_v<type, fence_request>;
-        if constexpr (kForReplica) {
-          held_.Handle(input.from, message, context);
-        } else if constexpr (std::is_same_v<type, records_stored>) {
-          copies_.Handle(input.from, message, context);
-        } else if constexpr (std::is_same_v<type, store_refused>) {
-          Take(input.from, message, context);
-        } else if constexpr (std::is_same_v<type, fence_promise> ||
-                             std::is_same_v<type, hand_over>) {
-          adopter_.Handle(input.from, message, context);
-        } else if constexpr (std::is_same_v<type, owner_changed>) {
-          locator_.Learn(message.shard, message.generation, message.owner);
-        } else if constexpr (std::is_same_v<type, forward_request>) {
-          intake_.Handle(input.from, message, context);
-        } else if constexpr (std::is_same_v<type, forward_closed>) {
-          intake_.Handle(input.from, message);
-        } else if constexpr (std::is_same_v<type, forward_part>) {
-          forwarder_.Handle(input.from, message, context);
-        }
-      },
-      input.message);
-}
-
-void session_service::Take(const incarnation& from,
-                           const store_refused& message,
-                           node_context& context) {
-  adopter_.Handle(from, message, context);
-  shards_.Fenced(message.shard, message.promised, message.owner, context);
-}
-
-std::string session_service::AddressOf(const incarnation& owner) const {
-  const auto found = cluster_.FindMember(owner.host);
-  return found ? found->caller_address : std::string();
-}
-
-void session_service::ShardAdopted(const shard_id& shard,
-                                   const shard_record& record,
-                                   node_context& context) {
-  operations_.AdoptShard(shard, context);
-  Announce(shard, record, context);
-}
-
-void session_service::Announce(const shard_id& shard,
-                               const shard_record& record,
-                               node_context& context) {
-  locator_.Learn(shard, record.generation, record.owner);
-  for (const member& other : cluster_.LiveMembers()) {
-    if (other.id != cluster_.self()) {
-      context.Emit(
-          send_to_peer{other.id.host,
-                       owner_changed{shard, record.generation, record.owner}});
-    }
-  }
-}
-
-void session_service::ShardLost(const shard_id& shard,
-                                const incarnation& owner,
-                                node_context& context) {
-  const std::string address = AddressOf(owner);
-  locator_.Refresh(shard, context);
-  copies_.Stop(shard);
-  calls_.AbandonShard(shard, address, context);
-  operations_.AbandonShard(shard, address, context);
-  sessions_.EraseShard(shard);
-}
-
 }  // namespace gentian
