Give dev its settings as a tree and the daemon tests a key-value fake

Cause: dev and the tests of a whole daemon passed a configuration without a tree or no key-value service; the joined node needs both to register and to apply operators' changes. Change: dev builds its settings tree from change sets; the tests serve the fake of the key-value service over loopback.

--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned kIoThreads = 2;
+constexpr const char* kUnusedPeerAddress = "127.0.0.1:1";
 
 std::string NewKey() {
   system_random random;
@@ -47,6 +48,8 @@
   settings.host = host_id("dev");
   settings.failure_domain = failure_domain_id("dev");
   settings.caller_address = address;
+  // Required by the settings; the only daemon has no peers.
+  settings.peer_address = kUnusedPeerAddress;
   http_target_gateway targets(pool);
   etcd_key_value_store key_values(pool,
                                   environment.AddressOf("key-value service"));
@@ -55,8 +58,19 @@
   options.host = settings.host;
   options.failure_domain = settings.failure_domain;
   options.caller_address = address;
-  daemon subject(options, environment.MakeConfiguration(key, settings), pool,
-                 daemon_platform{&key_values, &targets, &hosts});
+  const settings_tree tree = environment.MakeSettings(key, settings);
+  const auto built = BuildConfiguration(tree, 1);
+  if (const auto* problems =
+          std::get_if<std::vector<settings_problem>>(&built)) {
+    for (const settings_problem& problem : *problems) {
+      std::cerr << "gentianrun dev: " << ToString(problem) << "\n";
+    }
+    return 1;
+  }
+  daemon subject(options,
+                 initial_settings(std::get<configuration>(built), tree,
+                                  BuildConfiguration),
+                 pool, daemon_platform{&key_values, &targets, &hosts});
   const result<success> started = subject.Start();
   if (Failed(started)) {
     return Fail(ErrorOf(started));
--- a/source/gentian_app/dev_environment.cc
+++ b/source/gentian_app/dev_environment.cc
@@ -58,49 +58,45 @@
                [this](const auto& exchange) { hosts_.Serve(exchange); });
 }
 
-configuration dev_environment::MakeConfiguration(
+settings_tree dev_environment::MakeSettings(
     const std::string& key,
     const daemon_settings& daemon) const {
-  configuration settings;
-  settings.version = 1;
-  settings.daemons[daemon.host] = daemon;
-  const pool_id engine_pool("model");
-  const pool_id tool_pool("tools");
-  settings.pools[engine_pool] =
-      pool_settings{engine_pool, target_kind::engine, "dev-model"};
-  settings.pools[tool_pool] =
-      pool_settings{tool_pool, target_kind::tool_service, ""};
+  const std::string own = "/daemons/" + daemon.host.text();
+  std::vector<settings_change> changes{
+      {own, "failure_domain", daemon.failure_domain.text()},
+      {own, "peer_address", daemon.peer_address},
+      {own, "caller_address", daemon.caller_address},
+      {"/pools/model", "kind", "engine"},
+      {"/pools/model", "model", "dev-model"},
+      {"/pools/model", "checks_fencing", "yes"},
+      {"/pools/model", "cache_tokens",
+       std::to_string(engine_fake_options{}.cache_tokens)},
+      {"/pools", "reports_not_run", "yes"},
+      {"/pools", "failure_domain", daemon.failure_domain.text()},
+      {"/pools/tools", "kind", "tool_service"},
+      {"/tools", "pool", "tools"},
+      {"/tools/book", "path", "/tools/book"},
+      {"/tools/lookup", "path", "/tools/lookup"},
+      {"/tools/lookup", "repeatable", "yes"},
+      {"/routes/plain", "prefix", "/plain"},
+      {"/routes/plain", "pool", "tools"},
+      {"/routes/plain", "open_to_all", "yes"},
+      {"/routes/plain", "repeatable", "yes"},
+      {"/programs/assistant", "pool", "model"},
+      {"/programs/assistant", "tools", "book, lookup"},
+      {"/teams/dev", "programs", "assistant"},
+      {"/teams/dev", "key.dev", Sha256Hex(key)},
+  };
   for (const auto& [name, address] : Addresses()) {
-    target_settings target;
-    target.id = target_id(name);
-    target.address = address;
-    target.reports_not_run = true;
-    if (name.rfind("engine-", 0) == 0) {
-      target.pool = engine_pool;
-      target.cache_tokens = engine_fake_options{}.cache_tokens;
-      target.checks_fencing = true;
-    } else if (name == "tools") {
-      target.pool = tool_pool;
-    } else {
-      continue;
+    const bool engine = name.rfind("engine-", 0) == 0;
+    if (engine || name == "tools") {
+      const std::string pool = engine ? "/pools/model/" : "/pools/tools/";
+      changes.push_back({pool + name, "address", address});
     }
-    settings.targets[target.id] = target;
   }
-  settings.tools["book"] = tool_settings{"book", tool_pool, "/tools/book"};
-  settings.tools["lookup"] =
-      tool_settings{"lookup", tool_pool, "/tools/lookup", true};
-  settings.routes.push_back(route_settings{"/plain", tool_pool, true, true});
-  program_settings program;
-  program.id = program_id("assistant");
-  program.pool = engine_pool;
-  program.tools = {"book", "lookup"};
-  settings.programs[program.id] = program;
-  team_settings team;
-  team.id = team_id("dev");
-  team.key_hashes.insert(Sha256Hex(key));
-  team.programs.insert(program.id);
-  settings.teams[team.id] = team;
-  return settings;
+  settings_tree tree;
+  tree.Apply(changes);
+  return tree;
 }
 
 std::vector<std::pair<std::string, std::string>> dev_environment::Addresses()
--- a/source/gentian_app/dev_environment.h
+++ b/source/gentian_app/dev_environment.h
@@ -19,13 +19,13 @@
   /** Starts the servers. */
   result<success> Start();
 
-  /** A configuration with the fakes as targets and one team.
+  /** Settings with the fakes as targets and one team.
 
       @param key     the team's key
       @param daemon  the only daemon
   */
-  configuration MakeConfiguration(const std::string& key,
-                                  const daemon_settings& daemon) const;
+  settings_tree MakeSettings(const std::string& key,
+                             const daemon_settings& daemon) const;
 
   /** Name and address of each server. */
   std::vector<std::pair<std::string, std::string>> Addresses() const;
--- a/tests/daemon/daemon_test.cc
+++ b/tests/daemon/daemon_test.cc
@@ -16,9 +16,13 @@
   daemon_fixture() {
     cr_assert(!Failed(engine_http.Listen("127.0.0.1:0")));
     cr_assert(!Failed(tool_http.Listen("127.0.0.1:0")));
+    cr_assert(!Failed(store_http.Listen("127.0.0.1:0")));
+    key_values =
+        std::make_unique<etcd_key_value_store>(pool, store_http.address());
     options.host = host_id("d");
     subject = std::make_unique<gentian::daemon>(
-        options, Settings(), pool, daemon_platform{nullptr, &targets, nullptr});
+        options, initial_settings(Settings()), pool,
+        daemon_platform{key_values.get(), &targets, nullptr});
     cr_assert(!Failed(subject->Start()));
   }
   ~daemon_fixture() {
@@ -84,6 +88,11 @@
       pool, [this](const auto& exchange) { engine.Serve(exchange); }};
   http_server tool_http{
       pool, [this](const auto& exchange) { tools.Serve(exchange); }};
+  key_value_fake values;
+  etcd_fake_server store{pool, values};
+  http_server store_http{
+      pool, [this](const auto& exchange) { store.Serve(exchange); }};
+  std::unique_ptr<etcd_key_value_store> key_values;
   http_target_gateway targets{pool};
   http_client client{pool};
   int calls = 0;
