--- a/source/gentian_net/websocket_codec.cc
+++ b/source/gentian_net/websocket_codec.cc
@@ -78,22 +78,22 @@
   void SetHandlers() {
     using websocketpp::connection_hdl;
     connection_->set_write_handler(
-        [this](connection_hdl, const char* bytes, std::size_t size) {
+        [this](const connection_hdl&, const char* bytes, std::size_t size) {
           events_.write(std::string_view(bytes, size));
           return websocketpp::lib::error_code();
         });
     connection_->set_open_handler(
-        [this](connection_hdl) { events_.on_open(); });
+        [this](const connection_hdl&) { events_.on_open(); });
     connection_->set_message_handler(
-        [this](connection_hdl, const message_ptr& message) {
+        [this](const connection_hdl&, const message_ptr& message) {
           events_.on_message(
               message->get_opcode() == websocketpp::frame::opcode::binary,
               message->get_payload());
         });
     connection_->set_close_handler(
-        [this](connection_hdl) { events_.on_close(); });
+        [this](const connection_hdl&) { events_.on_close(); });
     connection_->set_fail_handler(
-        [this](connection_hdl) { events_.on_close(); });
+        [this](const connection_hdl&) { events_.on_close(); });
   }
 
   handlers events_;
--- a/tests/daemon/supervisor_test.cc
+++ b/tests/daemon/supervisor_test.cc
@@ -25,7 +25,7 @@
   std::vector<duration> delays;
   std::string failing;
   int given_up = 0;
-  supervisor tree{[this](duration delay, std::function<void()> action) {
+  supervisor tree{[this](duration delay, const std::function<void()>& action) {
                     delays.push_back(delay);
                     action();
                   },
--- a/tests/net/peer_links_test.cc
+++ b/tests/net/peer_links_test.cc
@@ -18,7 +18,7 @@
       : links(
             pool,
             Options(name, key),
-            [this](const std::string& from, std::string message) {
+            [this](const std::string& from, const std::string& message) {
               const std::lock_guard<std::mutex> lock(mutex);
               received.push_back(from + ":" + message);
             },
