Report no refusal of a named call as not run without asking its owner

Change: a session remembers the keys of interrupted calls, and a refusal of their repeat says unknown. A daemon that refuses a call which the caller named by a key or a position, without asking the owner, says unknown too.

--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -14,6 +14,7 @@
 
 constexpr unsigned kIoThreads = 2;
 constexpr const char* kUnusedPeerAddress = "127.0.0.1:1";
+constexpr const char* kUnboundAddress = "127.0.0.1:2";
 
 std::string NewKey() {
   system_random random;
@@ -47,7 +48,8 @@
   daemon_settings settings;
   settings.host = host_id("dev");
   settings.failure_domain = failure_domain_id("dev");
-  settings.caller_address = address;
+  // The daemon replaces it by the address that it is bound to.
+  settings.caller_address = kUnboundAddress;
   // Required by the settings; the only daemon has no peers.
   settings.peer_address = kUnusedPeerAddress;
   http_target_gateway targets(pool);
--- a/source/gentian_app/dev_environment.cc
+++ b/source/gentian_app/dev_environment.cc
@@ -80,11 +80,13 @@
       {"/tools/lookup", "repeatable", "yes"},
       {"/routes/plain", "prefix", "/plain"},
       {"/routes/plain", "pool", "tools"},
-      {"/routes/plain", "open_to_all", "yes"},
+      {"/routes/plain", "public", "yes"},
       {"/routes/plain", "repeatable", "yes"},
       {"/programs/assistant", "pool", "model"},
       {"/programs/assistant", "tools", "book, lookup"},
       {"/teams/dev", "programs", "assistant"},
+      {"/teams/dev", "rate", "1000/s"},
+      {"/teams/dev", "burst", "1000"},
       {"/teams/dev", "key.dev", Sha256Hex(key)},
   };
   for (const auto& [name, address] : Addresses()) {
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -145,6 +145,9 @@
     if (own != initial_.settings.daemons.end()) {
       own->second.caller_address = options_.caller_address;
       own->second.peer_address = options_.peer_address;
+      // Later versions are built from the tree, which may name port 0.
+      initial_.tree.Apply({{"/daemons/" + options_.host.text(),
+                            "caller_address", options_.caller_address}});
     }
     loop_ = std::make_unique<decision_loop>(
         IdentityOf(options_), initial_, random_,
--- a/source/gentian_decisions/call_pipeline.cc
+++ b/source/gentian_decisions/call_pipeline.cc
@@ -78,11 +78,15 @@
     }
     if (lanes_[request.session].size() >= kMaxLane) {
       context.counters.Add("refused.overloaded");
-      answers_.Reply(route,
-                     error{error_kind::overloaded,
-                           "too many calls of the session are waiting",
-                           "wait for the answers before sending more calls"},
-                     context);
+      const auto outcome = owner->WasInterrupted(request.idempotency_key)
+                               ? call_outcome::unknown
+                               : call_outcome::not_run;
+      answers_.Reply(
+          route,
+          error{error_kind::overloaded,
+                "too many calls of the session are waiting",
+                "wait for the answers before sending more calls", outcome},
+          context);
       return;
     }
   }
@@ -96,6 +100,8 @@
     Begin(ticket, context);
     return;
   }
+  run.was_interrupted = sessions_.Find(run.request.session)
+                            ->WasInterrupted(run.request.idempotency_key);
   auto& lane = lanes_[run.request.session];
   lane.push_back(ticket);
   if (lane.size() == 1) {
--- a/source/gentian_decisions/call_pipeline.h
+++ b/source/gentian_decisions/call_pipeline.h
@@ -129,7 +129,7 @@
   void CutOff(call_run& run,
               const std::string& key_hash,
               node_context& context);
-  void AnswerAll(call_run& run, const answer_part& part, node_context& context);
+  void AnswerAll(call_run& run, answer_part part, node_context& context);
   void Remove(ticket_id ticket, node_context& context);
   call_run* FindRun(ticket_id ticket);
   work_item ItemOf(const call_run& run, const session* owner) const;
--- a/source/gentian_decisions/call_pipeline_end.cc
+++ b/source/gentian_decisions/call_pipeline_end.cc
@@ -17,8 +17,13 @@
 }  // namespace
 
 void call_pipeline::AnswerAll(call_run& run,
-                              const answer_part& part,
+                              answer_part part,
                               node_context& context) {
+  auto* failure = std::get_if<error>(&part);
+  if (failure != nullptr && run.was_interrupted &&
+      failure->outcome == call_outcome::not_run) {
+    failure->outcome = call_outcome::unknown;
+  }
   // Taken first, because answering may lead back here.
   const std::vector<answer_route> routes = std::move(run.routes);
   run.routes.clear();
--- a/source/gentian_decisions/call_run.h
+++ b/source/gentian_decisions/call_run.h
@@ -80,6 +80,9 @@
   steady_time retry_at;
   /** True once a byte of any attempt may have reached a target. */
   bool may_have_run = false;
+  /** True if an earlier run of the same call was interrupted, so that a refusal
+      must not report "not run". */
+  bool was_interrupted = false;
   /** Set if the call must end without a dispatch. */
   std::optional<error> abort;
 
--- a/source/gentian_decisions/caller_operation.h
+++ b/source/gentian_decisions/caller_operation.h
@@ -95,6 +95,16 @@
                                       end_session,
                                       plain_call>;
 
+/** True if the request may repeat an earlier one: a call that the caller named
+    by an idempotency key or a position. Only the session's owner knows whether
+    such a call has run, so that a daemon which refuses it without asking the
+    owner must not report "not run".
+*/
+bool MayRepeatEarlierCall(const caller_operation& operation);
+
+/** What a daemon that is not the owner may report about a refused request. */
+call_outcome OutcomeWithoutOwner(const caller_operation& operation);
+
 inline void to_json(json& out, const list_addresses& /*value*/) {
   out = json::object();
 }
--- a/source/gentian_decisions/node.cc
+++ b/source/gentian_decisions/node.cc
@@ -86,6 +86,7 @@
     refusal = cluster_.CheckReady(context.now);
   }
   if (refusal) {
+    refusal->outcome = OutcomeWithoutOwner(request.operation);
     counters_.Add(std::string("refused.") + NameOf(refusal->kind));
     context.Emit(reply_to_caller{request.id, std::move(*refusal)});
     return;
--- a/source/gentian_decisions/request_forwarder.cc
+++ b/source/gentian_decisions/request_forwarder.cc
@@ -50,12 +50,14 @@
                                 const answer_route& route,
                                 const shard_id& shard,
                                 node_context& context) {
+  const call_outcome unsent = OutcomeWithoutOwner(operation);
   AddIdempotencyKey(operation, "request:" + cluster_.self().ToString() + ":" +
                                    std::to_string(route.id));
   const request_id id = ++last_request_;
   open_request& added = requests_[id];
   added.caller = caller;
   added.operation = std::move(operation);
+  added.unsent_outcome = unsent;
   added.route = route;
   added.shard = shard;
   Try(id, context);
@@ -100,7 +102,7 @@
     return;
   }
   error reason{error_kind::unavailable, "the session has no owner at present",
-               "retry with the same idempotency key"};
+               "retry with the same idempotency key", request.unsent_outcome};
   reason.retry_after = kGiveUp;
   End(id, std::move(reason), context);
 }
@@ -289,8 +291,9 @@
     }
   }
   for (const request_id id : cut) {
-    const auto outcome = requests_.at(id).ever_sent ? call_outcome::unknown
-                                                    : call_outcome::not_run;
+    const open_request& request = requests_.at(id);
+    const auto outcome =
+        request.ever_sent ? call_outcome::unknown : request.unsent_outcome;
     End(id, session_errors::KeyWithdrawn(outcome), context);
   }
 }
--- a/source/gentian_decisions/request_forwarder.h
+++ b/source/gentian_decisions/request_forwarder.h
@@ -75,6 +75,8 @@
     /** Since when no owner can be reached. */
     std::optional<steady_time> stuck_since;
     bool ever_sent = false;
+    /** What may be reported while the owner has not been asked. */
+    call_outcome unsent_outcome = call_outcome::not_run;
     std::uint64_t parts = 0;
     std::map<std::uint64_t, json> early;
     std::uint64_t last_event = 0;
--- a/source/gentian_decisions/session.cc
+++ b/source/gentian_decisions/session.cc
@@ -77,6 +77,9 @@
     funds_.Settle(CallOwner(body.call), body.used);
   }
   if (body.position_free && body.call == calls_.size()) {
+    if (body.outcome == call_outcome::unknown) {
+      interrupted_keys_.insert(call.start.idempotency_key);
+    }
     calls_by_key_.erase(call.start.idempotency_key);
     calls_.pop_back();
     return;
--- a/source/gentian_decisions/session.h
+++ b/source/gentian_decisions/session.h
@@ -40,6 +40,13 @@
   /** The call with an idempotency key, nothing if there is none. */
   const session_call* FindByKey(const std::string& key) const;
 
+  /** True if a call with this key was interrupted and may be asked for again:
+      it may have run already.
+  */
+  bool WasInterrupted(const std::string& key) const {
+    return interrupted_keys_.count(key) > 0;
+  }
+
   /** The call at a position from 1, nothing if there is none. */
   const session_call* FindCall(std::uint64_t call) const;
 
@@ -85,6 +92,7 @@
   budget funds_;
   std::vector<session_call> calls_;
   std::map<std::string, std::uint64_t> calls_by_key_;
+  std::set<std::string> interrupted_keys_;
   std::set<session_id> children_;
   std::vector<session_record> records_;
   std::uint64_t history_tokens_ = 0;
