Restore sessions from checkpoints

A restart of the whole fleet, or the loss of two replicas and the owner, left shards that nobody could adopt, because copies are kept in memory and replicas are named by incarnation.

checkpoint_writer saves the committed records of owned shards under /checkpoint/<shard>/<batch>, one value per interval, and deletes batches that hold nothing needed any more. Keys are create-only and begin with the generation, so that two owners never write the same key. A batch keeps its content until it is known to be stored.

orphan_finder lists the shards and finds those with fewer live replicas than an adoption needs for 10 s. The adopter checks the leases of these replicas too, joins the checkpoints with copies that were promised and marks the sessions as restored. Such a session refuses further calls that may not be repeated with `session_restored`, outcome unknown. A session that is missing from a restored shard gets the outcome unknown as well.

The peer message forget_shard is added but not yet sent.

--- a/source/gentian_core/error.cc
+++ b/source/gentian_core/error.cc
@@ -13,7 +13,7 @@
   int http_status;
 };
 
-constexpr std::array<kind_row, 23> kKinds = {{
+constexpr std::array<kind_row, 24> kKinds = {{
     {error_kind::malformed_request, "malformed_request", 400},
     {error_kind::too_large, "too_large", 413},
     {error_kind::unauthorized, "unauthorized", 401},
@@ -31,6 +31,7 @@
     {error_kind::moved, "moved", 421},
     {error_kind::draining, "draining", 503},
     {error_kind::outcome_unknown, "outcome_unknown", 502},
+    {error_kind::session_restored, "session_restored", 409},
     {error_kind::target_failed, "target_failed", 502},
     {error_kind::target_timeout, "target_timeout", 504},
     {error_kind::conflict, "conflict", 409},
--- a/source/gentian_core/error.h
+++ b/source/gentian_core/error.h
@@ -29,6 +29,7 @@
   moved,
   draining,
   outcome_unknown,
+  session_restored,
   target_failed,
   target_timeout,
   conflict,
--- /dev/null
+++ b/source/gentian_decisions/checkpoint_batch.cc
@@ -0,0 +1,45 @@
+#include "gentian_decisions/checkpoint_batch.h"
+
+#include <cstdio>
+
+#include "gentian_core/cbor.h"
+
+namespace gentian {
+
+std::string CheckpointPrefix(const shard_id& shard) {
+  return "/checkpoint/" + shard.text() + "/";
+}
+
+std::string CheckpointKey(const shard_id& shard,
+                          std::uint64_t generation,
+                          std::uint64_t batch) {
+  // At one batch a second 8 digits last for three years.
+  constexpr std::uint64_t kBatchesPerGeneration = 100'000'000;
+  constexpr std::size_t kLongest = 32;
+  char digits[kLongest];
+  std::snprintf(digits, sizeof(digits), "%012llu",
+                static_cast<unsigned long long>(
+                    generation * kBatchesPerGeneration + batch));
+  return CheckpointPrefix(shard) + digits;
+}
+
+std::string EncodeCheckpoint(const checkpoint_batch& batch) {
+  const std::vector<std::uint8_t> bytes = json::to_cbor(json(batch));
+  return std::string(bytes.begin(), bytes.end());
+}
+
+result<checkpoint_batch> DecodeCheckpoint(const std::string& text) {
+  auto parsed = ParseCbor(std::vector<std::uint8_t>(text.begin(), text.end()));
+  if (Failed(parsed)) {
+    return ErrorOf(parsed);
+  }
+  try {
+    return ValueOf(parsed).get<checkpoint_batch>();
+  } catch (const json::exception& failure) {
+    return error{error_kind::internal,
+                 std::string("a checkpoint is damaged: ") + failure.what(),
+                 "run the same version on all daemons"};
+  }
+}
+
+}  // namespace gentian
--- a/source/gentian_decisions/replica_store.cc
+++ b/source/gentian_decisions/replica_store.cc
@@ -100,6 +100,15 @@
   }
 }
 
+void replica_store::Handle(const incarnation& from,
+                           const forget_shard& message,
+                           node_context& /*context*/) {
+  if (message.to == self_ &&
+      !Promise(from, message.shard, message.generation)) {
+    DropCopies(message.shard);
+  }
+}
+
 void replica_store::Handle(const incarnation& from,
                            const fence_request& message,
                            node_context& context) {
--- a/source/gentian_decisions/replica_store.h
+++ b/source/gentian_decisions/replica_store.h
@@ -29,6 +29,9 @@
   void Handle(const incarnation& from,
               const forget_sessions& message,
               node_context& context);
+  void Handle(const incarnation& from,
+              const forget_shard& message,
+              node_context& context);
   void Handle(const incarnation& from,
               const fence_request& message,
               node_context& context);
--- a/source/gentian_decisions/replicator.cc
+++ b/source/gentian_decisions/replicator.cc
@@ -301,6 +301,15 @@
   return true;
 }
 
+std::uint64_t replicator::CommittedRecords(const session_id& session) const {
+  const auto shard = shards_.find(ShardOf(session));
+  if (shard == shards_.end()) {
+    return 0;
+  }
+  const auto log = shard->second.sessions.find(session);
+  return log == shard->second.sessions.end() ? 0 : log->second.committed;
+}
+
 void replicator::AnnounceCopied(const shard_id& shard, node_context& context) {
   const shard_log* log = Find(shard);
   if (log == nullptr) {
--- a/source/gentian_decisions/replicator.h
+++ b/source/gentian_decisions/replicator.h
@@ -67,6 +67,9 @@
   */
   bool IsCopied(const shard_id& shard, bool enough) const;
 
+  /** Records of a session that enough replicas have acknowledged. */
+  std::uint64_t CommittedRecords(const session_id& session) const;
+
   /** Tells the replicas that everything was copied. */
   void AnnounceCopied(const shard_id& shard, node_context& context);
 
--- a/source/gentian_decisions/session.cc
+++ b/source/gentian_decisions/session.cc
@@ -97,6 +97,10 @@
   funds_.Settle(body.child.text(), body.used);
 }
 
+void session::Use(const session_restored& /*body*/) {
+  restored_ = true;
+}
+
 void session::Use(const session_ended& /*body*/) {
   ended_ = true;
 }
--- a/source/gentian_decisions/session.h
+++ b/source/gentian_decisions/session.h
@@ -67,6 +67,8 @@
   const std::vector<session_record>& records() const { return records_; }
   const std::vector<session_call>& calls() const { return calls_; }
   bool ended() const { return ended_; }
+  /** True if the session was rebuilt from checkpoints. */
+  bool restored() const { return restored_; }
   /** Position of the next call. */
   std::uint64_t next_call() const { return calls_.size() + 1; }
 
@@ -77,6 +79,7 @@
   void Use(const call_finished& body);
   void Use(const child_opened& body);
   void Use(const child_ended& body);
+  void Use(const session_restored& body);
   void Use(const session_ended& body);
 
   session_id id_;
@@ -88,6 +91,7 @@
   std::set<session_id> children_;
   std::vector<session_record> records_;
   std::uint64_t history_tokens_ = 0;
+  bool restored_ = false;
   bool ended_ = false;
 };
 
--- a/source/gentian_decisions/session_ending.cc
+++ b/source/gentian_decisions/session_ending.cc
@@ -99,6 +99,7 @@
 void session_operations::AbandonShard(const shard_id& shard,
                                       const std::string& owner_address,
                                       node_context& context) {
+  restored_shards_.erase(shard);
   for (auto at = pending_.begin(); at != pending_.end();) {
     if (at->second.shard != shard) {
       ++at;
@@ -140,7 +141,11 @@
 }
 
 void session_operations::AdoptShard(const shard_id& shard,
+                                    bool restored,
                                     node_context& context) {
+  if (restored) {
+    restored_shards_.insert(shard);
+  }
   for (session* adopted : sessions_.InShard(shard)) {
     CloseInterrupted(*adopted, context);
   }
--- a/source/gentian_decisions/session_errors.cc
+++ b/source/gentian_decisions/session_errors.cc
@@ -42,6 +42,15 @@
           call_outcome::unknown};
 }
 
+error SessionRestored() {
+  return {error_kind::session_restored,
+          "the session was restored from a checkpoint, so that the call may "
+          "have run before; it is not run again",
+          "check at the service whether the call has run, and open a new "
+          "session for calls that may not be repeated",
+          call_outcome::unknown};
+}
+
 error DeadlinePassed(call_outcome outcome) {
   return {error_kind::target_timeout, "the deadline of the call has passed",
           outcome == call_outcome::not_run
--- a/source/gentian_decisions/session_errors.h
+++ b/source/gentian_decisions/session_errors.h
@@ -30,6 +30,9 @@
 /** The call may have run and is not repeated. */
 error OutcomeUnknown(const std::string& message);
 
+/** The session was rebuilt from checkpoints; the call may have run before. */
+error SessionRestored();
+
 /** The deadline passed. */
 error DeadlinePassed(call_outcome outcome);
 
--- a/source/gentian_decisions/session_messages.h
+++ b/source/gentian_decisions/session_messages.h
@@ -71,6 +71,15 @@
   std::vector<session_id> sessions;
 };
 
+/** Owner to replica: the shard has other replicas now. */
+struct forget_shard {
+  static constexpr const char* kType = "forget_shard";
+
+  incarnation to;
+  shard_id shard;
+  std::uint64_t generation = 0;
+};
+
 /** A session as a replica holds it. */
 struct session_copy {
   session_id session;
@@ -176,6 +185,7 @@
                                    shard,
                                    generation,
                                    sessions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(forget_shard, to, shard, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_copy,
                                    session,
                                    generation,
--- a/source/gentian_decisions/session_operations.cc
+++ b/source/gentian_decisions/session_operations.cc
@@ -61,7 +61,12 @@
   session* found = sessions_.Find(id);
   if (found == nullptr || found->opened().team != caller.team ||
       found->ended() || ending_.count(id) > 0) {
-    Refuse(route, session_errors::UnknownSession(), context);
+    error reason = session_errors::UnknownSession();
+    if (found == nullptr && restored_shards_.count(ShardOf(id)) > 0) {
+      // A lost session may have run the call.
+      reason.outcome = call_outcome::unknown;
+    }
+    Refuse(route, std::move(reason), context);
     return nullptr;
   }
   return found;
@@ -263,6 +268,12 @@
   request.deadline = tool->second.deadline;
   request.idempotency_key =
       KeyOf(operation.idempotency_key, operation.sequence, *owner, route);
+  if (owner->restored() && !request.repeatable &&
+      owner->FindByKey(request.idempotency_key) == nullptr) {
+    // The call may be one of those that the checkpoint does not hold.
+    Refuse(route, session_errors::SessionRestored(), context);
+    return;
+  }
   calls_.Submit(std::move(request), route, context);
 }
 
--- a/source/gentian_decisions/session_operations.h
+++ b/source/gentian_decisions/session_operations.h
@@ -2,6 +2,7 @@
 #define GENTIAN_DECISIONS_SESSION_OPERATIONS_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "gentian_decisions/call_pipeline.h"
@@ -62,8 +63,10 @@
 
   /** Brings the sessions of an adopted shard into order: calls that were
       interrupted get an end, sessions that had ended are given up.
+
+      @param restored  true if sessions of the shard may have been lost
   */
-  void AdoptShard(const shard_id& shard, node_context& context);
+  void AdoptShard(const shard_id& shard, bool restored, node_context& context);
 
   /** Answers requests that wait for records of a shard that was lost. */
   void AbandonShard(const shard_id& shard,
@@ -128,6 +131,7 @@
       session_ended is being copied. */
   std::map<session_id, bool> ending_;
   std::multimap<session_id, std::uint64_t> end_requests_;
+  std::set<shard_id> restored_shards_;
   std::uint64_t last_pending_ = 0;
 };
 
--- a/source/gentian_decisions/session_record.h
+++ b/source/gentian_decisions/session_record.h
@@ -80,6 +80,13 @@
   budget_amount used;
 };
 
+/** The session was rebuilt from checkpoints, so that its newest calls may be
+    missing. It accepts no further call that may not be repeated.
+*/
+struct session_restored {
+  static constexpr const char* kType = "session_restored";
+};
+
 /** Last record of a session. */
 struct session_ended {
   static constexpr const char* kType = "session_ended";
@@ -92,6 +99,7 @@
                                          call_finished,
                                          child_opened,
                                          child_ended,
+                                         session_restored,
                                          session_ended>;
 
 /** One entry of a session's log. A session is the result of applying its
@@ -138,6 +146,10 @@
                                    last_event)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(child_opened, child, reservation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(child_ended, child, used)
+inline void to_json(json& out, const session_restored& /*value*/) {
+  out = json::object();
+}
+inline void from_json(const json& /*in*/, session_restored& /*value*/) {}
 inline void to_json(json& out, const session_ended& /*value*/) {
   out = json::object();
 }
--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -66,6 +66,7 @@
       sessions_(copies_),
       shards_(cluster, store, copies_, *this),
       adopter_(cluster, store, held_, copies_, sessions_, shards_, *this),
+      checkpoints_(cluster, store, copies_, sessions_, shards_),
       calls_(cluster, scheduling, sessions_, *this),
       operations_(cluster, scheduling, sessions_, calls_, *this),
       locator_(cluster, store),
@@ -265,6 +266,7 @@
   shards_.Tick(context);
   adopter_.Tick(context);
   copies_.Tick(context);
+  checkpoints_.Tick(context);
   calls_.Tick(context);
   operations_.Tick(context);
   forwarder_.Tick(context);
--- a/source/gentian_decisions/session_service.h
+++ b/source/gentian_decisions/session_service.h
@@ -3,6 +3,7 @@
 
 #include "gentian_decisions/call_pipeline.h"
 #include "gentian_decisions/caller_gate.h"
+#include "gentian_decisions/checkpoint_writer.h"
 #include "gentian_decisions/event.h"
 #include "gentian_decisions/forward_intake.h"
 #include "gentian_decisions/kv_access.h"
@@ -98,6 +99,7 @@
   session_table sessions_;
   shard_manager shards_;
   shard_adopter adopter_;
+  checkpoint_writer checkpoints_;
   call_pipeline calls_;
   session_operations operations_;
   shard_locator locator_;
--- a/source/gentian_decisions/session_service_peers.cc
+++ b/source/gentian_decisions/session_service_peers.cc
@@ -13,6 +13,7 @@
         constexpr bool kForReplica = std::is_same_v<type, store_records> ||
                                      std::is_same_v<type, shard_copied> ||
                                      std::is_same_v<type, forget_sessions> ||
+                                     std::is_same_v<type, forget_shard> ||
                                      std::is_same_v<type, fence_request>;
         if constexpr (kForReplica) {
           held_.Handle(input.from, message, context);
@@ -65,7 +66,7 @@
 void session_service::ShardAdopted(const shard_id& shard,
                                    const shard_record& record,
                                    node_context& context) {
-  operations_.AdoptShard(shard, context);
+  operations_.AdoptShard(shard, record.restored, context);
   Announce(shard, record, context);
 }
 
--- a/source/gentian_decisions/shard_activation.cc
+++ b/source/gentian_decisions/shard_activation.cc
@@ -92,6 +92,7 @@
   const shard_record record = adoptions_[shard].record;
   adoptions_.erase(shard);
   watches_.erase(shard);
+  orphans_.Drop(shard);
   held_.DropCopies(shard);
   shards_.TakeOver(shard, record, version);
   copies_.AnnounceCopied(shard, context);
--- a/source/gentian_decisions/shard_adopter.cc
+++ b/source/gentian_decisions/shard_adopter.cc
@@ -1,6 +1,7 @@
 #include "gentian_decisions/shard_adopter.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "gentian_decisions/daemon_lease.h"
@@ -48,13 +49,23 @@
       copies_(copies),
       sessions_(sessions),
       shards_(shards),
-      listener_(listener) {}
+      listener_(listener),
+      orphans_(cluster, store),
+      checkpoints_(store) {}
 
 void shard_adopter::Tick(node_context& context) {
   if (cluster_.self().epoch == 0) {
     return;
   }
+  orphans_.Tick(context);
+  std::set<shard_id> candidates;
   for (const shard_id& shard : held_.Shards()) {
+    candidates.insert(shard);
+  }
+  for (const shard_id& shard : orphans_.Due(context.now)) {
+    candidates.insert(shard);
+  }
+  for (const shard_id& shard : candidates) {
     if (adoptions_.count(shard) == 0 && !shards_.Record(shard)) {
       Watch(shard, context);
     }
@@ -70,7 +81,9 @@
 
 void shard_adopter::Watch(const shard_id& shard, node_context& context) {
   const auto owner = held_.OwnerOf(shard);
-  if (!owner || (cluster_.IsAlive(*owner) && *owner != cluster_.self())) {
+  const bool owned =
+      !owner || (cluster_.IsAlive(*owner) && *owner != cluster_.self());
+  if (owned && !orphans_.IsDue(shard, context.now)) {
     watches_.erase(shard);
     return;
   }
@@ -108,6 +121,7 @@
     return;
   }
   if (cluster_.IsAlive(record.owner)) {
+    orphans_.Drop(shard);
     watches_[shard].expired_since.reset();
     return;
   }
@@ -145,6 +159,19 @@
     state.expired_since = context.now;
   }
   const auto rank = RankOf(cluster_.self(), shard, record);
+  if (!rank && orphans_.IsDue(shard, context.now)) {
+    state.calling = true;
+    CheckReplicaLeases(
+        record, 0, 0,
+        [this, shard, record, version](bool gone, node_context& later) {
+          watches_[shard].calling = false;
+          if (gone) {
+            Claim(shard, record, version, later);
+          }
+        },
+        context);
+    return;
+  }
   if (!rank) {
     // Replaced by another replica: the copies have no use any more.
     held_.DropCopies(shard);
@@ -202,6 +229,7 @@
   state.version = version;
   state.collected.emplace(shard, record);
   state.stage_started = context.now;
+  state.short_since = orphans_.Since(shard);
   AskForPromises(state, context);
   Advance(shard, context);
 }
@@ -294,6 +322,9 @@
   if (state.at == stage::fencing && context.now >= state.asked + kAskAgain) {
     AskForPromises(state, context);
   }
+  if (state.at == stage::fencing) {
+    WatchReplicas(shard, state, context);
+  }
   if (state.at == stage::copying &&
       context.now >= state.stage_started + kCopyDeadline) {
     StartCopying(shard, state, context);
--- a/source/gentian_decisions/shard_adopter.h
+++ b/source/gentian_decisions/shard_adopter.h
@@ -1,10 +1,13 @@
 #ifndef GENTIAN_DECISIONS_SHARD_ADOPTER_H_
 #define GENTIAN_DECISIONS_SHARD_ADOPTER_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
+#include "gentian_decisions/checkpoint_reader.h"
+#include "gentian_decisions/orphan_finder.h"
 #include "gentian_decisions/replica_store.h"
 #include "gentian_decisions/replicator.h"
 #include "gentian_decisions/session_table.h"
@@ -15,7 +18,8 @@
 
 /** Takes over shards whose owner is gone or hands them over: claims the
     record, fences the replicas, copies the merged sessions to a new replica
-    set, and activates the record. Nothing is dispatched before that.
+    set, and activates the record. Nothing is dispatched before that. Sessions
+    of a shard without enough replicas are restored from its checkpoints.
 */
 class shard_adopter {
  public:
@@ -56,6 +60,9 @@
     steady_time stage_started;
     steady_time asked;
     bool calling = false;
+    /** Since when too few replicas can be found. */
+    std::optional<steady_time> short_since;
+    bool reading = false;
   };
   /** A shard with copies here whose owner seems to be gone. */
   struct watch {
@@ -76,6 +83,13 @@
                const shard_record& record,
                std::uint64_t version,
                node_context& context);
+  /** Tells whether fewer replicas hold a lease than an adoption needs; false
+      too if the service does not answer. */
+  void CheckReplicaLeases(const shard_record& record,
+                          std::size_t checked,
+                          std::size_t held,
+                          const std::function<void(bool, node_context&)>& then,
+                          node_context& context);
   void Claim(const shard_id& shard,
              const shard_record& record,
              std::uint64_t version,
@@ -87,6 +101,20 @@
   void Step(const shard_id& shard, node_context& context);
   void AskForPromises(adoption_state& state, node_context& context);
   void Advance(const shard_id& shard, node_context& context);
+  void WatchReplicas(const shard_id& shard,
+                     adoption_state& state,
+                     node_context& context);
+  void ReadCheckpoints(const shard_id& shard,
+                       adoption_state& state,
+                       node_context& context);
+  void TakeCheckpoints(const shard_id& shard,
+                       std::uint64_t generation,
+                       const std::optional<checkpoint_contents>& contents,
+                       node_context& context);
+  void Restore(const shard_id& shard,
+               adoption_state& state,
+               const checkpoint_contents& contents,
+               node_context& context);
   void StartCopying(const shard_id& shard,
                     adoption_state& state,
                     node_context& context);
@@ -106,6 +134,8 @@
   session_table& sessions_;
   shard_manager& shards_;
   shard_owner_listener& listener_;
+  orphan_finder orphans_;
+  checkpoint_reader checkpoints_;
   std::map<shard_id, watch> watches_;
   std::map<shard_id, adoption_state> adoptions_;
 };
--- a/source/gentian_decisions/shard_adoption.cc
+++ b/source/gentian_decisions/shard_adoption.cc
@@ -65,21 +65,45 @@
 
 std::vector<std::unique_ptr<session>> shard_adoption::Merge(
     steady_time now) const {
-  std::map<session_id, const session_copy*> best;
-  std::map<session_id, milliseconds> elapsed;
+  std::vector<const session_copy*> copies;
   for (const auto& [replica, known] : answers_) {
-    if (!known.complete) {
-      continue;
-    }
     for (const session_copy& copy : known.copies) {
-      const session_copy*& chosen = best[copy.session];
-      if (chosen == nullptr || IsBetter(copy, *chosen)) {
-        chosen = &copy;
+      if (known.complete) {
+        copies.push_back(&copy);
       }
-      milliseconds& longest = elapsed[copy.session];
-      longest = std::max(longest, copy.elapsed);
     }
   }
+  return Build(copies, now);
+}
+
+std::vector<std::unique_ptr<session>> shard_adoption::Restore(
+    const std::vector<session_copy>& checkpoints,
+    steady_time now) const {
+  std::vector<const session_copy*> copies;
+  for (const session_copy& copy : checkpoints) {
+    copies.push_back(&copy);
+  }
+  for (const auto& [replica, known] : answers_) {
+    for (const session_copy& copy : known.copies) {
+      copies.push_back(&copy);
+    }
+  }
+  return Build(copies, now);
+}
+
+std::vector<std::unique_ptr<session>> shard_adoption::Build(
+    const std::vector<const session_copy*>& copies,
+    steady_time now) {
+  std::map<session_id, const session_copy*> best;
+  std::map<session_id, milliseconds> elapsed;
+  for (const session_copy* copy : copies) {
+    const session_copy*& chosen = best[copy->session];
+    if (chosen == nullptr || IsBetter(*copy, *chosen)) {
+      chosen = copy;
+    }
+    milliseconds& longest = elapsed[copy->session];
+    longest = std::max(longest, copy->elapsed);
+  }
   std::vector<std::unique_ptr<session>> merged;
   for (const auto& [id, copy] : best) {
     if (copy->records.empty()) {
--- a/source/gentian_decisions/shard_adoption.h
+++ b/source/gentian_decisions/shard_adoption.h
@@ -33,6 +33,13 @@
   */
   std::vector<std::unique_ptr<session>> Merge(steady_time now) const;
 
+  /** Builds the sessions from checkpoints and from the copies that have
+      arrived, with the same preference.
+  */
+  std::vector<std::unique_ptr<session>> Restore(
+      const std::vector<session_copy>& checkpoints,
+      steady_time now) const;
+
   const shard_record& record() const { return record_; }
 
  private:
@@ -42,6 +49,10 @@
     std::vector<session_copy> copies;
   };
 
+  static std::vector<std::unique_ptr<session>> Build(
+      const std::vector<const session_copy*>& copies,
+      steady_time now);
+
   shard_id shard_;
   shard_record record_;
   std::map<incarnation, answer> answers_;
--- a/source/gentian_decisions/shard_record.h
+++ b/source/gentian_decisions/shard_record.h
@@ -19,6 +19,9 @@
   std::uint64_t generation = 0;
   state phase = state::active;
   std::vector<incarnation> replicas;
+  /** True if sessions were rebuilt from checkpoints once. A session that is
+      not found may have been lost. */
+  bool restored = false;
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(shard_record::state,
@@ -28,7 +31,8 @@
                                    owner,
                                    generation,
                                    phase,
-                                   replicas)
+                                   replicas,
+                                   restored)
 
 /** Key of a shard's record in the key-value service. */
 inline std::string ShardKey(const shard_id& shard) {
--- a/tests/decisions/session_fleet.h
+++ b/tests/decisions/session_fleet.h
@@ -19,6 +19,19 @@
   bool down = false;
   /** Answers of the next writes that are lost after they took effect. */
   int lose_answers = 0;
+  /** Only answers of writes below this prefix are lost. */
+  std::string lose_under = "/";
+
+  /** Keys of all entries below a prefix. */
+  std::vector<std::string> Keys(const std::string& prefix) const {
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : entries) {
+      if (key.compare(0, prefix.size(), prefix) == 0 && entry.version > 0) {
+        keys.push_back(key);
+      }
+    }
+    return keys;
+  }
 
   kv_answer Answer(const kv_operation& operation) {
     kv_answer answer;
@@ -37,7 +50,13 @@
         }
       }
     } else if (const auto* remove = std::get_if<kv_delete>(&operation)) {
-      entries.erase(remove->key);
+      const auto found = entries.find(remove->key);
+      if (found == entries.end() ||
+          found->second.version != remove->expected_version) {
+        answer.outcome = kv_answer::status::conflict;
+      } else {
+        entries.erase(found);
+      }
     } else if (const auto* swap =
                    std::get_if<kv_compare_and_swap>(&operation)) {
       Swap(*swap, answer);
@@ -55,7 +74,8 @@
     }
     entry = kv_entry{swap.key, swap.value, entry.version + 1};
     answer.entries = {entry};
-    if (lose_answers > 0) {
+    const bool lossy = swap.key.compare(0, lose_under.size(), lose_under) == 0;
+    if (lossy && lose_answers > 0) {
       --lose_answers;
       answer = kv_answer{};
     }
@@ -93,6 +113,7 @@
   std::vector<std::pair<kv_operation, answer_handler>> store_calls;
   std::vector<dispatch_call> dispatches;
   std::map<request_id, std::vector<answer_part>> answers;
+  std::vector<write_log> logs;
   bool stopped = false;
 };
 
@@ -169,6 +190,17 @@
     store.entries.erase("/daemon/" + host);
   }
 
+  /** The process ends and a new incarnation of the daemon starts. */
+  void Restart(const std::string& host) {
+    const std::uint64_t epoch = daemons_[host]->id.epoch + 1;
+    daemons_[host] = std::make_unique<fake_daemon>(*this, host);
+    daemons_[host]->id.epoch = epoch;
+    kv_entry& entry = store.entries["/daemon/" + host];
+    entry.key = "/daemon/" + host;
+    entry.value = json{{"epoch", epoch}}.dump();
+    ++entry.version;
+  }
+
   request_id Ask(const std::string& host, caller_operation operation) {
     const request_id id = ++last_request;
     fake_daemon& daemon = *daemons_[host];
@@ -213,12 +245,21 @@
     return sum;
   }
 
-  /** The live daemon that serves a shard, empty if none. */
+  /** A counter, summed over all daemons. */
+  std::uint64_t Counter(const std::string& name) const {
+    std::uint64_t sum = 0;
+    for (const auto& [host, daemon] : daemons_) {
+      sum += daemon->counters.Value(name);
+    }
+    return sum;
+  }
+
+  /** The running daemon that serves a shard, empty if none. */
   std::string OwnerOf(const session_id& session) const {
     for (const auto& [host, daemon] : daemons_) {
       const json status = daemon->service.Status();
       for (const json& row : status.at("shards")) {
-        if (!daemon->dead && row.at("serving") &&
+        if (!daemon->dead && !daemon->paused && row.at("serving") &&
             row.at("shard") == ShardOf(session).text()) {
           return host;
         }
@@ -305,6 +346,8 @@
       dispatches.push_back(std::move(*sent));
     } else if (auto* reply = std::get_if<reply_to_caller>(&entry)) {
       answers[reply->id].push_back(std::move(reply->part));
+    } else if (auto* line = std::get_if<write_log>(&entry)) {
+      logs.push_back(std::move(*line));
     } else if (std::holds_alternative<stop_completed>(entry)) {
       stopped = true;
     }
