Drop copies and records that are not needed any more

Replaced replicas kept their copies, and an adopted shard kept its record and its checkpoints after its last session.

New sessions go to the shards that the daemon has created, so that adopted ones become empty. An owner whose record was deleted gives the shard up.

Two lint findings in the checkpoint files are corrected.

--- a/source/gentian_decisions/checkpoint_batch.cc
+++ b/source/gentian_decisions/checkpoint_batch.cc
@@ -1,7 +1,5 @@
 #include "gentian_decisions/checkpoint_batch.h"
 
-#include <cstdio>
-
 #include "gentian_core/cbor.h"
 
 namespace gentian {
@@ -15,11 +13,12 @@
                           std::uint64_t batch) {
   // At one batch a second 8 digits last for three years.
   constexpr std::uint64_t kBatchesPerGeneration = 100'000'000;
-  constexpr std::size_t kLongest = 32;
-  char digits[kLongest];
-  std::snprintf(digits, sizeof(digits), "%012llu",
-                static_cast<unsigned long long>(
-                    generation * kBatchesPerGeneration + batch));
+  constexpr std::size_t kDigits = 12;
+  std::string digits =
+      std::to_string(generation * kBatchesPerGeneration + batch);
+  if (digits.size() < kDigits) {
+    digits.insert(0, kDigits - digits.size(), '0');
+  }
   return CheckpointPrefix(shard) + digits;
 }
 
--- a/source/gentian_decisions/checkpoint_shard.h
+++ b/source/gentian_decisions/checkpoint_shard.h
@@ -60,6 +60,9 @@
   /** Notes that a batch was deleted, or is not there any more. */
   void Deleted(std::uint64_t number) { batches_.erase(number); }
 
+  /** True if no batch is stored. */
+  bool IsEmpty() const { return batches_.empty(); }
+
   std::uint64_t generation() const { return generation_; }
 
   /** True if these batches alone hold all sessions. */
--- a/source/gentian_decisions/checkpoint_writer.cc
+++ b/source/gentian_decisions/checkpoint_writer.cc
@@ -92,11 +92,12 @@
     }
     last_ = shard;
     const std::uint64_t number = shards_saved_.at(shard).saved.next();
-    write_.emplace();
-    write_->shard = shard;
-    write_->key = CheckpointKey(shard, batch->generation, number);
-    write_->value = EncodeCheckpoint(*batch);
-    write_->batch = std::move(*batch);
+    write_state next;
+    next.shard = shard;
+    next.key = CheckpointKey(shard, batch->generation, number);
+    next.value = EncodeCheckpoint(*batch);
+    next.batch = std::move(*batch);
+    write_ = std::move(next);
     SendWrite(context);
     return;
   }
@@ -144,6 +145,13 @@
   }
 }
 
+bool checkpoint_writer::HasNone(const shard_id& shard) const {
+  const auto found = shards_saved_.find(shard);
+  return found != shards_saved_.end() && found->second.earlier &&
+         found->second.earlier->empty() && found->second.saved.IsEmpty() &&
+         !(write_ && write_->shard == shard);
+}
+
 void checkpoint_writer::StartDelete(node_context& context) {
   for (auto& [shard, state] : shards_saved_) {
     if (!state.earlier && state.saved.IsComplete()) {
--- a/source/gentian_decisions/checkpoint_writer.h
+++ b/source/gentian_decisions/checkpoint_writer.h
@@ -38,6 +38,9 @@
   /** Writes and deletes at most one batch in each interval. */
   void Tick(node_context& context);
 
+  /** True if no batch of an owned shard is stored any more. */
+  bool HasNone(const shard_id& shard) const;
+
   /** Time between two batches of one daemon. */
   static milliseconds Interval(std::size_t daemons);
 
--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -89,9 +89,20 @@
             RunForwarded(caller, operation, route, context);
           },
           [this](const answer_route& route) { calls_.CallerGone(route); }),
-      drain_(cluster, shards_, [this](const shard_id& shard) {
-        return calls_.HasCallsIn(shard) || operations_.IsWaitingIn(shard);
-      }) {
+      drain_(cluster,
+             shards_,
+             [this](const shard_id& shard) {
+               return calls_.HasCallsIn(shard) ||
+                      operations_.IsWaitingIn(shard);
+             }),
+      cleaner_(cluster,
+               sessions_,
+               shards_,
+               checkpoints_,
+               [this](const shard_id& shard) {
+                 return calls_.HasCallsIn(shard) ||
+                        operations_.IsWaitingIn(shard);
+               }) {
   calls_.SetFencingSource(
       [this](const shard_id& shard) { return shards_.Generation(shard); });
 }
@@ -272,6 +283,7 @@
   forwarder_.Tick(context);
   intake_.Tick();
   drain_.Tick(context);
+  cleaner_.Tick(context);
 }
 
 void session_service::KeyWithdrawn(const std::string& key_hash,
--- a/source/gentian_decisions/session_service.h
+++ b/source/gentian_decisions/session_service.h
@@ -13,6 +13,7 @@
 #include "gentian_decisions/session_operations.h"
 #include "gentian_decisions/session_table.h"
 #include "gentian_decisions/shard_adopter.h"
+#include "gentian_decisions/shard_cleaner.h"
 #include "gentian_decisions/shard_drain.h"
 #include "gentian_decisions/shard_locator.h"
 #include "gentian_decisions/shard_manager.h"
@@ -106,6 +107,7 @@
   request_forwarder forwarder_;
   forward_intake intake_;
   shard_drain drain_;
+  shard_cleaner cleaner_;
 };
 
 }  // namespace gentian
--- a/source/gentian_decisions/shard_activation.cc
+++ b/source/gentian_decisions/shard_activation.cc
@@ -90,12 +90,14 @@
                               std::uint64_t version,
                               node_context& context) {
   const shard_record record = adoptions_[shard].record;
+  const shard_record before = adoptions_[shard].collected->record();
   adoptions_.erase(shard);
   watches_.erase(shard);
   orphans_.Drop(shard);
   held_.DropCopies(shard);
   shards_.TakeOver(shard, record, version);
   copies_.AnnounceCopied(shard, context);
+  NotifyReplaced(shard, before, record, context);
   context.counters.Add("shards.adopted");
   listener_.ShardAdopted(shard, record, context);
 }
--- a/source/gentian_decisions/shard_adopter.h
+++ b/source/gentian_decisions/shard_adopter.h
@@ -8,6 +8,7 @@
 
 #include "gentian_decisions/checkpoint_reader.h"
 #include "gentian_decisions/orphan_finder.h"
+#include "gentian_decisions/replaced_replicas.h"
 #include "gentian_decisions/replica_store.h"
 #include "gentian_decisions/replicator.h"
 #include "gentian_decisions/session_table.h"
--- a/source/gentian_decisions/shard_manager.cc
+++ b/source/gentian_decisions/shard_manager.cc
@@ -1,9 +1,11 @@
 #include "gentian_decisions/shard_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gentian_decisions/replica_placement.h"
 #include "gentian_decisions/replica_quorum.h"
+#include "gentian_decisions/shard_locator.h"
 
 namespace gentian {
 
@@ -90,12 +92,16 @@
   constexpr milliseconds kAnswerBound{60'000};
   shard.writing = kind;
   shard.retry_at = context.now + kAnswerBound;
-  kv_compare_and_swap write;
-  write.key = ShardKey(id);
-  write.expected_version = shard.version;
-  write.value = json(shard.wanted).dump();
+  kv_operation operation = kv_delete{ShardKey(id), shard.version};
+  if (kind != write_kind::removal) {
+    kv_compare_and_swap write;
+    write.key = ShardKey(id);
+    write.expected_version = shard.version;
+    write.value = json(shard.wanted).dump();
+    operation = std::move(write);
+  }
   store_.Call(
-      std::move(write), kv_access::priority::ownership,
+      std::move(operation), kv_access::priority::ownership,
       [this, id](const kv_answer& answer, node_context& later) {
         Written(id, answer, later);
       },
@@ -109,6 +115,11 @@
   if (found == shards_.end() || found->second.writing == write_kind::none) {
     return;
   }
+  const bool removal = found->second.writing == write_kind::removal;
+  if (answer.outcome == kv_answer::status::ok && removal) {
+    Removed(id, context);
+    return;
+  }
   if (answer.outcome == kv_answer::status::ok && !answer.entries.empty()) {
     Complete(id, answer.entries.front(), context);
     return;
@@ -149,6 +160,15 @@
     Write(id, shard, shard.writing, context);
     return;
   }
+  if (stored.version == 0) {
+    // Deleted, by this daemon or by a successor.
+    if (shard.writing == write_kind::removal) {
+      Removed(id, context);
+    } else {
+      Lose(id, incarnation{}, context);
+    }
+    return;
+  }
   const auto parsed = ParseShardRecord(stored.value);
   if (Failed(parsed)) {
     shard.retry_at = context.now + kStoreRetry;
@@ -171,7 +191,7 @@
   const write_kind kind = shard.writing;
   shard.writing = write_kind::none;
   shard.version = stored.version;
-  shard.record = shard.wanted;
+  const shard_record before = std::exchange(shard.record, shard.wanted);
   switch (kind) {
     case write_kind::registration:
       shard.serving = true;
@@ -185,8 +205,10 @@
       shard.next_replicas.reset();
       copies_.KeepSet(id, true, context);
       copies_.AnnounceCopied(id, context);
+      NotifyReplaced(id, before, shard.record, context);
       context.counters.Add("shards.replicas_changed");
       break;
+    case write_kind::removal:
     case write_kind::none:
       break;
   }
@@ -241,10 +263,17 @@
 
 std::optional<shard_id> shard_manager::NextShard() {
   std::vector<shard_id> serving;
+  std::vector<shard_id> own;
   for (const auto& [id, shard] : shards_) {
     if (Serves(id)) {
       serving.push_back(id);
     }
+    if (Serves(id) && OpenerOf(id) == cluster_.self()) {
+      own.push_back(id);
+    }
+  }
+  if (!own.empty()) {
+    serving = std::move(own);
   }
   if (serving.empty()) {
     return std::nullopt;
--- a/source/gentian_decisions/shard_manager.h
+++ b/source/gentian_decisions/shard_manager.h
@@ -8,6 +8,7 @@
 
 #include "gentian_decisions/cluster_view.h"
 #include "gentian_decisions/kv_access.h"
+#include "gentian_decisions/replaced_replicas.h"
 #include "gentian_decisions/replicator.h"
 #include "gentian_decisions/shard_owner_listener.h"
 #include "gentian_decisions/shard_record.h"
@@ -40,6 +41,9 @@
                 const shard_record& record,
                 std::uint64_t version);
 
+  /** Stops serving an owned shard without sessions and deletes its record. */
+  void Remove(const shard_id& shard, node_context& context);
+
   /** A replica has promised a generation to another incarnation. */
   void Fenced(const shard_id& shard,
               std::uint64_t generation,
@@ -54,6 +58,8 @@
 
   /** A shard to open a session in, nothing before registration. Takes the
       shards in turn, so that a successor gets about the same share of each.
+      Shards of others are used only without an own one, so that they can be
+      removed when their sessions have ended.
   */
   std::optional<shard_id> NextShard();
 
@@ -71,7 +77,13 @@
 
  private:
   /** A write of the record whose result is not known yet. */
-  enum class write_kind { none, registration, reclaim, replica_change };
+  enum class write_kind {
+    none,
+    registration,
+    reclaim,
+    replica_change,
+    removal
+  };
 
   struct owned_shard {
     shard_record record;
@@ -105,6 +117,7 @@
   void Complete(const shard_id& id,
                 const kv_entry& stored,
                 node_context& context);
+  void Removed(const shard_id& id, node_context& context);
   void Lose(const shard_id& id,
             const incarnation& owner,
             node_context& context);
--- a/source/gentian_decisions/shard_replacement.cc
+++ b/source/gentian_decisions/shard_replacement.cc
@@ -75,4 +75,23 @@
   }
 }
 
+void shard_manager::Remove(const shard_id& shard, node_context& context) {
+  const auto found = shards_.find(shard);
+  if (found == shards_.end() || found->second.next_replicas ||
+      found->second.writing != write_kind::none) {
+    return;
+  }
+  found->second.serving = false;
+  Write(shard, found->second, write_kind::removal, context);
+}
+
+void shard_manager::Removed(const shard_id& id, node_context& context) {
+  // Replicas keep their promises, so that an old owner that resumes can not
+  // commit in a shard that does not exist any more.
+  NotifyReplaced(id, shards_[id].record, shard_record{}, context);
+  shards_.erase(id);
+  copies_.Stop(id);
+  context.counters.Add("shards.removed");
+}
+
 }  // namespace gentian
--- a/tests/decisions/checkpoint_test.cc
+++ b/tests/decisions/checkpoint_test.cc
@@ -320,3 +320,64 @@
   cr_assert(joined.sessions.size() == 1);
   cr_assert(joined.damaged == 1);
 }
+
+// Guards against records, checkpoints and new sessions of an adopted shard that
+// stay for ever.
+Test(checkpoint, adopted_shard_without_sessions_is_removed) {
+  session_fleet fleet;
+  const session_id id = fleet.Open("a");
+  fleet.Pass(kSaved);
+  fleet.Kill("a");
+  fleet.Pass(milliseconds(20'000));
+  const std::string owner = fleet.OwnerOf(id);
+  cr_assert(!owner.empty());
+  cr_assert(ShardOf(fleet.Open(owner)) != ShardOf(id));
+  fleet.Pass(kSaved);
+  cr_assert(fleet.store.Keys(ShardKey(ShardOf(id))).size() == 1);
+  fleet.Ask(owner, end_session{id});
+  fleet.Pass(milliseconds(40'000));
+  cr_assert(fleet.store.Keys(ShardKey(ShardOf(id))).empty());
+  cr_assert(fleet.store.Keys(CheckpointPrefix(ShardOf(id))).empty());
+  cr_assert(fleet.OwnerOf(id).empty());
+  // Shards that their first owner keeps stay, with or without sessions.
+  cr_assert(fleet.store.Keys("/shard/b-1-").size() == 4);
+  const request_id read = fleet.Ask("b", read_history{id});
+  fleet.Pass(milliseconds(10'000));
+  cr_assert(fleet.Answered("b", read));
+}
+
+// Guards against copies that a replica keeps, and returns later, although it
+// was replaced.
+Test(checkpoint, replaced_replica_forgets_its_copies) {
+  std::vector<command> commands;
+  counter_set counters;
+  seeded_random random(1);
+  node_context context{steady_time(), commands, counters, random};
+  const incarnation owner{host_id("a"), 1};
+  const incarnation self{host_id("b"), 1};
+  replica_store held;
+  held.SetSelf(self);
+  store_records records;
+  records.to = self;
+  records.shard = shard_id("a-1-0");
+  records.generation = 1;
+  records.session = session_id("a-1-0.1.0");
+  records.records = {Record(1, session_opened{})};
+  held.Handle(owner, records, context);
+  shard_record before;
+  before.owner = owner;
+  before.generation = 1;
+  before.replicas = {self};
+  commands.clear();
+  NotifyReplaced(records.shard, before, shard_record{}, context);
+  cr_assert(commands.size() == 1);
+  const auto sent = std::get<send_to_peer>(commands[0]);
+  cr_assert(sent.to == self.host);
+  held.Handle(owner, std::get<forget_shard>(sent.message), context);
+  fence_request fence;
+  fence.to = self;
+  fence.shard = records.shard;
+  fence.generation = 2;
+  const auto answer = held.Fence(owner, fence, steady_time());
+  cr_assert(std::get<fence_promise>(answer).copies.empty());
+}
