Send a successor no message to drop its own copies

A replica that adopts a shard was told by itself over the peer link to drop copies that it has dropped already. NotifyReplaced skips the owner.

--- a/source/gentian_decisions/replaced_replicas.h
+++ b/source/gentian_decisions/replaced_replicas.h
@@ -21,7 +21,10 @@
                            node_context& context) {
   for (const incarnation& replica : before.replicas) {
     const auto& current = after.replicas;
-    if (std::find(current.begin(), current.end(), replica) != current.end()) {
+    const bool named =
+        std::find(current.begin(), current.end(), replica) != current.end();
+    // A replica that became the owner has dropped its copies itself.
+    if (named || replica == after.owner) {
       continue;
     }
     forget_shard message;
