--- a/source/gentian_decisions/session_service.cc
+++ b/source/gentian_decisions/session_service.cc
@@ -66,6 +66,7 @@
       sessions_(copies_),
       shards_(cluster, store, copies_, *this),
       adopter_(cluster, store, held_, copies_, sessions_, shards_, *this),
+      checkpoints_(cluster, store, copies_, sessions_, shards_),
       calls_(cluster, scheduling, sessions_, *this),
       operations_(cluster, scheduling, sessions_, calls_, *this),
       locator_(cluster, store),
@@ -88,9 +89,20 @@
             RunForwarded(caller, operation, route, context);
           },
           [this](const answer_route& route) { calls_.CallerGone(route); }),
-      drain_(cluster, shards_, [this](const shard_id& shard) {
-        return calls_.HasCallsIn(shard) || operations_.IsWaitingIn(shard);
-      }) {
+      drain_(cluster,
+             shards_,
+             [this](const shard_id& shard) {
+               return calls_.HasCallsIn(shard) ||
+                      operations_.IsWaitingIn(shard);
+             }),
+      cleaner_(cluster,
+               sessions_,
+               shards_,
+               checkpoints_,
+               [this](const shard_id& shard) {
+                 return calls_.HasCallsIn(shard) ||
+                        operations_.IsWaitingIn(shard);
+               }) {
   calls_.SetFencingSource(
       [this](const shard_id& shard) { return shards_.Generation(shard); });
 }
@@ -265,11 +277,13 @@
   shards_.Tick(context);
   adopter_.Tick(context);
   copies_.Tick(context);
+  checkpoints_.Tick(context);
   calls_.Tick(context);
   operations_.Tick(context);
   forwarder_.Tick(context);
   intake_.Tick();
   drain_.Tick(context);
+  cleaner_.Tick(context);
 }
 
 void session_service::KeyWithdrawn(const std::string& key_hash,
--- a/source/gentian_decisions/session_service.h
+++ b/source/gentian_decisions/session_service.h
@@ -3,6 +3,7 @@
 
 #include "gentian_decisions/call_pipeline.h"
 #include "gentian_decisions/caller_gate.h"
+#include "gentian_decisions/checkpoint_writer.h"
 #include "gentian_decisions/event.h"
 #include "gentian_decisions/forward_intake.h"
 #include "gentian_decisions/kv_access.h"
@@ -12,6 +13,7 @@
 #include "gentian_decisions/session_operations.h"
 #include "gentian_decisions/session_table.h"
 #include "gentian_decisions/shard_adopter.h"
+#include "gentian_decisions/shard_cleaner.h"
 #include "gentian_decisions/shard_drain.h"
 #include "gentian_decisions/shard_locator.h"
 #include "gentian_decisions/shard_manager.h"
@@ -98,12 +100,14 @@
   session_table sessions_;
   shard_manager shards_;
   shard_adopter adopter_;
+  checkpoint_writer checkpoints_;
   call_pipeline calls_;
   session_operations operations_;
   shard_locator locator_;
   request_forwarder forwarder_;
   forward_intake intake_;
   shard_drain drain_;
+  shard_cleaner cleaner_;
 };
 
 }  // namespace gentian
