Test the paths between scheduling daemons

Covers paths without a unit test: local scheduling after 300 ms of silence with a part of the slots, take-over by another scheduling daemon (each call dispatched once), a lost assignment message, service by team weight, priority classes with max_wait, and a cache import that gets no answer in time.

--- a/tests/decisions/pool_test.cc
+++ b/tests/decisions/pool_test.cc
@@ -182,6 +182,182 @@
 
 }  // namespace
 
+// Guards against calls that wait for a scheduling daemon which does not
+// answer, and against a daemon that then takes more than its part of the slots.
+Test(pool_silence, a_daemon_schedules_its_part_of_the_slots_after_300_ms) {
+  scheduler_fleet fleet(2, 2, 4);
+  const std::size_t silent = fleet.Scheduler();
+  const std::size_t other = 1 - silent;
+  fleet.loses = [&](std::size_t from, const send_to_peer& /*sent*/) {
+    return from == silent;
+  };
+  for (ticket_id ticket = 1; ticket <= 20; ++ticket) {
+    fleet.Admit(other, MakeItem(ticket, "t"));
+  }
+  fleet.Pass(290);
+  cr_assert(fleet.Running().empty());
+  fleet.Pass(2 * static_cast<int>(kTickInterval.count()));
+  cr_assert(fleet.Running().size() == 4);
+  fleet.Pass(5'000);
+  cr_assert(fleet.Running().size() == 4);
+}
+
+// Guards against a change of the scheduling daemon that loses calls,
+// dispatches one twice or forgets the calls in flight.
+Test(pool_takeover, loses_no_call_and_repeats_none) {
+  scheduler_fleet fleet(3, 1, 2);
+  const std::size_t first = fleet.Scheduler();
+  std::vector<std::size_t> others;
+  for (std::size_t at = 0; at < 3; ++at) {
+    if (at != first) {
+      others.push_back(at);
+    }
+  }
+  for (ticket_id ticket = 1; ticket <= 5; ++ticket) {
+    for (const std::size_t at : others) {
+      fleet.Admit(at, MakeItem(ticket, "t",
+                               "s" + std::to_string(at) + "-" +
+                                   std::to_string(ticket)));
+    }
+  }
+  fleet.Pass(200);
+  cr_assert(fleet.Running().size() == 2);
+  fleet.Lose(first);
+  std::size_t ended = 0;
+  for (int round = 0; round < 40; ++round) {
+    fleet.Pass(1'200);
+    const auto running = fleet.Running();
+    cr_assert(running.size() <= 2);
+    if (!running.empty()) {
+      const auto [at, ticket] = running.begin()->first;
+      fleet.Finish(at, ticket, kUsage);
+      ++ended;
+    }
+  }
+  cr_assert(ended == 10);
+  for (const std::size_t at : others) {
+    for (ticket_id ticket = 1; ticket <= 5; ++ticket) {
+      cr_assert(fleet.Dispatches(at, ticket).size() == 1);
+    }
+  }
+}
+
+// Guards against a call that keeps its slot but never learns of it.
+Test(pool_assignment, is_repeated_when_its_message_is_lost) {
+  scheduler_fleet fleet(2, 1, 1);
+  const std::size_t scheduler = fleet.Scheduler();
+  const std::size_t other = 1 - scheduler;
+  int lost = 0;
+  fleet.loses = [&](std::size_t /*from*/, const send_to_peer& sent) {
+    const bool first =
+        lost == 0 && std::holds_alternative<pool_assignment>(sent.message);
+    lost += first ? 1 : 0;
+    return first;
+  };
+  fleet.Admit(other, MakeItem(1, "t"));
+  fleet.Admit(other, MakeItem(2, "t"));
+  fleet.Pass(500);
+  cr_assert(lost == 1);
+  cr_assert(fleet.Running().empty());
+  fleet.Pass(1'000);
+  cr_assert(fleet.Running().size() == 1);
+  const ticket_id ticket = fleet.Running().begin()->first.second;
+  fleet.Pass(3'000);
+  cr_assert(fleet.Dispatches(other, ticket).size() == 1);
+  fleet.Finish(other, ticket, kUsage);
+  fleet.Pass(100);
+  cr_assert(fleet.Dispatches(other, 3 - ticket).size() == 1);
+}
+
+// Guards against teams that are served by how much they send.
+Test(pool_order, teams_are_served_by_weight) {
+  scheduler_fleet fleet(1, 1, 1);
+  AddTeam(fleet.settings, "heavy", 1e6, 1e6, 3);
+  AddTeam(fleet.settings, "light", 1e6, 1e6, 1);
+  // The light team comes first and sends twice as much.
+  for (ticket_id ticket = 1; ticket <= 200; ++ticket) {
+    fleet.Admit(0, MakeItem(ticket, "light"));
+  }
+  for (ticket_id ticket = 201; ticket <= 300; ++ticket) {
+    fleet.Admit(0, MakeItem(ticket, "heavy"));
+  }
+  int heavy = 0;
+  for (int served = 0; served < 80; ++served) {
+    fleet.Pass(50);
+    const auto running = fleet.Running();
+    cr_assert(running.size() == 1);
+    const ticket_id ticket = running.begin()->first.second;
+    heavy += ticket > 200 ? 1 : 0;
+    fleet.Finish(0, ticket, kUsage);
+  }
+  cr_assert(heavy >= 57 && heavy <= 63, "heavy got %d of 80", heavy);
+}
+
+// Guards against a class that ignores priorities and one that starves.
+Test(pool_order, a_lower_class_waits_no_longer_than_max_wait) {
+  scheduler_fleet fleet(1, 1, 1);
+  fleet.settings.fleet.max_wait = milliseconds(5'000);
+  work_item low = MakeItem(1, "t");
+  ticket_id last = 2;
+  const auto admit_high = [&] {
+    work_item high = MakeItem(last++, "t");
+    high.priority = 5;
+    fleet.Admit(0, high);
+  };
+  admit_high();
+  fleet.Admit(0, low);
+  int waited = 0;
+  while (fleet.Dispatches(0, 1).empty() && waited < 10'000) {
+    admit_high();
+    fleet.Pass(100);
+    waited += 100;
+    fleet.Finish(0, fleet.Running().begin()->first.second, kUsage);
+  }
+  cr_assert(waited >= 5'000 && waited <= 5'200, "waited %d ms", waited);
+}
+
+// Guards against a call that waits for ever for a copy of its cache, and
+// against a late answer that dispatches it again.
+Test(pool_import, a_call_starts_without_its_cache_after_the_timeout) {
+  scheduler_fleet fleet(1, 2, 1);
+  work_item first = MakeItem(1, "t", "s");
+  first.prompt_tokens = 50'000;
+  fleet.Admit(0, first);
+  const target_id holder = fleet.Dispatches(0, 1).front();
+  fleet.Finish(0, 1, {50'000, 0, 10});
+  fleet.Admit(0, MakeItem(2, "t"));
+  fleet.Admit(0, MakeItem(3, "t"));
+  const bool second_at_holder = fleet.Dispatches(0, 2).front() == holder;
+  fleet.Finish(0, second_at_holder ? 3 : 2, kUsage);
+  work_item next = MakeItem(4, "t", "s");
+  next.prompt_tokens = 51'000;
+  fleet.Admit(0, next);
+  const auto import = [&]() -> const order_target* {
+    for (const order_target& each : fleet.orders) {
+      if (std::holds_alternative<import_cache>(each.body)) {
+        return &each;
+      }
+    }
+    return nullptr;
+  };
+  for (int i = 0; i < 100 && import() == nullptr; ++i) {
+    fleet.Pass(50);
+  }
+  cr_assert(import() != nullptr);
+  cr_assert(import()->target != holder);
+  fleet.Pass(1'900);
+  cr_assert(fleet.Dispatches(0, 4).empty());
+  fleet.Pass(200);
+  cr_assert(fleet.Dispatches(0, 4).size() == 1);
+  cr_assert(fleet.Dispatches(0, 4).front() != holder);
+  target_order_answered late;
+  late.id = import()->id;
+  late.ok = true;
+  fleet.Answer(0, late);
+  fleet.Pass(3'000);
+  cr_assert(fleet.Dispatches(0, 4).size() == 1);
+}
+
 // Guards against a team beyond its share that crowds all engines and their
 // caches, and against one that is held back while nobody else has calls.
 Test(pool_excess, a_team_beyond_its_share_keeps_to_its_engines) {
