Adapt the forwarding test to named calls

Cause: the test asserted not run for a named call that its entry daemon could not pass on; such a call may be the repeat of one that has run. Change: a call without a name is still not run, a named one is unknown.

--- a/tests/decisions/forwarding_test.cc
+++ b/tests/decisions/forwarding_test.cc
@@ -68,10 +68,13 @@
   const request_id sent = fleet.Ask("b", Tool(id, "refund", ""));
   fleet.Kill("a");
   fleet.store.down = true;
-  const request_id unsent = fleet.Ask("b", Tool(id, "refund", "other"));
+  const request_id unsent = fleet.Ask("b", Tool(id, "refund", ""));
+  // The caller may have sent this key before, which only the owner knows.
+  const request_id named = fleet.Ask("b", Tool(id, "refund", "other"));
   fleet.Pass(milliseconds(31'000));
   cr_assert(fleet.Error("b", sent).outcome == call_outcome::unknown);
   cr_assert(fleet.Error("b", unsent).outcome == call_outcome::not_run);
+  cr_assert(fleet.Error("b", named).outcome == call_outcome::unknown);
 }
 
 // Guards against a made-up session id that starts look-ups or waits.
