--- a/bench/policy/report.cc
+++ b/bench/policy/report.cc
@@ -76,6 +76,7 @@
   std::vector<run_result> results(jobs.size());
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<std::size_t>(threads));
   for (int i = 0; i < threads; ++i) {
     workers.emplace_back([&] {
       for (std::size_t k = next++; k < jobs.size(); k = next++) {
--- a/bench/policy/workload.cc
+++ b/bench/policy/workload.cc
@@ -45,7 +45,8 @@
                                 random_source& random) {
   const int low = with_sub_agents ? where.long_turns_low : 2;
   const int high = with_sub_agents ? where.long_turns_high : 4;
-  const auto range = static_cast<std::uint64_t>(high - low + 1);
+  const auto range =
+      static_cast<std::uint64_t>(high) - static_cast<std::uint64_t>(low) + 1;
   std::vector<turn_plan> turns(static_cast<std::size_t>(low) +
                                random.Below(range));
   bool first = true;
--- a/source/gentian_decisions/shard_adoption.cc
+++ b/source/gentian_decisions/shard_adoption.cc
@@ -80,6 +80,7 @@
     const std::vector<session_copy>& checkpoints,
     steady_time now) const {
   std::vector<const session_copy*> copies;
+  copies.reserve(checkpoints.size());
   for (const session_copy& copy : checkpoints) {
     copies.push_back(&copy);
   }
--- a/tests/decisions/limiter_test.cc
+++ b/tests/decisions/limiter_test.cc
@@ -173,7 +173,7 @@
     overspent += level_ < -1e-6 ? 1 : 0;
   }
 
-  void Send(std::size_t from, send_to_peer sent) {
+  void Send(std::size_t from, const send_to_peer& sent) {
     for (std::size_t to = 0; to < daemons_.size(); ++to) {
       if (daemons_[to]->view->self().host != sent.to ||
           random_.Uniform() < faults_.loss) {
--- a/tests/decisions/session_fleet.h
+++ b/tests/decisions/session_fleet.h
@@ -149,9 +149,10 @@
     for (milliseconds gone{0}; gone < time; gone += kTickInterval) {
       now += kTickInterval;
       for (auto& [host, daemon] : daemons_) {
-        if (!daemon->dead && !daemon->paused) {
-          daemon->Step([&](node_context& context) {
-            daemon->service.Handle(tick{}, context);
+        fake_daemon& ticked = *daemon;
+        if (!ticked.dead && !ticked.paused) {
+          ticked.Step([&ticked](node_context& context) {
+            ticked.service.Handle(tick{}, context);
           });
         }
       }
@@ -165,7 +166,8 @@
       daemon->DeliverStoreAnswers();
     }
     while (!network.empty()) {
-      auto [from, message] = std::move(network.front());
+      const incarnation from = network.front().first;
+      const send_to_peer message = std::move(network.front().second);
       network.pop_front();
       const auto found = daemons_.find(message.to.text());
       if (found == daemons_.end() || found->second->dead ||
@@ -331,7 +333,8 @@
   store_calls.clear();
   for (const auto& [operation, handler] : calls) {
     const kv_answer answer = fleet.store.Answer(operation);
-    Step([&](node_context& context) { handler(answer, context); });
+    const answer_handler& receive = handler;
+    Step([&](node_context& context) { receive(answer, context); });
   }
 }
 
--- a/tests/fault_matrix/invariants.cc
+++ b/tests/fault_matrix/invariants.cc
@@ -156,6 +156,7 @@
     }
   }
   std::vector<steady_time> times;
+  times.reserve(first.size());
   for (const auto& [marker, time] : first) {
     times.push_back(time);
   }
--- a/tests/fault_matrix/main.cc
+++ b/tests/fault_matrix/main.cc
@@ -95,6 +95,7 @@
   std::vector<cell_result> results(cells.size());
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(jobs));
   for (int i = 0; i < jobs; ++i) {
     threads.emplace_back([&] {
       for (std::size_t at = next++; at < cells.size(); at = next++) {
--- a/tests/fault_matrix/scenario.cc
+++ b/tests/fault_matrix/scenario.cc
@@ -15,9 +15,15 @@
   std::string text;
   for (int i = 0; i < kHosts; ++i) {
     const std::string number = std::to_string(i);
-    text += "[/daemons/h" + number + "]\nfailure_domain = z" +
-            std::to_string(i % kDomains) + "\npeer_address = 10.0.0." + number +
-            ":7000\ncaller_address = 10.0.0." + number + ":8000\n";
+    text += "[/daemons/h";
+    text += number;
+    text += "]\nfailure_domain = z";
+    text += std::to_string(i % kDomains);
+    text += "\npeer_address = 10.0.0.";
+    text += number;
+    text += ":7000\ncaller_address = 10.0.0.";
+    text += number;
+    text += ":8000\n";
   }
   return text;
 }
--- a/tests/fault_matrix/simulation_commands.cc
+++ b/tests/fault_matrix/simulation_commands.cc
@@ -67,8 +67,7 @@
     encoded["body"]["tokens"] = encoded["body"]["tokens"].get<int>() * 20;
   }
   const bool forget = plan_.broken == sabotage::forget_version &&
-                      log_.accepted.size() > 0 &&
-                      encoded["type"] == "heartbeat";
+                      !log_.accepted.empty() && encoded["type"] == "heartbeat";
   if (forget) {
     // The sender seems to have gone back to the version before.
     log_.versions.push_back({now_, incarnation{host_id("h0"), 1}, 1, 0});
--- a/tests/process/dev_process_test.cc
+++ b/tests/process/dev_process_test.cc
@@ -110,8 +110,10 @@
 Test(dev_process, simultaneous_repeats_run_a_tool_call_once) {
   dev_fixture fixture;
   const std::string session = fixture.OpenSession();
+  constexpr int kRepeats = 10;
   std::vector<std::future<http_outcome>> repeats;
-  for (int i = 0; i < 10; ++i) {
+  repeats.reserve(kRepeats);
+  for (int i = 0; i < kRepeats; ++i) {
     repeats.push_back(std::async(std::launch::async, [&fixture, session] {
       return fixture.Call("/v1/sessions/" + session + "/tools/book",
                           {{"delay_ms", 200}}, "", "booking");
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -23,7 +23,7 @@
   explicit child_process(const std::vector<std::string>& arguments)
       : output_(std::filesystem::temp_directory_path() /
                 ("gentian_child_" + std::to_string(::getpid()) + "_" +
-                 std::to_string(++count_))) {
+                 std::to_string(++child_count))) {
     std::vector<std::string> words{GENTIAN_BINARY};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> raw;
@@ -83,7 +83,7 @@
   }
 
  private:
-  static inline int count_ = 0;
+  static inline int child_count = 0;
   std::filesystem::path output_;
   pid_t id_ = 0;
 };
--- a/tests/support/cluster_rig.h
+++ b/tests/support/cluster_rig.h
@@ -112,9 +112,11 @@
       service.ExpireLeases(now);
       PollWatches();
       for (auto& [host, entry] : daemons_) {
-        if (!entry->stopped) {
-          Step(host,
-               [&](node_context& c) { entry->cluster.Handle(tick{}, c); });
+        daemon& ticked = *entry;
+        if (!ticked.stopped) {
+          Step(host, [&ticked](node_context& c) {
+            ticked.cluster.Handle(tick{}, c);
+          });
         }
       }
     }
