Tell a stopping daemon of a new owner whose announcement was lost

Traced in silent_connection+late_reordered_duplicate at hand_over: the successor owned the shard, its one announcement was lost, and it ignored the repeated hand_over, so that the stopping daemon offered the shard for ever. Change: a daemon that gets hand_over for a shard that it or another daemon owns answers with the owner. A test loses the announcement.

--- a/source/gentian_decisions/shard_adopter.cc
+++ b/source/gentian_decisions/shard_adopter.cc
@@ -285,7 +285,13 @@
 void shard_adopter::Handle(const incarnation& from,
                            const hand_over& message,
                            node_context& context) {
-  if (adoptions_.count(message.shard) > 0 || shards_.Record(message.shard)) {
+  if (adoptions_.count(message.shard) > 0) {
+    return;
+  }
+  if (const auto own = shards_.Record(message.shard)) {
+    // The announcement of the new owner was lost. Without it the previous
+    // owner would offer the shard for ever and never complete its stop.
+    TellOwner(from, message.shard, *own, context);
     return;
   }
   store_.Call(
@@ -308,11 +314,22 @@
         }
         if (record.owner == from && record.generation == message.generation) {
           Claim(message.shard, record, entry.version, later);
+        } else if (record.owner != from &&
+                   record.phase == shard_record::state::active) {
+          TellOwner(from, message.shard, record, later);
         }
       },
       context);
 }
 
+void shard_adopter::TellOwner(const incarnation& previous,
+                              const shard_id& shard,
+                              const shard_record& record,
+                              node_context& context) {
+  context.Emit(send_to_peer{
+      previous.host, owner_changed{shard, record.generation, record.owner}});
+}
+
 void shard_adopter::Step(const shard_id& shard, node_context& context) {
   const auto found = adoptions_.find(shard);
   if (found == adoptions_.end()) {
--- a/source/gentian_decisions/shard_adopter.h
+++ b/source/gentian_decisions/shard_adopter.h
@@ -99,6 +99,10 @@
               const shard_record& record,
               std::uint64_t version,
               node_context& context);
+  static void TellOwner(const incarnation& previous,
+                        const shard_id& shard,
+                        const shard_record& record,
+                        node_context& context);
   void Step(const shard_id& shard, node_context& context);
   void AskForPromises(adoption_state& state, node_context& context);
   void Advance(const shard_id& shard, node_context& context);
--- a/tests/decisions/drain_test.cc
+++ b/tests/decisions/drain_test.cc
@@ -65,3 +65,22 @@
   fleet.Target("a", target_finished{fleet["a"].dispatches[0].id, json("ok")});
   cr_assert(fleet.Final("a", call).body == "ok");
 }
+
+// Guards against a planned stop that never completes because the message that
+// announces the new owner was lost.
+Test(drain, stop_completes_after_a_lost_announcement) {
+  session_fleet fleet;
+  const session_id id = fleet.Open("a");
+  Drain(fleet, "a");
+  for (const char* other : {"b", "c", "d"}) {
+    fleet.cut.insert({other, "a"});
+  }
+  fleet.Pass(milliseconds(4'000));
+  const auto record = ParseShardRecord(
+      fleet.store.entries["/shard/" + ShardOf(id).text()].value);
+  cr_assert(ValueOf(record).owner.host != host_id("a"));
+  cr_assert(!fleet["a"].service.IsDrained(fleet.now));
+  fleet.cut.clear();
+  fleet.Pass(milliseconds(15'000));
+  cr_assert(fleet["a"].service.IsDrained(fleet.now));
+}
