--- a/bench/micro/main.cc
+++ b/bench/micro/main.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <string>
 
+#include "control_traffic.h"
 #include "decisions/scheduling_fakes.h"
 
 namespace gentian {
@@ -73,4 +74,5 @@
   gentian::Measure("engines", &sizes::engines);
   gentian::Measure("teams", &sizes::teams);
   gentian::Measure("sessions", &sizes::sessions);
+  gentian::MeasureControlTraffic();
 }
--- a/tests/support/cluster_rig.h
+++ b/tests/support/cluster_rig.h
@@ -153,6 +153,11 @@
   bool lose_next_write_answer = false;
   /** Daemons that get and send no messages. */
   std::set<std::string> isolated;
+  /** Counts messages, their encoded bytes and calls of the service. */
+  bool count_traffic = false;
+  std::uint64_t sent_messages = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t service_calls = 0;
   /** Messages about withdrawn keys and versions are lost. */
   bool lose_pushes = false;
 
@@ -164,8 +169,13 @@
 
   void CarryOut(const std::string& host, command next) {
     if (auto* call = std::get_if<call_kv>(&next)) {
+      ++service_calls;
       CallService(host, *call);
     } else if (auto* send = std::get_if<send_to_peer>(&next)) {
+      if (count_traffic) {
+        ++sent_messages;
+        sent_bytes += json::to_cbor(EncodePeerMessage(send->message)).size();
+      }
       messages_.push_back({host, at(host).cluster.self(), std::move(*send)});
     } else if (auto* reply = std::get_if<reply_to_operator>(&next)) {
       at(host).replies.emplace(reply->id, reply->answer);
