--- a/source/gentian_decisions/session_operations.cc
+++ b/source/gentian_decisions/session_operations.cc
@@ -205,6 +205,22 @@
   return "request:" + entry.ToString() + ":" + std::to_string(route.id);
 }
 
+template <typename Operation>
+call_request session_operations::RequestFor(const caller_identity& caller,
+                                            const Operation& operation,
+                                            const session& owner,
+                                            const answer_route& route) const {
+  call_request request;
+  request.session = operation.session;
+  request.team = caller.team;
+  request.sequence = operation.sequence;
+  request.key_hash = caller.key_hash;
+  request.body = operation.body;
+  request.idempotency_key =
+      KeyOf(operation.idempotency_key, operation.sequence, owner, route);
+  return request;
+}
+
 void session_operations::Call(const caller_identity& caller,
                               const model_call& operation,
                               const answer_route& route,
@@ -223,18 +239,11 @@
     Refuse(route, session_errors::Forbidden("the program"), context);
     return;
   }
-  call_request request;
-  request.session = operation.session;
-  request.team = caller.team;
-  request.sequence = operation.sequence;
-  request.key_hash = caller.key_hash;
-  request.body = operation.body;
+  call_request request = RequestFor(caller, operation, *owner, route);
   request.stream = operation.stream;
   request.repeatable = true;
   request.pool = program->second.pool;
   request.deadline = settings.fleet.model_deadline;
-  request.idempotency_key =
-      KeyOf(operation.idempotency_key, operation.sequence, *owner, route);
   calls_.Submit(std::move(request), route, context);
 }
 
@@ -255,19 +264,12 @@
            context);
     return;
   }
-  call_request request;
-  request.session = operation.session;
-  request.team = caller.team;
+  call_request request = RequestFor(caller, operation, *owner, route);
   request.tool = operation.tool;
-  request.sequence = operation.sequence;
-  request.key_hash = caller.key_hash;
-  request.body = operation.body;
   request.repeatable = operation.repeatable && tool->second.repeatable;
   request.pool = tool->second.pool;
   request.path = tool->second.path;
   request.deadline = tool->second.deadline;
-  request.idempotency_key =
-      KeyOf(operation.idempotency_key, operation.sequence, *owner, route);
   if (owner->restored() && !request.repeatable &&
       owner->FindByKey(request.idempotency_key) == nullptr) {
     // The call may be one of those that the checkpoint does not hold.
--- a/source/gentian_decisions/session_operations.h
+++ b/source/gentian_decisions/session_operations.h
@@ -105,6 +105,12 @@
                      const session_opened& opened,
                      std::uint64_t pending,
                      node_context& context);
+  /** The fields that model and tool calls have in common. */
+  template <typename Operation>
+  call_request RequestFor(const caller_identity& caller,
+                          const Operation& operation,
+                          const session& owner,
+                          const answer_route& route) const;
   std::string KeyOf(const std::string& given,
                     const std::optional<std::uint64_t>& sequence,
                     const session& owner,
