--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer entry points. `make demo` and `make test` install what they need.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-SOURCES := $(shell find source tests bench -name '*.cc' -o -name '*.h' 2>/dev/null)
+SOURCES := $(shell find source platform tests bench -name '*.cc' -o -name '*.h' 2>/dev/null)
 
 .PHONY: all deps build format format-check lint unit test demo bench \
         microbench fault-matrix fault-matrix-selftest sanitize clean
--- a/source/gentian_platform/chat_assembler.cc
+++ b/source/gentian_adapters/chat_assembler.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/chat_assembler.h"
+#include "gentian_adapters/chat_assembler.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/chat_assembler.h
+++ b/source/gentian_adapters/chat_assembler.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_CHAT_ASSEMBLER_H_
-#define GENTIAN_PLATFORM_CHAT_ASSEMBLER_H_
+#ifndef GENTIAN_ADAPTERS_CHAT_ASSEMBLER_H_
+#define GENTIAN_ADAPTERS_CHAT_ASSEMBLER_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_CHAT_ASSEMBLER_H_
+#endif  // GENTIAN_ADAPTERS_CHAT_ASSEMBLER_H_
--- a/source/gentian_platform/engine_fake.cc
+++ b/source/gentian_adapters/engine_fake.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/engine_fake.h"
+#include "gentian_adapters/engine_fake.h"
 
 #include <algorithm>
 #include <map>
@@ -7,8 +7,8 @@
 #include <utility>
 #include <vector>
 
-#include "gentian_platform/prefix_cache_fake.h"
-#include "gentian_platform/request_recorder.h"
+#include "gentian_adapters/prefix_cache_fake.h"
+#include "gentian_adapters/request_recorder.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/engine_fake.h
+++ b/source/gentian_adapters/engine_fake.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_ENGINE_FAKE_H_
-#define GENTIAN_PLATFORM_ENGINE_FAKE_H_
+#ifndef GENTIAN_ADAPTERS_ENGINE_FAKE_H_
+#define GENTIAN_ADAPTERS_ENGINE_FAKE_H_
 
 #include <cstdint>
 #include <memory>
@@ -51,4 +51,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_ENGINE_FAKE_H_
+#endif  // GENTIAN_ADAPTERS_ENGINE_FAKE_H_
--- a/source/gentian_platform/etcd_codec.h
+++ b/source/gentian_adapters/etcd_codec.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_ETCD_CODEC_H_
-#define GENTIAN_PLATFORM_ETCD_CODEC_H_
+#ifndef GENTIAN_ADAPTERS_ETCD_CODEC_H_
+#define GENTIAN_ADAPTERS_ETCD_CODEC_H_
 
 #include <cstdint>
 #include <string>
@@ -9,14 +9,6 @@
 
 namespace gentian {
 
-/** Pieces of the JSON form of the etcd v3 API: base64 for bytes, and 64-bit
-    numbers as text.
-*/
-std::string EncodeBase64(const std::string& bytes);
-
-/** Decodes base64; text that is not base64 gives an empty string. */
-std::string DecodeBase64(const std::string& text);
-
 /** Reads a 64-bit number that is written as text or as a number. An absent
     one is 0, as in the JSON form of protocol buffers.
 */
@@ -33,4 +25,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_ETCD_CODEC_H_
+#endif  // GENTIAN_ADAPTERS_ETCD_CODEC_H_
--- a/source/gentian_platform/etcd_fake_server.cc
+++ b/source/gentian_adapters/etcd_fake_server.cc
@@ -1,10 +1,10 @@
-#include "gentian_platform/etcd_fake_server.h"
+#include "gentian_adapters/etcd_fake_server.h"
 
 #include <mutex>
 #include <utility>
 #include <vector>
 
-#include "gentian_platform/etcd_codec.h"
+#include "gentian_adapters/etcd_codec.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/etcd_fake_server.h
+++ b/source/gentian_adapters/etcd_fake_server.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_ETCD_FAKE_SERVER_H_
-#define GENTIAN_PLATFORM_ETCD_FAKE_SERVER_H_
+#ifndef GENTIAN_ADAPTERS_ETCD_FAKE_SERVER_H_
+#define GENTIAN_ADAPTERS_ETCD_FAKE_SERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -7,8 +7,8 @@
 #include <memory>
 #include <string>
 
+#include "gentian_adapters/key_value_fake.h"
 #include "gentian_net/http_server.h"
-#include "gentian_platform/key_value_fake.h"
 
 namespace gentian {
 
@@ -43,4 +43,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_ETCD_FAKE_SERVER_H_
+#endif  // GENTIAN_ADAPTERS_ETCD_FAKE_SERVER_H_
--- a/source/gentian_platform/etcd_key_value_store.cc
+++ b/source/gentian_adapters/etcd_key_value_store.cc
@@ -1,10 +1,10 @@
-#include "gentian_platform/etcd_key_value_store.h"
+#include "gentian_adapters/etcd_key_value_store.h"
 
 #include <memory>
 #include <utility>
 
-#include "gentian_platform/etcd_codec.h"
-#include "gentian_platform/etcd_watch.h"
+#include "gentian_adapters/etcd_codec.h"
+#include "gentian_adapters/etcd_watch.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/etcd_key_value_store.h
+++ b/source/gentian_adapters/etcd_key_value_store.h
@@ -1,12 +1,12 @@
-#ifndef GENTIAN_PLATFORM_ETCD_KEY_VALUE_STORE_H_
-#define GENTIAN_PLATFORM_ETCD_KEY_VALUE_STORE_H_
+#ifndef GENTIAN_ADAPTERS_ETCD_KEY_VALUE_STORE_H_
+#define GENTIAN_ADAPTERS_ETCD_KEY_VALUE_STORE_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "gentian_adapters/key_value_store.h"
 #include "gentian_net/http_client.h"
-#include "gentian_platform/key_value_store.h"
 
 namespace gentian {
 
@@ -57,4 +57,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_ETCD_KEY_VALUE_STORE_H_
+#endif  // GENTIAN_ADAPTERS_ETCD_KEY_VALUE_STORE_H_
--- a/source/gentian_platform/etcd_watch.cc
+++ b/source/gentian_adapters/etcd_watch.cc
@@ -1,11 +1,11 @@
-#include "gentian_platform/etcd_watch.h"
+#include "gentian_adapters/etcd_watch.h"
 
 #include <algorithm>
 #include <memory>
 #include <mutex>
 #include <utility>
 
-#include "gentian_platform/etcd_codec.h"
+#include "gentian_adapters/etcd_codec.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/etcd_watch.h
+++ b/source/gentian_adapters/etcd_watch.h
@@ -1,10 +1,10 @@
-#ifndef GENTIAN_PLATFORM_ETCD_WATCH_H_
-#define GENTIAN_PLATFORM_ETCD_WATCH_H_
+#ifndef GENTIAN_ADAPTERS_ETCD_WATCH_H_
+#define GENTIAN_ADAPTERS_ETCD_WATCH_H_
 
 #include <string>
 
+#include "gentian_adapters/key_value_store.h"
 #include "gentian_net/http_client.h"
-#include "gentian_platform/key_value_store.h"
 
 namespace gentian {
 
@@ -21,4 +21,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_ETCD_WATCH_H_
+#endif  // GENTIAN_ADAPTERS_ETCD_WATCH_H_
--- a/source/gentian_platform/host_list.h
+++ b/source/gentian_adapters/host_list.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_HOST_LIST_H_
-#define GENTIAN_PLATFORM_HOST_LIST_H_
+#ifndef GENTIAN_ADAPTERS_HOST_LIST_H_
+#define GENTIAN_ADAPTERS_HOST_LIST_H_
 
 #include <functional>
 #include <vector>
@@ -24,4 +24,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_HOST_LIST_H_
+#endif  // GENTIAN_ADAPTERS_HOST_LIST_H_
--- a/source/gentian_platform/host_list_fake.cc
+++ b/source/gentian_adapters/host_list_fake.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/host_list_fake.h"
+#include "gentian_adapters/host_list_fake.h"
 
 #include <utility>
 
--- a/source/gentian_platform/host_list_fake.h
+++ b/source/gentian_adapters/host_list_fake.h
@@ -1,13 +1,13 @@
-#ifndef GENTIAN_PLATFORM_HOST_LIST_FAKE_H_
-#define GENTIAN_PLATFORM_HOST_LIST_FAKE_H_
+#ifndef GENTIAN_ADAPTERS_HOST_LIST_FAKE_H_
+#define GENTIAN_ADAPTERS_HOST_LIST_FAKE_H_
 
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 
+#include "gentian_adapters/host_list.h"
 #include "gentian_net/http_server.h"
-#include "gentian_platform/host_list.h"
 
 namespace gentian {
 
@@ -29,4 +29,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_HOST_LIST_FAKE_H_
+#endif  // GENTIAN_ADAPTERS_HOST_LIST_FAKE_H_
--- a/source/gentian_platform/http_host_list.cc
+++ b/source/gentian_adapters/http_host_list.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/http_host_list.h"
+#include "gentian_adapters/http_host_list.h"
 
 #include <utility>
 
--- a/source/gentian_platform/http_host_list.h
+++ b/source/gentian_adapters/http_host_list.h
@@ -1,10 +1,10 @@
-#ifndef GENTIAN_PLATFORM_HTTP_HOST_LIST_H_
-#define GENTIAN_PLATFORM_HTTP_HOST_LIST_H_
+#ifndef GENTIAN_ADAPTERS_HTTP_HOST_LIST_H_
+#define GENTIAN_ADAPTERS_HTTP_HOST_LIST_H_
 
 #include <string>
 
+#include "gentian_adapters/host_list.h"
 #include "gentian_net/http_client.h"
-#include "gentian_platform/host_list.h"
 
 namespace gentian {
 
@@ -23,4 +23,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_HTTP_HOST_LIST_H_
+#endif  // GENTIAN_ADAPTERS_HTTP_HOST_LIST_H_
--- a/source/gentian_platform/http_target_gateway.cc
+++ b/source/gentian_adapters/http_target_gateway.cc
@@ -1,11 +1,11 @@
-#include "gentian_platform/http_target_gateway.h"
+#include "gentian_adapters/http_target_gateway.h"
 
 #include <deque>
 #include <map>
 #include <mutex>
 #include <utility>
 
-#include "gentian_platform/target_stream.h"
+#include "gentian_adapters/target_stream.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/http_target_gateway.h
+++ b/source/gentian_adapters/http_target_gateway.h
@@ -1,11 +1,11 @@
-#ifndef GENTIAN_PLATFORM_HTTP_TARGET_GATEWAY_H_
-#define GENTIAN_PLATFORM_HTTP_TARGET_GATEWAY_H_
+#ifndef GENTIAN_ADAPTERS_HTTP_TARGET_GATEWAY_H_
+#define GENTIAN_ADAPTERS_HTTP_TARGET_GATEWAY_H_
 
 #include <memory>
 #include <string>
 
+#include "gentian_adapters/target_gateway.h"
 #include "gentian_net/http_client.h"
-#include "gentian_platform/target_gateway.h"
 
 namespace gentian {
 
@@ -32,4 +32,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_HTTP_TARGET_GATEWAY_H_
+#endif  // GENTIAN_ADAPTERS_HTTP_TARGET_GATEWAY_H_
--- a/source/gentian_platform/key_value_fake.cc
+++ b/source/gentian_adapters/key_value_fake.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/key_value_fake.h"
+#include "gentian_adapters/key_value_fake.h"
 
 #include <utility>
 
--- a/source/gentian_platform/key_value_fake.h
+++ b/source/gentian_adapters/key_value_fake.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_KEY_VALUE_FAKE_H_
-#define GENTIAN_PLATFORM_KEY_VALUE_FAKE_H_
+#ifndef GENTIAN_ADAPTERS_KEY_VALUE_FAKE_H_
+#define GENTIAN_ADAPTERS_KEY_VALUE_FAKE_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "gentian_platform/key_value_store.h"
+#include "gentian_adapters/key_value_store.h"
 
 namespace gentian {
 
@@ -107,4 +107,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_KEY_VALUE_FAKE_H_
+#endif  // GENTIAN_ADAPTERS_KEY_VALUE_FAKE_H_
--- a/source/gentian_platform/key_value_store.h
+++ b/source/gentian_adapters/key_value_store.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_KEY_VALUE_STORE_H_
-#define GENTIAN_PLATFORM_KEY_VALUE_STORE_H_
+#ifndef GENTIAN_ADAPTERS_KEY_VALUE_STORE_H_
+#define GENTIAN_ADAPTERS_KEY_VALUE_STORE_H_
 
 #include <functional>
 
@@ -25,4 +25,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_KEY_VALUE_STORE_H_
+#endif  // GENTIAN_ADAPTERS_KEY_VALUE_STORE_H_
--- a/source/gentian_platform/prefix_cache_fake.cc
+++ b/source/gentian_adapters/prefix_cache_fake.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/prefix_cache_fake.h"
+#include "gentian_adapters/prefix_cache_fake.h"
 
 #include <algorithm>
 
--- a/source/gentian_platform/prefix_cache_fake.h
+++ b/source/gentian_adapters/prefix_cache_fake.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_PREFIX_CACHE_FAKE_H_
-#define GENTIAN_PLATFORM_PREFIX_CACHE_FAKE_H_
+#ifndef GENTIAN_ADAPTERS_PREFIX_CACHE_FAKE_H_
+#define GENTIAN_ADAPTERS_PREFIX_CACHE_FAKE_H_
 
 #include <cstdint>
 #include <deque>
@@ -52,4 +52,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_PREFIX_CACHE_FAKE_H_
+#endif  // GENTIAN_ADAPTERS_PREFIX_CACHE_FAKE_H_
--- a/source/gentian_platform/request_recorder.cc
+++ b/source/gentian_adapters/request_recorder.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/request_recorder.h"
+#include "gentian_adapters/request_recorder.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/gentian_platform/request_recorder.h
+++ b/source/gentian_adapters/request_recorder.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_REQUEST_RECORDER_H_
-#define GENTIAN_PLATFORM_REQUEST_RECORDER_H_
+#ifndef GENTIAN_ADAPTERS_REQUEST_RECORDER_H_
+#define GENTIAN_ADAPTERS_REQUEST_RECORDER_H_
 
 #include <string>
 #include <vector>
@@ -25,4 +25,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_REQUEST_RECORDER_H_
+#endif  // GENTIAN_ADAPTERS_REQUEST_RECORDER_H_
--- a/source/gentian_platform/target_gateway.h
+++ b/source/gentian_adapters/target_gateway.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_TARGET_GATEWAY_H_
-#define GENTIAN_PLATFORM_TARGET_GATEWAY_H_
+#ifndef GENTIAN_ADAPTERS_TARGET_GATEWAY_H_
+#define GENTIAN_ADAPTERS_TARGET_GATEWAY_H_
 
 #include <functional>
 #include <string>
@@ -46,4 +46,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_TARGET_GATEWAY_H_
+#endif  // GENTIAN_ADAPTERS_TARGET_GATEWAY_H_
--- a/source/gentian_platform/target_stream.cc
+++ b/source/gentian_adapters/target_stream.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/target_stream.h"
+#include "gentian_adapters/target_stream.h"
 
 #include <charconv>
 #include <utility>
--- a/source/gentian_platform/target_stream.h
+++ b/source/gentian_adapters/target_stream.h
@@ -1,14 +1,14 @@
-#ifndef GENTIAN_PLATFORM_TARGET_STREAM_H_
-#define GENTIAN_PLATFORM_TARGET_STREAM_H_
+#ifndef GENTIAN_ADAPTERS_TARGET_STREAM_H_
+#define GENTIAN_ADAPTERS_TARGET_STREAM_H_
 
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "gentian_adapters/chat_assembler.h"
+#include "gentian_adapters/target_gateway.h"
 #include "gentian_net/event_stream.h"
 #include "gentian_net/http_client.h"
-#include "gentian_platform/chat_assembler.h"
-#include "gentian_platform/target_gateway.h"
 
 namespace gentian {
 
@@ -45,4 +45,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_TARGET_STREAM_H_
+#endif  // GENTIAN_ADAPTERS_TARGET_STREAM_H_
--- a/source/gentian_platform/tool_fake.cc
+++ b/source/gentian_adapters/tool_fake.cc
@@ -1,4 +1,4 @@
-#include "gentian_platform/tool_fake.h"
+#include "gentian_adapters/tool_fake.h"
 
 namespace gentian {
 
--- a/source/gentian_platform/tool_fake.h
+++ b/source/gentian_adapters/tool_fake.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_PLATFORM_TOOL_FAKE_H_
-#define GENTIAN_PLATFORM_TOOL_FAKE_H_
+#ifndef GENTIAN_ADAPTERS_TOOL_FAKE_H_
+#define GENTIAN_ADAPTERS_TOOL_FAKE_H_
 
 #include <cstdint>
 #include <map>
@@ -7,8 +7,8 @@
 #include <mutex>
 #include <string>
 
+#include "gentian_adapters/request_recorder.h"
 #include "gentian_net/http_server.h"
-#include "gentian_platform/request_recorder.h"
 
 namespace gentian {
 
@@ -49,4 +49,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_PLATFORM_TOOL_FAKE_H_
+#endif  // GENTIAN_ADAPTERS_TOOL_FAKE_H_
--- a/source/gentian_app/dev_environment.h
+++ b/source/gentian_app/dev_environment.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "gentian_adapters/gentian_adapters.h"
 #include "gentian_daemon/gentian_daemon.h"
-#include "gentian_platform/gentian_platform.h"
 
 namespace gentian {
 
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -7,12 +7,14 @@
 
 namespace {
 
-constexpr std::array<gentian::subcommand, 4> kSubcommands = {{
+constexpr std::array<gentian::subcommand, 5> kSubcommands = {{
     {"check", "check settings files without starting anything",
      gentian::RunCheck},
     {"admin", "show and change the settings of a fleet", gentian::RunAdmin},
     {"serve", "run a daemon as its settings file describes it",
      gentian::RunServe},
+    {"gateway", "run a daemon on the users' platform",
+     gentian::RunGatewayCommand},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
 }};
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -3,11 +3,11 @@
 #include <iostream>
 #include <sstream>
 
+#include "gentian_adapters/gentian_adapters.h"
 #include "gentian_app/signal_waiter.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/gentian_daemon.h"
-#include "gentian_platform/gentian_platform.h"
 
 namespace gentian {
 
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -20,6 +20,9 @@
 /** Runs a daemon as its settings file describes it. */
 int RunServe(int argc, char** argv);
 
+/** Runs a daemon on the users' platform. */
+int RunGatewayCommand(int argc, char** argv);
+
 /** Runs a daemon with fakes of all outside systems in one process. */
 int RunDev(int argc, char** argv);
 
--- a/source/gentian_core/gentian_core.h
+++ b/source/gentian_core/gentian_core.h
@@ -6,6 +6,8 @@
 #ifndef GENTIAN_CORE_GENTIAN_CORE_H_
 #define GENTIAN_CORE_GENTIAN_CORE_H_
 
+#include "gentian_core/base64.h"
+#include "gentian_core/boot_clock.h"
 #include "gentian_core/cbor.h"
 #include "gentian_core/counter_set.h"
 #include "gentian_core/error.h"
--- a/source/gentian_daemon/daemon_log.cc
+++ b/source/gentian_daemon/daemon_log.cc
@@ -41,14 +41,17 @@
 
 }  // namespace
 
-result<success> StartLog(const std::string& level, const std::string& host) {
+result<success> StartLog(const std::string& level,
+                         const std::string& host,
+                         log_output output) {
   for (const level_row& row : kLevels) {
     if (level != row.name) {
       continue;
     }
-    // Standard error, written at once: the last lines before a crash matter.
+    // Written at once: the last lines before a crash matter.
     log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+        new log4cplus::ConsoleAppender(
+            output == log_output::standard_error, true));
     appender->setLayout(std::make_unique<json_layout>(host));
     Logger().removeAllAppenders();
     Logger().setAdditivity(false);
--- a/source/gentian_daemon/daemon_log.h
+++ b/source/gentian_daemon/daemon_log.h
@@ -8,12 +8,17 @@
 
 namespace gentian {
 
-/** Starts logging: one JSON object a line on standard error.
+/** Where log lines go. */
+enum class log_output { standard_error, standard_output };
+
+/** Starts logging: one JSON object a line.
 
     @param level  debug, info, warning or error
     @param host   name that every line carries
 */
-result<success> StartLog(const std::string& level, const std::string& host);
+result<success> StartLog(const std::string& level,
+                         const std::string& host,
+                         log_output output = log_output::standard_error);
 
 /** Writes one line. Fields that can hold a key or a prompt are left out. */
 void Log(const write_log& line);
--- /dev/null
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -0,0 +1,178 @@
+#include "gentian_gateway/budget_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentian {
+
+namespace {
+
+// Writes without an answer after which waiting turns are given up. A second
+// try uses a new connection and tells whether the first one took effect.
+constexpr int kMaxFailures = 2;
+
+}  // namespace
+
+void budget_commands::Append(budget_commands more) {
+  verdicts.insert(verdicts.end(), more.verdicts.begin(), more.verdicts.end());
+  std::move(more.writes.begin(), more.writes.end(), std::back_inserter(writes));
+}
+
+budget_ledger::budget_ledger(std::string writer) : writer_(std::move(writer)) {}
+
+budget_commands budget_ledger::Reserve(const token_request& request,
+                                       steady_time now) {
+  account& own = accounts_[request.program];
+  own.budget = request.budget;
+  own.used_at = now;
+  own.waiting.push_back(request);
+  return Advance(request.program, own);
+}
+
+budget_commands budget_ledger::Settle(const std::string& program,
+                                      std::int64_t reserved,
+                                      std::int64_t used,
+                                      steady_time now) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  found->second.available += reserved - used;
+  found->second.used_at = now;
+  return Advance(program, found->second);
+}
+
+void budget_ledger::Abandon(const std::string& program, budget_ticket ticket) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return;
+  }
+  auto& waiting = found->second.waiting;
+  waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                               [ticket](const token_request& next) {
+                                 return next.ticket == ticket;
+                               }),
+                waiting.end());
+}
+
+void budget_ledger::GrantWaiting(account& own, budget_commands& commands) {
+  while (!own.waiting.empty() && own.available >= own.waiting.front().most) {
+    own.available -= own.waiting.front().most;
+    commands.verdicts.push_back(
+        {own.waiting.front().ticket, budget_verdict::granted});
+    own.waiting.pop_front();
+  }
+}
+
+std::int64_t budget_ledger::AmountToClaim(const account& own) {
+  std::int64_t wanted = -own.available;
+  for (const token_request& next : own.waiting) {
+    wanted += next.most;
+  }
+  return std::min(wanted, own.budget - own.claimed);
+}
+
+budget_commands budget_ledger::Advance(const std::string& program,
+                                       account& own) {
+  budget_commands commands;
+  GrantWaiting(own, commands);
+  if (own.writing) {
+    return commands;
+  }
+  while (!own.waiting.empty()) {
+    const std::int64_t amount = AmountToClaim(own);
+    if (own.available + amount >= own.waiting.front().most) {
+      own.writing = true;
+      own.write_id = writer_ + "-" + std::to_string(++last_write_);
+      own.write_amount = amount;
+      commands.writes.push_back(
+          {program, own.version,
+           EncodeClaim({own.claimed + amount, own.write_id})});
+      break;
+    }
+    commands.verdicts.push_back(
+        {own.waiting.front().ticket, budget_verdict::spent});
+    own.waiting.pop_front();
+  }
+  return commands;
+}
+
+budget_commands budget_ledger::OnWritten(const std::string& program,
+                                         std::uint64_t version) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  account& own = found->second;
+  own.writing = false;
+  own.failures = 0;
+  own.version = version;
+  own.claimed += own.write_amount;
+  own.available += own.write_amount;
+  own.write_id.clear();
+  return Advance(program, own);
+}
+
+budget_commands budget_ledger::OnConflict(
+    const std::string& program,
+    std::uint64_t version,
+    const std::optional<budget_claim>& stored) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  account& own = found->second;
+  own.writing = false;
+  own.failures = 0;
+  own.version = version;
+  own.claimed = stored ? stored->claimed : 0;
+  if (stored && stored->write_id == own.write_id) {
+    own.available += own.write_amount;
+  }
+  own.write_id.clear();
+  return Advance(program, own);
+}
+
+budget_commands budget_ledger::OnNoAnswer(const std::string& program,
+                                          bool may_have_run) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  account& own = found->second;
+  budget_commands commands;
+  if (++own.failures < kMaxFailures) {
+    // The same write again: if the first one took effect, this one conflicts
+    // and finds the write's own identifier.
+    commands.writes.push_back(
+        {program, own.version,
+         EncodeClaim({own.claimed + own.write_amount, own.write_id})});
+    return commands;
+  }
+  own.writing = false;
+  own.failures = 0;
+  for (const token_request& next : own.waiting) {
+    commands.verdicts.push_back({next.ticket, budget_verdict::unavailable});
+  }
+  own.waiting.clear();
+  if (may_have_run) {
+    // Until the next write shows whether this one took effect, its tokens
+    // count as claimed by nobody here: a conflict with another identifier
+    // loses them.
+    own.write_id.clear();
+  }
+  return commands;
+}
+
+void budget_ledger::Forget(steady_time limit) {
+  for (auto next = accounts_.begin(); next != accounts_.end();) {
+    const account& own = next->second;
+    if (own.used_at < limit && own.waiting.empty() && !own.writing) {
+      next = accounts_.erase(next);
+    } else {
+      ++next;
+    }
+  }
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway/event_splitter.h
@@ -0,0 +1,39 @@
+#ifndef GENTIAN_GATEWAY_EVENT_SPLITTER_H_
+#define GENTIAN_GATEWAY_EVENT_SPLITTER_H_
+
+#include <string>
+#include <string_view>
+
+namespace gentian {
+
+/** Cuts a stream of server-sent events at the ends of events and leaves its
+    bytes as they are. A broken stream can then be resumed after the last event
+    that is complete.
+*/
+class event_splitter {
+ public:
+  /** The bytes up to the last end of an event. */
+  struct part {
+    std::string bytes;
+    int events = 0;
+  };
+
+  /** Adds bytes and returns the events that they complete. */
+  part Feed(std::string_view bytes);
+
+  /** Bytes after the last complete event. */
+  const std::string& rest() const { return rest_; }
+
+  /** Identifier of the last complete event that has one. */
+  const std::string& last_id() const { return last_id_; }
+
+ private:
+  void NoteEvent(std::string_view event);
+
+  std::string rest_;
+  std::string last_id_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_EVENT_SPLITTER_H_
--- /dev/null
+++ b/source/gentian_gateway/gateway_configuration.h
@@ -0,0 +1,64 @@
+#ifndef GENTIAN_GATEWAY_GATEWAY_CONFIGURATION_H_
+#define GENTIAN_GATEWAY_GATEWAY_CONFIGURATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gentian_gateway/gateway_route.h"
+#include "gentian_gateway/gateway_service.h"
+#include "gentian_gateway/gateway_team.h"
+
+namespace gentian {
+
+/** One version of the operator's configuration, with indexes for look-ups.
+    Immutable; requests hold the version under which they were accepted.
+*/
+class gateway_configuration {
+ public:
+  /** What a configuration consists of. */
+  struct parts {
+    std::uint64_t version = 0;
+    std::vector<gateway_route> routes;
+    std::vector<gateway_service> services;
+    std::vector<gateway_team> teams;
+    /** True if requests need a key on routes that are not open to all. */
+    bool requires_keys = false;
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_body_bytes = 4 * 1024 * 1024;
+    milliseconds idle_timeout{75'000};
+  };
+
+  explicit gateway_configuration(parts content);
+
+  std::uint64_t version() const { return content_.version; }
+  const parts& content() const { return content_; }
+
+  /** The route of a host with the longest prefix that begins the path, or
+      nothing. */
+  const gateway_route* FindRoute(std::string_view host,
+                                 std::string_view path) const;
+
+  /** The team that holds a key, or nothing. */
+  const gateway_team* FindTeamByKey(const std::string& key) const;
+
+  /** A service by name, or nothing. */
+  const gateway_service* FindService(const std::string& name) const;
+
+ private:
+  parts content_;
+  std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
+  std::unordered_map<std::string, std::size_t> team_by_key_;
+  std::unordered_map<std::string, std::size_t> service_by_name_;
+};
+
+/** A configuration that several requests share. */
+using shared_configuration = std::shared_ptr<const gateway_configuration>;
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_GATEWAY_CONFIGURATION_H_
--- /dev/null
+++ b/source/gentian_gateway/gateway_team.h
@@ -0,0 +1,24 @@
+#ifndef GENTIAN_GATEWAY_GATEWAY_TEAM_H_
+#define GENTIAN_GATEWAY_GATEWAY_TEAM_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gentian {
+
+/** A team, its keys and its allowance across all daemons. */
+struct gateway_team {
+  std::string name;
+  std::vector<std::string> keys;
+  /** Requests a second; 0 for no limit. */
+  double rate = 0;
+  /** Requests beyond the rate that may come at once. */
+  double burst = 0;
+  /** Rank that goes before the rank of the route. */
+  std::optional<int> priority;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_GATEWAY_TEAM_H_
--- /dev/null
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -0,0 +1,19 @@
+/** Decisions of the gateway daemon, which passes requests of callers on to
+    targets: routes and keys, allowances, token budgets, choice of a target,
+    membership. State in, decisions out; no sockets, threads or clocks.
+
+    Dependencies: gentian_core.
+*/
+#ifndef GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
+#define GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
+
+#include "gentian_gateway/allowance_meter.h"
+#include "gentian_gateway/budget_ledger.h"
+#include "gentian_gateway/configuration_holder.h"
+#include "gentian_gateway/event_splitter.h"
+#include "gentian_gateway/gateway_configuration.h"
+#include "gentian_gateway/member_record.h"
+#include "gentian_gateway/target_selector.h"
+#include "gentian_gateway/target_table.h"
+
+#endif  // GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
--- /dev/null
+++ b/source/gentian_gateway/member_record.cc
@@ -0,0 +1,30 @@
+#include "gentian_gateway/member_record.h"
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+std::string EncodeMember(const member_record& member) {
+  return json{{"host", member.host},
+              {"failure_domain", member.failure_domain},
+              {"caller_address", member.caller_address},
+              {"peer_address", member.peer_address},
+              {"stopping", member.stopping}}
+      .dump();
+}
+
+std::optional<member_record> DecodeMember(const std::string& text) {
+  const json stored = json::parse(text, nullptr, false);
+  if (!stored.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return member_record{stored.at("host"), stored.at("failure_domain"),
+                         stored.at("caller_address"), stored.at("peer_address"),
+                         stored.at("stopping")};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway/target_selector.cc
@@ -0,0 +1,73 @@
+#include "gentian_gateway/target_selector.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace gentian {
+
+namespace {
+
+// Reports lag by some hundred milliseconds and say little after a second.
+constexpr milliseconds kLoadLifetime{1'000};
+// Part of the slots beyond which the next target in rank is asked.
+constexpr double kFullPart = 0.75;
+
+int ExpectedLoad(const known_target& target, steady_time now) {
+  int reported = 0;
+  if (target.load && now - target.load->at < kLoadLifetime) {
+    reported = target.load->running + target.load->waiting;
+  }
+  return std::max(reported, target.open_requests);
+}
+
+bool IsFull(const known_target& target, steady_time now) {
+  return ExpectedLoad(target, now) >=
+         std::max(1.0, kFullPart * target.record.slots);
+}
+
+// Smaller is better: reachable targets first, then those with room, then the
+// rank that the hash gives, or the load and the distance.
+using rank = std::tuple<bool, bool, double, bool, std::uint64_t>;
+
+rank RankOf(const known_target& target,
+            const target_demand& demand,
+            std::uint64_t seed,
+            steady_time now) {
+  const bool avoided = now < target.avoid_until;
+  const std::uint64_t hash = StableHash(target.record.id, seed);
+  const bool has_affinity = !demand.affinity_key.empty();
+  const double load = has_affinity
+                          ? 0.0
+                          : static_cast<double>(ExpectedLoad(target, now)) /
+                                std::max(1, target.record.slots);
+  const bool far =
+      !has_affinity && target.record.failure_domain != demand.failure_domain;
+  return {avoided, IsFull(target, now), load, far, hash};
+}
+
+}  // namespace
+
+const known_target* SelectTarget(const target_table& targets,
+                                 const target_demand& demand,
+                                 steady_time now) {
+  const std::uint64_t seed = StableHash(demand.affinity_key);
+  const known_target* best = nullptr;
+  rank best_rank;
+  for (const known_target* target : targets.Serving(demand.service)) {
+    const bool excluded =
+        std::find(demand.excluded.begin(), demand.excluded.end(),
+                  target->record.id) != demand.excluded.end();
+    // An address that now belongs to another target can not run the request.
+    if (excluded || target->avoid_until == steady_time::max()) {
+      continue;
+    }
+    const rank own = RankOf(*target, demand, seed, now);
+    if (best == nullptr || own < best_rank) {
+      best = target;
+      best_rank = own;
+    }
+  }
+  return best;
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway/target_table.cc
@@ -0,0 +1,131 @@
+#include "gentian_gateway/target_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentian {
+
+namespace {
+
+// Time between listings beyond which the key-value service counts as having
+// been away: entries live for three heartbeats of a target, so some may have
+// lapsed.
+constexpr milliseconds kOutage{2'500};
+// Targets write their entries again within about two seconds of the return of
+// the key-value service.
+constexpr milliseconds kReturnTime{2'200};
+constexpr milliseconds kFirstAvoidance{200};
+constexpr milliseconds kMaxAvoidance{2'000};
+constexpr int kMaxDoublings = 4;
+
+}  // namespace
+
+std::vector<std::string> target_table::Update(
+    std::vector<target_record> listing,
+    steady_time asked_at) {
+  std::vector<std::string> changed;
+  if (last_listing_ && asked_at - *last_listing_ > kOutage) {
+    outage_ended_ = asked_at;
+  }
+  last_listing_ = asked_at;
+  const bool may_return =
+      outage_ended_ && asked_at - *outage_ended_ < kReturnTime;
+  std::map<std::string, target_record> listed;
+  for (target_record& record : listing) {
+    listed.emplace(record.id, std::move(record));
+  }
+  for (auto next = known_.begin(); next != known_.end();) {
+    const bool present = listed.count(next->first) > 0;
+    if (present || (may_return && !next->second.record.draining)) {
+      ++next;
+    } else {
+      changed.push_back(next->first);
+      next = known_.erase(next);
+    }
+  }
+  for (auto& [id, record] : listed) {
+    const auto [place, is_new] = known_.try_emplace(id);
+    known_target& target = place->second;
+    const bool restarted =
+        !is_new && target.record.started_at_ms != record.started_at_ms;
+    if (is_new || restarted || target.record.draining != record.draining) {
+      changed.push_back(id);
+    }
+    if (restarted) {
+      target.load.reset();
+      target.failures = 0;
+      target.avoid_until = steady_time();
+    }
+    target.record = std::move(record);
+  }
+  return changed;
+}
+
+const known_target* target_table::Find(const std::string& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() || found->second.record.draining
+             ? nullptr
+             : &found->second;
+}
+
+std::vector<const known_target*> target_table::Serving(
+    const std::string& service) const {
+  std::vector<const known_target*> serving;
+  for (const auto& [id, target] : known_) {
+    if (target.record.service == service && !target.record.draining) {
+      serving.push_back(&target);
+    }
+  }
+  return serving;
+}
+
+known_target* target_table::Get(const std::string& id) {
+  const auto found = known_.find(id);
+  return found == known_.end() ? nullptr : &found->second;
+}
+
+void target_table::RequestStarted(const std::string& id) {
+  if (known_target* target = Get(id)) {
+    ++target->open_requests;
+  }
+}
+
+void target_table::RequestEnded(const std::string& id) {
+  known_target* target = Get(id);
+  // An entry that went and came back has forgotten earlier requests.
+  if (target != nullptr && target->open_requests > 0) {
+    --target->open_requests;
+  }
+}
+
+void target_table::ReportLoad(const std::string& id, reported_load load) {
+  if (known_target* target = Get(id)) {
+    target->load = load;
+  }
+}
+
+void target_table::ReportFailure(const std::string& id, steady_time now) {
+  known_target* target = Get(id);
+  if (target == nullptr) {
+    return;
+  }
+  const int doublings = std::min(target->failures, kMaxDoublings);
+  ++target->failures;
+  target->avoid_until =
+      now + std::min(kMaxAvoidance, kFirstAvoidance * (1 << doublings));
+}
+
+void target_table::ReportSuccess(const std::string& id) {
+  if (known_target* target = Get(id)) {
+    target->failures = 0;
+    target->avoid_until = steady_time();
+  }
+}
+
+void target_table::ReportReplaced(const std::string& id) {
+  if (known_target* target = Get(id)) {
+    target->avoid_until = steady_time::max();
+  }
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway_daemon/caller_call.h
@@ -0,0 +1,34 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_CALLER_CALL_H_
+#define GENTIAN_GATEWAY_DAEMON_CALLER_CALL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+/** What a caller's request says beside its bytes. */
+struct caller_call {
+  std::string request_id;
+  std::string host;
+  std::string path;
+  /** The key as sent; empty if there is none. Never logged. */
+  std::string key;
+  /** How long the caller waits. */
+  std::optional<milliseconds> time_left;
+  /** The program that the request belongs to; empty if to none. */
+  std::string program;
+  /** Tokens that all turns of the program may generate; nothing if the request
+      is not a turn. */
+  std::optional<std::int64_t> token_budget;
+  /** Tokens that this request generates at most. */
+  std::int64_t max_output_tokens = 0;
+  /** The last event that the caller already has of a resumed stream. */
+  std::string last_event_id;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_CALLER_CALL_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -0,0 +1,102 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
+#define GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gentian_gateway_daemon/budget_service.h"
+#include "gentian_gateway_daemon/gateway_protocol.h"
+#include "gentian_gateway_daemon/gateway_state.h"
+
+namespace gentian {
+
+/** What all requests of a daemon share. */
+struct gateway_environment {
+  const gateway_settings& settings;
+  const gateway_protocol& protocol;
+  gateway_state& state;
+  budget_service& budgets;
+  http_client& targets;
+};
+
+/** One request of a caller, from its arrival to its answer. Keeps itself alive.
+    Runs on the I/O thread.
+*/
+class gateway_call : public std::enable_shared_from_this<gateway_call> {
+ public:
+  gateway_call(gateway_environment& environment,
+               std::shared_ptr<http_exchange> exchange);
+
+  void Start();
+
+ private:
+  /** Where the caller's answer stands. */
+  enum class phase { waiting, at_target, streaming, ended };
+
+  // Admission.
+  std::optional<refusal> Authorize();
+  std::optional<refusal> TakeAllowance();
+  void ReserveBudget();
+  void OnBudget(budget_verdict verdict);
+
+  // One attempt at a target.
+  void Dispatch();
+  const known_target* ChooseTarget(steady_time now) const;
+  void Send(const known_target& target, milliseconds time_left);
+  void OnHeader(int status, const http_headers& headers);
+  void OnBody(std::string_view bytes);
+  void OnEnd();
+  void OnStreamEnd();
+  void OnWholeAnswer();
+  void OnFailure(http_failure failure, const std::string& message);
+  void EndAttempt();
+  void RetryElsewhere(const char* reason);
+  void AfterPossibleRun(const char* reason);
+  bool MayRunAgain() const;
+
+  // Ends.
+  void OnDisconnect();
+  void Refuse(refusal answer);
+  void ReturnAllowance();
+  void Finish(const std::string& outcome);
+  milliseconds TimeLeft(steady_time now) const;
+
+  gateway_environment& environment_;
+  std::shared_ptr<http_exchange> exchange_;
+  steady_time arrived_;
+  steady_time deadline_;
+  std::optional<caller_call> call_;
+  shared_configuration configuration_;
+  const gateway_route* route_ = nullptr;
+  const gateway_team* team_ = nullptr;
+  std::string service_;
+  int tokens_per_event_ = 0;
+
+  phase phase_ = phase::waiting;
+  /** The team whose allowance was charged. */
+  std::optional<gateway_team> charged_team_;
+  std::optional<budget_ticket> budget_ticket_;
+  std::int64_t reserved_ = 0;
+
+  std::shared_ptr<http_call> attempt_;
+  std::uint64_t attempt_serial_ = 0;
+  std::string target_;
+  std::vector<std::string> excluded_;
+  /** A target that the request may have run on and has to go on at. */
+  std::string bound_target_;
+  int sends_ = 0;
+  int runs_ = 0;
+  target_answer answer_;
+  http_headers answer_headers_;
+  std::string answer_body_;
+  event_splitter events_;
+  int events_sent_ = 0;
+  std::optional<steady_time> first_event_;
+  std::string last_reason_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -0,0 +1,188 @@
+#include "gentian_gateway_daemon/gateway_daemon.h"
+
+#include <utility>
+#include <vector>
+
+#include "gentian_daemon/daemon_log.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr const char* kMetricsPath = "/metrics";
+// Callers keep an answer about addresses for this long.
+constexpr milliseconds kDirectoryLifetime{2'000};
+// Time for callers to learn that this daemon is stopping before it closes its
+// listener; a caller that still comes gets an answer and a closed connection.
+constexpr milliseconds kLeaveTime{2'500};
+constexpr milliseconds kStopPoll{50};
+// Time before the forced end at which unfinished requests are given up.
+constexpr milliseconds kStopMargin{500};
+
+http_server_limits CallerLimits() {
+  http_server_limits limits;
+  // The configuration bounds requests more closely; this bounds the memory
+  // that they can take before it is known which route they are for.
+  limits.max_header_bytes = 64 * 1024;
+  limits.max_unsent_bytes = 1024 * 1024;
+  return limits;
+}
+
+http_server_limits InternalLimits() {
+  http_server_limits limits;
+  limits.max_body_bytes = 64 * 1024;
+  return limits;
+}
+
+http_response Plain(int status, std::string body = "") {
+  http_response response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+gateway_daemon::gateway_daemon(io_pool& pool,
+                               key_value_store& store,
+                               const gateway_protocol& protocol,
+                               gateway_settings settings,
+                               const std::string& incarnation)
+    : pool_(pool),
+      protocol_(protocol),
+      settings_(std::move(settings)),
+      state_(settings_),
+      target_client_(pool),
+      budgets_(store, incarnation),
+      reader_(pool, store, protocol, settings_, state_),
+      environment_{settings_, protocol, state_, budgets_, target_client_},
+      callers_(
+          pool,
+          [this](std::shared_ptr<http_exchange> exchange) {
+            std::make_shared<gateway_call>(environment_, std::move(exchange))
+                ->Start();
+          },
+          CallerLimits()),
+      readiness_(
+          pool,
+          [this](const std::shared_ptr<http_exchange>& exchange) {
+            AnswerReadiness(*exchange);
+          },
+          InternalLimits()),
+      directory_(
+          pool,
+          [this](const std::shared_ptr<http_exchange>& exchange) {
+            AnswerDirectory(*exchange);
+          },
+          InternalLimits()),
+      peers_(
+          pool,
+          [this](const std::shared_ptr<http_exchange>& exchange) {
+            AnswerPeer(*exchange);
+          },
+          InternalLimits()) {}
+
+gateway_daemon::~gateway_daemon() = default;
+
+result<success> gateway_daemon::Start() {
+  result<success> listening = Listen();
+  if (!Failed(listening)) {
+    reader_.Start();
+  }
+  return listening;
+}
+
+result<success> gateway_daemon::Listen() {
+  const std::vector<std::pair<http_server*, const std::string*>> listeners = {
+      {&callers_, &settings_.caller_address},
+      {&readiness_, &settings_.readiness_address},
+      {&directory_, &settings_.directory_address},
+      {&peers_, &settings_.peer_address}};
+  for (const auto& [server, address] : listeners) {
+    if (address->empty()) {
+      continue;
+    }
+    result<success> listening = server->Listen(*address);
+    if (Failed(listening)) {
+      return listening;
+    }
+  }
+  return success{};
+}
+
+void gateway_daemon::AnswerReadiness(http_exchange& exchange) const {
+  const bool known = exchange.request().Path() == protocol_.ReadinessPath();
+  if (!known) {
+    exchange.Respond(Plain(kNotFound));
+    return;
+  }
+  const bool ready = state_.CanServe(BootTimeNow());
+  exchange.Respond(Plain(ready ? kOk : kUnavailable));
+}
+
+void gateway_daemon::AnswerDirectory(http_exchange& exchange) const {
+  if (exchange.request().Path() != protocol_.DirectoryPath()) {
+    exchange.Respond(Plain(kNotFound));
+    return;
+  }
+  std::vector<std::string> addresses;
+  for (const auto& [key, member] : state_.members) {
+    const bool self = member.host == settings_.host;
+    if (!member.stopping && !(self && !state_.CanServe(BootTimeNow()))) {
+      addresses.push_back(member.caller_address);
+    }
+  }
+  if (addresses.empty()) {
+    exchange.Respond(Plain(kUnavailable));
+    return;
+  }
+  exchange.Respond(protocol_.DirectoryAnswer(addresses, kDirectoryLifetime));
+}
+
+void gateway_daemon::AnswerPeer(http_exchange& exchange) {
+  if (exchange.request().Path() != kMetricsPath) {
+    exchange.Respond(Plain(kNotFound));
+    return;
+  }
+  state_.metrics.SetGauge("open_requests",
+                          static_cast<double>(state_.open_requests));
+  state_.metrics.SetGauge("members",
+                          static_cast<double>(state_.members.size()));
+  http_response page = Plain(kOk, state_.metrics.ToPrometheus(state_.counters));
+  page.headers.Add("Content-Type", "text/plain");
+  exchange.Respond(std::move(page));
+}
+
+void gateway_daemon::Stop(std::function<void()> on_stopped) {
+  if (state_.stopping) {
+    return;
+  }
+  Log(write_log::level::info, "stopping",
+      {{"open_requests", state_.open_requests}});
+  on_stopped_ = std::move(on_stopped);
+  state_.stopping = true;
+  stop_by_ = BootTimeNow() + settings_.stop_grace - kStopMargin;
+  reader_.AnnounceStop();
+  callers_.CloseAfterAnswers();
+  pool_.After(kLeaveTime, [this] {
+    callers_.StopAccepting();
+    FinishStop();
+  });
+}
+
+void gateway_daemon::FinishStop() {
+  if (state_.open_requests > 0 && BootTimeNow() < stop_by_) {
+    pool_.After(kStopPoll, [this] { FinishStop(); });
+    return;
+  }
+  Log(write_log::level::info, "stopped",
+      {{"abandoned_requests", state_.open_requests}});
+  reader_.Deregister();
+  // Lets the last bytes of answers and the deregistration leave.
+  pool_.After(2 * kStopPoll, [this] { on_stopped_(); });
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -0,0 +1,59 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_DAEMON_H_
+#define GENTIAN_GATEWAY_DAEMON_GATEWAY_DAEMON_H_
+
+#include <functional>
+#include <memory>
+
+#include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_gateway_daemon/state_reader.h"
+
+namespace gentian {
+
+/** Passes requests of callers on to targets. Everything runs on the one thread
+    of the pool that is given.
+*/
+class gateway_daemon {
+ public:
+  /** @param incarnation  unique for each start */
+  gateway_daemon(io_pool& pool,
+                 key_value_store& store,
+                 const gateway_protocol& protocol,
+                 gateway_settings settings,
+                 const std::string& incarnation);
+  ~gateway_daemon();
+
+  /** Listens and begins to read the state of the fleet. */
+  result<success> Start();
+
+  /** Finishes the requests in progress and takes no new callers.
+
+      @param on_stopped  runs once nothing is in progress, at the latest
+                         shortly before the grace time ends */
+  void Stop(std::function<void()> on_stopped);
+
+ private:
+  result<success> Listen();
+  void AnswerReadiness(http_exchange& exchange) const;
+  void AnswerDirectory(http_exchange& exchange) const;
+  void AnswerPeer(http_exchange& exchange);
+  void FinishStop();
+
+  io_pool& pool_;
+  const gateway_protocol& protocol_;
+  const gateway_settings settings_;
+  gateway_state state_;
+  http_client target_client_;
+  budget_service budgets_;
+  state_reader reader_;
+  gateway_environment environment_;
+  http_server callers_;
+  http_server readiness_;
+  http_server directory_;
+  http_server peers_;
+  steady_time stop_by_;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -0,0 +1,29 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
+#define GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
+
+#include <string>
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+/** Settings of one gateway daemon. Addresses are `ip:port`; an empty one is
+    not listened on. */
+struct gateway_settings {
+  std::string host;
+  std::string failure_domain;
+  std::string caller_address;
+  std::string readiness_address;
+  std::string directory_address;
+  /** For other daemons, and for metrics. */
+  std::string peer_address;
+  std::string key_value_address;
+  /** A withdrawn key must not work after this time. */
+  milliseconds withdrawal_bound{5'000};
+  /** Time between the request to stop and the forced end. */
+  milliseconds stop_grace{8'000};
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -0,0 +1,36 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
+#define GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
+
+#include <map>
+#include <string>
+
+#include "gentian_daemon/daemon_metrics.h"
+#include "gentian_gateway/gentian_gateway.h"
+#include "gentian_gateway_daemon/gateway_settings.h"
+
+namespace gentian {
+
+/** What a gateway daemon believes. Used on the I/O thread only. */
+struct gateway_state {
+  explicit gateway_state(const gateway_settings& settings)
+      : configuration(settings.withdrawal_bound) {}
+
+  /** True if requests that need a key can be served. */
+  bool CanServe(steady_time now) const {
+    return !stopping && configuration.IsFresh(now);
+  }
+
+  configuration_holder configuration;
+  target_table targets;
+  allowance_meter allowances;
+  /** Registered daemons by key, this one included. */
+  std::map<std::string, member_record> members;
+  bool stopping = false;
+  std::size_t open_requests = 0;
+  counter_set counters;
+  daemon_metrics metrics;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -0,0 +1,309 @@
+#include "gentian_gateway_daemon/state_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gentian_daemon/daemon_log.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr const char* kMembersPrefix = "gentianrun/members/";
+// Changes of the configuration have to be in force within two seconds, and a
+// target that is leaving gets no work after two seconds; one lost call may be
+// repeated within that time.
+constexpr milliseconds kConfigurationInterval{900};
+constexpr milliseconds kTargetsInterval{900};
+constexpr milliseconds kMembersInterval{2'000};
+// A call without an answer for this long is given up; its connection may have
+// gone silent.
+constexpr milliseconds kCallDeadline{800};
+constexpr milliseconds kFirstRetry{100};
+constexpr milliseconds kMaxRetry{800};
+constexpr int kMaxDoublings = 3;
+// Longer than a daemon serves without a confirmed configuration, so that its
+// part of the allowances is not given away while it still serves.
+constexpr milliseconds kLeaseTime{6'000};
+constexpr milliseconds kRenewInterval{1'500};
+
+duration RetryDelay(int failures) {
+  return std::min<duration>(
+      kMaxRetry, kFirstRetry * (1 << std::min(failures, kMaxDoublings)));
+}
+
+}  // namespace
+
+state_reader::state_reader(io_pool& pool,
+                           key_value_store& store,
+                           const gateway_protocol& protocol,
+                           const gateway_settings& settings,
+                           gateway_state& state)
+    : pool_(pool),
+      store_(store),
+      protocol_(protocol),
+      settings_(settings),
+      state_(state),
+      listings_{{{"configuration", protocol.ConfigurationPrefix(),
+                  kConfigurationInterval, &state_reader::ApplyConfiguration},
+                 {"targets", protocol.TargetsPrefix(), kTargetsInterval,
+                  &state_reader::ApplyTargets},
+                 {"members", kMembersPrefix, kMembersInterval,
+                  &state_reader::ApplyMembers}}} {}
+
+void state_reader::Start() {
+  for (listing& subject : listings_) {
+    Poll(subject);
+  }
+  GrantLease();
+}
+
+void state_reader::Poll(listing& subject) {
+  const steady_time asked_at = BootTimeNow();
+  store_.Call(kv_list{subject.prefix}, kCallDeadline,
+              [this, &subject, asked_at](const kv_answer& answer) {
+                OnListing(subject, answer, asked_at);
+              });
+}
+
+void state_reader::OnListing(listing& subject,
+                             const kv_answer& answer,
+                             steady_time asked_at) {
+  NoteReachability(subject, answer);
+  duration delay = RetryDelay(subject.failures);
+  if (answer.outcome == kv_answer::status::ok) {
+    subject.failures = 0;
+    (this->*subject.apply)(answer, asked_at);
+    delay = std::max<duration>(kFirstRetry,
+                               subject.interval - (BootTimeNow() - asked_at));
+  } else {
+    ++subject.failures;
+    state_.counters.Add(std::string("listing_failed.") + subject.name);
+  }
+  pool_.After(delay, [this, &subject] { Poll(subject); });
+}
+
+void state_reader::NoteReachability(listing& subject, const kv_answer& answer) {
+  const bool reached = answer.outcome == kv_answer::status::ok;
+  const steady_time now = BootTimeNow();
+  if (reached != subject.reached) {
+    Log(reached ? write_log::level::info : write_log::level::warning,
+        reached ? "key-value service reached" : "key-value service lost",
+        {{"listing", subject.name},
+         {"outcome", static_cast<int>(answer.outcome)},
+         {"last_answer_age_ms",
+          subject.last_answer == steady_time()
+              ? -1
+              : ToMilliseconds(now - subject.last_answer).count()}});
+  }
+  subject.reached = reached;
+  if (reached) {
+    subject.last_answer = now;
+  }
+}
+
+void state_reader::ApplyConfiguration(const kv_answer& answer,
+                                      steady_time asked_at) {
+  AnswerDrainRequests(answer);
+  for (const kv_entry& entry : answer.entries) {
+    if (!protocol_.IsConfiguration(entry)) {
+      continue;
+    }
+    if (entry.version == configuration_version_) {
+      state_.configuration.ConfirmUnchanged(asked_at);
+      return;
+    }
+    const result<shared_configuration> decoded =
+        protocol_.DecodeConfiguration(entry);
+    if (Failed(decoded)) {
+      Log(write_log::level::error, "configuration not readable",
+          {{"reason", ErrorOf(decoded).message},
+           {"remedy", ErrorOf(decoded).remedy}});
+      return;
+    }
+    if (state_.configuration.Confirm(ValueOf(decoded), asked_at)) {
+      configuration_version_ = entry.version;
+      Log(write_log::level::info, "configuration in force",
+          {{"version", ValueOf(decoded)->version()},
+           {"routes", ValueOf(decoded)->content().routes.size()},
+           {"teams", ValueOf(decoded)->content().teams.size()},
+           {"read_ms", ToMilliseconds(BootTimeNow() - asked_at).count()}});
+    }
+  }
+}
+
+void state_reader::ApplyTargets(const kv_answer& answer, steady_time asked_at) {
+  std::vector<target_record> records;
+  for (const kv_entry& entry : answer.entries) {
+    if (auto record = protocol_.DecodeTarget(entry)) {
+      records.push_back(std::move(*record));
+    } else {
+      state_.counters.Add("target_entry_unreadable");
+    }
+  }
+  for (const std::string& id :
+       state_.targets.Update(std::move(records), asked_at)) {
+    const bool usable = state_.targets.Find(id) != nullptr;
+    Log(write_log::level::info,
+        usable ? "target usable" : "target leaving or gone",
+        {{"target", id}, {"listed", state_.targets.IsListed(id)}});
+  }
+}
+
+void state_reader::ApplyMembers(const kv_answer& answer,
+                                steady_time /*asked_at*/) {
+  std::map<std::string, member_record> members;
+  for (const kv_entry& entry : answer.entries) {
+    if (auto member = DecodeMember(entry.value)) {
+      members[entry.key] = std::move(*member);
+    }
+  }
+  if (members.size() != state_.members.size()) {
+    Log(write_log::level::info, "members changed",
+        {{"count", members.size()}, {"before", state_.members.size()}});
+  }
+  state_.members = std::move(members);
+  const bool self_listed =
+      state_.members.count(kMembersPrefix + settings_.host) > 0;
+  state_.allowances.SetMembers(state_.members.size() + (self_listed ? 0 : 1));
+}
+
+void state_reader::GrantLease() {
+  store_.Call(kv_grant_lease{kLeaseTime}, kCallDeadline,
+              [this](const kv_answer& answer) {
+                if (answer.outcome != kv_answer::status::ok) {
+                  RetryRegistration();
+                  return;
+                }
+                lease_ = answer.lease;
+                WriteRecord();
+              });
+}
+
+void state_reader::RetryRegistration() {
+  lease_ = 0;
+  state_.counters.Add("registration_failed");
+  pool_.After(kMaxRetry, [this] { GrantLease(); });
+}
+
+void state_reader::WriteRecord() {
+  const member_record own{settings_.host, settings_.failure_domain,
+                          settings_.caller_address, settings_.peer_address,
+                          state_.stopping};
+  store_.Call(kv_compare_and_swap{kMembersPrefix + settings_.host,
+                                  record_version_, EncodeMember(own), lease_},
+              kCallDeadline,
+              [this](const kv_answer& answer) { OnRecordWritten(answer); });
+}
+
+void state_reader::OnRecordWritten(const kv_answer& answer) {
+  switch (answer.outcome) {
+    case kv_answer::status::ok:
+      record_version_ = answer.revision;
+      Log(write_log::level::info, "registered",
+          {{"lease", lease_}, {"stopping", state_.stopping}});
+      pool_.After(kRenewInterval, [this] { RenewLease(); });
+      return;
+    case kv_answer::status::conflict:
+      // The record of an earlier start, or none any more.
+      record_version_ =
+          answer.entries.empty() ? 0 : answer.entries.front().version;
+      WriteRecord();
+      return;
+    default:
+      RetryRegistration();
+      return;
+  }
+}
+
+void state_reader::RenewLease() {
+  if (lease_ == 0) {
+    return;
+  }
+  store_.Call(
+      kv_renew_lease{lease_}, kCallDeadline, [this](const kv_answer& answer) {
+        if (answer.outcome == kv_answer::status::lease_expired) {
+          Log(write_log::level::warning, "lease expired", {{"lease", lease_}});
+          GrantLease();
+          return;
+        }
+        const bool renewed = answer.outcome == kv_answer::status::ok;
+        pool_.After(renewed ? kRenewInterval : kMaxRetry,
+                    [this] { RenewLease(); });
+      });
+}
+
+void state_reader::AnnounceStop() {
+  const member_record own{settings_.host, settings_.failure_domain,
+                          settings_.caller_address, settings_.peer_address,
+                          true};
+  if (lease_ == 0) {
+    return;
+  }
+  store_.Call(kv_compare_and_swap{kMembersPrefix + settings_.host,
+                                  record_version_, EncodeMember(own), lease_},
+              kCallDeadline, [this](const kv_answer& answer) {
+                if (answer.outcome == kv_answer::status::ok) {
+                  record_version_ = answer.revision;
+                }
+              });
+}
+
+void state_reader::Deregister() {
+  if (lease_ == 0) {
+    return;
+  }
+  lease_ = 0;
+  store_.Call(kv_delete{kMembersPrefix + settings_.host, record_version_},
+              kCallDeadline, [](const kv_answer&) {
+                // The lease removes the record if this call did not.
+              });
+}
+
+bool state_reader::IsFirstMember() const {
+  return !state_.members.empty() &&
+         state_.members.begin()->first == kMembersPrefix + settings_.host;
+}
+
+void state_reader::AnswerDrainRequests(const kv_answer& answer) {
+  if (!IsFirstMember()) {
+    return;
+  }
+  for (const kv_entry& entry : answer.entries) {
+    const auto request = protocol_.DecodeDrainRequest(entry);
+    if (!request || !drains_.try_emplace(request->status_key, false).second) {
+      continue;
+    }
+    Log(write_log::level::info, "host is to be emptied",
+        {{"drained_host", request->host}});
+    WriteDrainStatus(request->status_key, 0, false);
+  }
+}
+
+void state_reader::WriteDrainStatus(const std::string& key,
+                                    std::uint64_t version,
+                                    bool completed) {
+  store_.Call(
+      kv_compare_and_swap{key, version, protocol_.DrainStatus(completed)},
+      kCallDeadline, [this, key, completed](const kv_answer& answer) {
+        if (answer.outcome == kv_answer::status::ok) {
+          if (!completed) {
+            // Hosts with disks hold nothing that has to be moved.
+            WriteDrainStatus(key, answer.revision, true);
+          }
+        } else if (answer.outcome == kv_answer::status::conflict) {
+          const std::uint64_t stored =
+              answer.entries.empty() ? 0 : answer.entries.front().version;
+          const bool same =
+              !answer.entries.empty() &&
+              answer.entries.front().value == protocol_.DrainStatus(true);
+          if (!same) {
+            WriteDrainStatus(key, stored, stored != 0);
+          }
+        } else {
+          drains_.erase(key);
+        }
+      });
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -0,0 +1,82 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_STATE_READER_H_
+#define GENTIAN_GATEWAY_DAEMON_STATE_READER_H_
+
+#include <array>
+#include <map>
+#include <string>
+
+#include "gentian_adapters/gentian_adapters.h"
+#include "gentian_gateway_daemon/gateway_protocol.h"
+#include "gentian_gateway_daemon/gateway_state.h"
+
+namespace gentian {
+
+/** Keeps a gateway_state up to date from the key-value service and keeps this
+    daemon registered there. Used on the I/O thread only.
+*/
+class state_reader {
+ public:
+  state_reader(io_pool& pool,
+               key_value_store& store,
+               const gateway_protocol& protocol,
+               const gateway_settings& settings,
+               gateway_state& state);
+
+  void Start();
+
+  /** Tells the others that this daemon takes no new callers. */
+  void AnnounceStop();
+
+  /** Removes the registration. */
+  void Deregister();
+
+ private:
+  struct listing {
+    const char* name;
+    std::string prefix;
+    duration interval;
+    void (state_reader::*apply)(const kv_answer& answer, steady_time asked_at);
+    int failures = 0;
+    bool reached = false;
+    steady_time last_answer{};
+  };
+
+  void Poll(listing& subject);
+  void OnListing(listing& subject,
+                 const kv_answer& answer,
+                 steady_time asked_at);
+  void NoteReachability(listing& subject, const kv_answer& answer);
+
+  void ApplyConfiguration(const kv_answer& answer, steady_time asked_at);
+  void ApplyTargets(const kv_answer& answer, steady_time asked_at);
+  void ApplyMembers(const kv_answer& answer, steady_time asked_at);
+
+  // Registration: grant a lease, write the record, renew the lease.
+  void GrantLease();
+  void WriteRecord();
+  void OnRecordWritten(const kv_answer& answer);
+  void RenewLease();
+  void RetryRegistration();
+
+  // Empties hosts that are to be taken away; they hold nothing.
+  void AnswerDrainRequests(const kv_answer& answer);
+  bool IsFirstMember() const;
+  void WriteDrainStatus(const std::string& key,
+                        std::uint64_t version,
+                        bool completed);
+
+  io_pool& pool_;
+  key_value_store& store_;
+  const gateway_protocol& protocol_;
+  const gateway_settings& settings_;
+  gateway_state& state_;
+  std::array<listing, 3> listings_;
+  std::uint64_t configuration_version_ = 0;
+  std::uint64_t lease_ = 0;
+  std::uint64_t record_version_ = 0;
+  std::map<std::string, bool> drains_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_STATE_READER_H_
--- a/source/gentian_net/byte_stream.cc
+++ b/source/gentian_net/byte_stream.cc
@@ -1,5 +1,6 @@
 #include "gentian_net/byte_stream.h"
 
+#include <netinet/tcp.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -15,6 +16,12 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+// Time without an acknowledgement after which a connection counts as lost. A
+// peer that lost power or whose path was cut does not reset its connections.
+constexpr int kUnacknowledgedLimitMs = 2'000;
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 template <typename Stream>
 tcp::socket& SocketOf(Stream& stream) {
   if constexpr (std::is_same_v<Stream, tcp::socket>) {
@@ -38,7 +45,7 @@
                                     [this, handler = std::move(handler)](
                                         boost::system::error_code failure) {
                                       if (!failure) {
-                                        SetNoDelay();
+                                        SetOptions();
                                       }
                                       handler(failure);
                                     });
@@ -92,9 +99,10 @@
 
   asio::any_io_executor executor() override { return stream_.get_executor(); }
 
-  void SetNoDelay() {
+  void SetOptions() {
     boost::system::error_code ignored;
     SocketOf(stream_).set_option(tcp::no_delay(true), ignored);
+    SocketOf(stream_).set_option(user_timeout(kUnacknowledgedLimitMs), ignored);
   }
 
  private:
@@ -111,14 +119,14 @@
   if (!tls) {
     auto plain = std::make_shared<stream_holder<tcp::socket>>(
         nullptr, std::move(socket));
-    plain->SetNoDelay();
+    plain->SetOptions();
     return plain;
   }
   asio::ssl::context& context = *tls;
   auto secured =
       std::make_shared<stream_holder<asio::ssl::stream<tcp::socket>>>(
           std::move(tls), std::move(socket), context);
-  secured->SetNoDelay();
+  secured->SetOptions();
   return secured;
 }
 
--- a/source/gentian_net/connection_cache.cc
+++ b/source/gentian_net/connection_cache.cc
@@ -1,5 +1,7 @@
 #include "gentian_net/connection_cache.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace gentian::detail {
@@ -8,7 +10,12 @@
 
 // Servers commonly close idle connections after 5 s or more; a younger one is
 // unlikely to be closed at the moment at which it is used again.
-constexpr std::chrono::seconds kMaxIdle{4};
+constexpr std::chrono::seconds kDefaultIdle{4};
+// Announced times are whole seconds, and the server may count from an earlier
+// moment than this side.
+constexpr std::chrono::milliseconds kAnnouncedMargin{700};
+constexpr std::chrono::seconds kMaxAnnounced{60};
+constexpr std::string_view kTimeoutName = "timeout=";
 constexpr std::size_t kMaxIdlePerAddress = 32;
 
 }  // namespace
@@ -21,7 +28,7 @@
   while (!streams.empty()) {
     idle_stream last = std::move(streams.back());
     streams.pop_back();
-    if (now - last.since < kMaxIdle && !last.stream->HasInput()) {
+    if (now < last.usable_until && !last.stream->HasInput()) {
       return last.stream;
     }
   }
@@ -29,14 +36,20 @@
 }
 
 void connection_cache::Put(const std::string& address,
-                           std::shared_ptr<byte_stream> stream) {
+                           std::shared_ptr<byte_stream> stream,
+                           std::optional<duration> announced) {
   const auto now = std::chrono::steady_clock::now();
+  const duration usable =
+      announced ? *announced - kAnnouncedMargin : duration(kDefaultIdle);
+  if (usable <= duration::zero()) {
+    return;
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   auto& streams = idle_[address];
   if (streams.size() >= kMaxIdlePerAddress) {
     streams.erase(streams.begin());
   }
-  streams.push_back(idle_stream{std::move(stream), now});
+  streams.push_back(idle_stream{std::move(stream), now + usable});
 }
 
 void connection_cache::Clear() {
@@ -44,4 +57,19 @@
   idle_.clear();
 }
 
+std::optional<duration> KeepAliveTime(std::string_view header) {
+  const std::size_t start = header.find(kTimeoutName);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view number = header.substr(start + kTimeoutName.size());
+  int seconds = 0;
+  const auto [end, failure] =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (failure != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::min<duration>(kMaxAnnounced, std::chrono::seconds(seconds));
+}
+
 }  // namespace gentian::detail
--- a/source/gentian_net/connection_cache.h
+++ b/source/gentian_net/connection_cache.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gentian_net/byte_stream.h"
@@ -17,8 +19,13 @@
   /** Takes an idle connection that the server has not closed, or nothing. */
   std::shared_ptr<byte_stream> Take(const std::string& address);
 
-  /** Keeps a connection whose last answer is complete. */
-  void Put(const std::string& address, std::shared_ptr<byte_stream> stream);
+  /** Keeps a connection whose last answer is complete.
+
+      @param announced  time after which the server closes it when idle, if
+                        the server has said so */
+  void Put(const std::string& address,
+           std::shared_ptr<byte_stream> stream,
+           std::optional<duration> announced = std::nullopt);
 
   /** Closes all. */
   void Clear();
@@ -26,13 +33,16 @@
  private:
   struct idle_stream {
     std::shared_ptr<byte_stream> stream;
-    steady_time since;
+    steady_time usable_until;
   };
 
   std::mutex mutex_;
   std::map<std::string, std::vector<idle_stream>> idle_;
 };
 
+/** The time that a Keep-Alive header announces, or nothing. */
+std::optional<duration> KeepAliveTime(std::string_view header);
+
 }  // namespace gentian::detail
 
 #endif  // GENTIAN_NET_CONNECTION_CACHE_H_
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -16,6 +16,7 @@
 namespace gentian {
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using detail::byte_stream;
@@ -45,7 +46,11 @@
   message.version(11);
   message.set(http::field::host, request.address);
   for (const auto& [name, value] : request.headers.fields()) {
-    message.set(name, value);
+    if (beast::iequals(name, "Host")) {
+      message.set(http::field::host, value);
+    } else {
+      message.insert(name, value);
+    }
   }
   message.keep_alive(request.reuse_connection);
   message.body() = request.body;
@@ -123,6 +128,15 @@
   }
 
   void Connect() {
+    if (request_.connect_limit.count() > 0) {
+      silence_timer_->expires_after(request_.connect_limit);
+      silence_timer_->async_wait(
+          [me = this->shared_from_this()](error_code failure) {
+            if (!failure && !me->sent_) {
+              me->Fail(http_failure::not_sent, "the connection took too long");
+            }
+          });
+    }
     stream_->Connect(*endpoint_,
                      [me = this->shared_from_this()](error_code failure) {
                        if (me->FailedBeforeSending(failure)) {
@@ -157,13 +171,13 @@
     if (request_.method == "HEAD") {
       parser_->skip(true);
     }
+    silence_timer_->cancel();
     ArmSilenceTimer();
     stream_->Write(asio::buffer(text_), [me = this->shared_from_this()](
                                             error_code failure, std::size_t) {
       // A server may answer and close before it has read everything, so a
       // failed write is reported by the read.
-      (void)failure;
-      (void)me;
+      me->written_ = !failure;
     });
     Read();
   }
@@ -224,7 +238,8 @@
         return;
       }
     }
-    if (reused_ && request_.method == "GET" && !parser_->got_some()) {
+    if (reused_ && request_.method == "GET" && !request_.send_once &&
+        !parser_->got_some()) {
       RetryOnNewConnection();
       return;
     }
@@ -281,9 +296,13 @@
 
   void Complete() {
     End();
+    // After an answer that came before the whole request was written, the
+    // server still reads the rest of that request.
     if (request_.reuse_connection && parser_->get().keep_alive() &&
-        input_.empty()) {
-      owner_->cache.Put(request_.address, stream_);
+        input_.empty() && written_) {
+      owner_->cache.Put(
+          request_.address, stream_,
+          detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
     } else {
       stream_->Close();
     }
@@ -318,6 +337,7 @@
   std::optional<response_parser> parser_;
   bool reused_ = false;
   bool sent_ = false;
+  bool written_ = false;
   bool header_delivered_ = false;
   bool ended_ = false;
 };
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -34,13 +34,18 @@
   http_headers headers;
   std::string body;
   milliseconds deadline{30'000};
+  /** Longest time to connect, within the deadline; 0 for no such limit. */
+  milliseconds connect_limit{0};
   /** Longest time without a byte of the answer; 0 for no such limit. */
   milliseconds silence{0};
   /** True if an open connection may be used again. A server can close such a
       connection just when the request is sent; the request then fails as
-      `broken`, except that a GET is sent again on a new connection.
+      `broken`, except that a GET is sent again on a new connection unless
+      `send_once` is set.
   */
   bool reuse_connection = false;
+  /** The request is never sent a second time. */
+  bool send_once = false;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -286,7 +286,7 @@
   template <typename Message>
   void AddHeaders(Message& message, const http_headers& headers) {
     for (const auto& [name, value] : headers.fields()) {
-      message.set(name, value);
+      message.insert(name, value);
     }
     message.keep_alive(keep_alive_ && !IsClosing());
   }
--- a/tests/platform/etcd_test.cc
+++ b/tests/adapters/etcd_test.cc
@@ -2,8 +2,8 @@
 
 #include <future>
 
-#include "gentian_platform/etcd_codec.h"
-#include "gentian_platform/gentian_platform.h"
+#include "gentian_adapters/etcd_codec.h"
+#include "gentian_adapters/gentian_adapters.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
--- a/tests/platform/targets_test.cc
+++ b/tests/adapters/targets_test.cc
@@ -4,7 +4,7 @@
 #include <mutex>
 #include <vector>
 
-#include "gentian_platform/gentian_platform.h"
+#include "gentian_adapters/gentian_adapters.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
--- a/tests/daemon/admin_daemon_test.cc
+++ b/tests/daemon/admin_daemon_test.cc
@@ -3,7 +3,7 @@
 #include <future>
 
 #include "gentian_daemon/gentian_daemon.h"
-#include "gentian_platform/gentian_platform.h"
+#include "gentian_adapters/gentian_adapters.h"
 
 using gentian::http_client_request;
 using gentian::http_response;
--- a/tests/process/serve_process_test.cc
+++ b/tests/process/serve_process_test.cc
@@ -3,7 +3,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "gentian_platform/gentian_platform.h"
+#include "gentian_adapters/gentian_adapters.h"
 #include "support/child_process.h"
 #include "support/synchronous_http.h"
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,32 +1,44 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the project's sources. A file whose preprocessed
-# dependencies have not changed since its last clean run is not checked again.
+# Runs clang-tidy over the project's sources. A file is not checked again if it,
+# every project header that it includes, the checks and its compile command are
+# the same as in an earlier clean run, in this checkout or another one.
 # Usage: tools/lint.sh BUILD_DIR JOBS [PATH_REGEX]
 set -eu
 build=$1
 jobs=$2
 pattern=${3:-.}
-stamps=$build/lint-stamps
-mkdir -p "$stamps"
+export LINT_BUILD=$build
+export LINT_STAMPS=${XDG_CACHE_HOME:-$HOME/.cache}/gentianrun-lint
+mkdir -p "$LINT_STAMPS"
+clang-format --version >"$build/lint-version"
+clang-tidy --version >>"$build/lint-version"
 
-# One hash over the configuration, the file and all project headers keeps the
-# stamp correct without a dependency scanner.
-headers=$(find source tests bench -name '*.h' -print0 | sort -z |
-  xargs -0 cat .clang-tidy "$build/compile_commands.json" | sha256sum)
-pending=()
-while IFS= read -r file; do
-  stamp=$stamps/$(echo "$headers $(sha256sum "$file")" | sha256sum | cut -c1-40)
-  [ -e "$stamp" ] || pending+=("$file:$stamp")
-done < <(find source tests bench -name '*.cc' | grep -E "$pattern" | sort)
+# Headers in the order in which the compiler finds them, without those of the
+# system.
+lint_one() {
+  local file=$1 headers stamp
+  headers=$(c++ -std=c++17 -MM -Isource -I. -Itests -Ibench/policy -Ibench/micro \
+    -Itests/fault_matrix -DBOOST_ASIO_NO_DEPRECATED "$file" |
+    tr -d '\\\n' | sed 's/^[^:]*://')
+  # shellcheck disable=SC2086
+  stamp=$LINT_STAMPS/$({
+    echo "$file $headers"
+    cat .clang-tidy CMakeLists.txt "$LINT_BUILD/lint-version" $headers
+  } | sha256sum | cut -c1-40)
+  [ -e "$stamp" ] && return 0
+  if clang-tidy --quiet -p "$LINT_BUILD" \
+    --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null; then
+    touch "$stamp"
+    echo "checked $file" >>"$LINT_BUILD/lint-checked"
+  else
+    echo "lint: $file failed" >&2
+    return 1
+  fi
+}
+export -f lint_one
 
-if [ "${#pending[@]}" -gt 0 ]; then
-  printf '%s\n' "${pending[@]}" | xargs -P "$jobs" -I{} bash -c '
-    file=${1%%:*} stamp=${1#*:}
-    if clang-tidy --quiet -p "$2" --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null; then
-      touch "$stamp"
-    else
-      echo "lint: $file failed" >&2
-      exit 1
-    fi' _ {} "$build"
-fi
-echo "lint: clean (${#pending[@]} files checked)"
+: >"$build/lint-checked"
+find source platform tests bench -name '*.cc' | grep -E "$pattern" | sort |
+  xargs -P "$jobs" -I{} bash -c 'set -eu; lint_one {}'
+echo "lint: clean ($(wc -l <"$build/lint-checked") files checked," \
+  "the others unchanged since a clean run)"
