Keep each program's token budget at one daemon and claim half of it at once

Change: the daemon that rendezvous hashing names for the program keeps its account, the others ask it; a daemon that can not reach it claims tokens itself. A partial event is dropped before a stream is resumed.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -10,6 +10,9 @@
 // Writes without an answer after which waiting turns are given up. A second
 // try uses a new connection and tells whether the first one took effect.
 constexpr int kMaxFailures = 2;
+// Part of a budget that is claimed at once. Most programs need one or two
+// writes then; a daemon that stops loses at most this part to a program.
+constexpr double kClaimedPart = 0.5;
 
 }  // namespace
 
@@ -69,7 +72,9 @@
   for (const token_request& next : own.waiting) {
     wanted += next.most;
   }
-  return std::min(wanted, own.budget - own.claimed);
+  const auto ahead =
+      static_cast<std::int64_t>(kClaimedPart * static_cast<double>(own.budget));
+  return std::min(std::max(wanted, ahead), own.budget - own.claimed);
 }
 
 budget_commands budget_ledger::Advance(const std::string& program,
--- a/source/gentian_gateway/event_splitter.h
+++ b/source/gentian_gateway/event_splitter.h
@@ -21,6 +21,9 @@
   /** Adds bytes and returns the events that they complete. */
   part Feed(std::string_view bytes);
 
+  /** Drops a partial event, because the stream goes on in another run. */
+  void DropRest() { rest_.clear(); }
+
   /** Bytes after the last complete event. */
   const std::string& rest() const { return rest_; }
 
--- /dev/null
+++ b/source/gentian_gateway/program_owner.cc
@@ -0,0 +1,23 @@
+#include "gentian_gateway/program_owner.h"
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+const member_record* OwnerOf(
+    const std::string& key,
+    const std::map<std::string, member_record>& members) {
+  const std::uint64_t seed = StableHash(key);
+  const member_record* owner = nullptr;
+  std::uint64_t best = 0;
+  for (const auto& [name, member] : members) {
+    const std::uint64_t score = StableHash(member.host, seed);
+    if (!member.stopping && (owner == nullptr || score > best)) {
+      owner = &member;
+      best = score;
+    }
+  }
+  return owner;
+}
+
+}  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -134,7 +134,9 @@
   // The handler may run inside Reserve; the ticket is then of no more use.
   const budget_ticket ticket = environment_.budgets.Reserve(
       call_->program, *call_->token_budget, most,
-      [me = shared_from_this()](budget_verdict verdict) {
+      [me = shared_from_this()](budget_verdict verdict,
+                                const std::string& holder) {
+        me->budget_holder_ = holder;
         me->OnBudget(verdict);
       });
   if (phase_ == phase::waiting) {
@@ -217,9 +219,9 @@
   target_ = target.record.id;
   answer_ = target_answer();
   answer_body_.clear();
+  events_.DropRest();
   if (phase_ != phase::streaming) {
     phase_ = phase::at_target;
-    events_ = event_splitter();
   }
   const http_request& original = exchange_->request();
   target_call details;
@@ -463,13 +465,14 @@
   const steady_time now = BootTimeNow();
   --state.open_requests;
   if (budget_ticket_) {
-    environment_.budgets.Abandon(call_->program, *budget_ticket_);
+    environment_.budgets.Abandon(*budget_ticket_);
   } else if (reserved_ > 0) {
     const std::int64_t used =
         tokens_per_event_ > 0
             ? static_cast<std::int64_t>(events_sent_) * tokens_per_event_
             : (runs_ > 0 ? reserved_ : 0);
-    environment_.budgets.Settle(call_->program, reserved_, used);
+    environment_.budgets.Settle(
+        {budget_holder_, call_->program, reserved_, used});
   }
   state.counters.Add("requests_ended." + outcome);
   state.metrics.AddLatency(route_ == nullptr ? "unrouted" : "request",
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -79,6 +79,7 @@
   std::optional<gateway_team> charged_team_;
   std::optional<budget_ticket> budget_ticket_;
   std::int64_t reserved_ = 0;
+  std::string budget_holder_;
 
   std::shared_ptr<http_call> attempt_;
   std::uint64_t attempt_serial_ = 0;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -56,7 +56,8 @@
       settings_(std::move(settings)),
       state_(settings_),
       target_client_(pool),
-      budgets_(store, incarnation),
+      peer_client_(pool),
+      budgets_(store, peer_client_, settings_, state_, incarnation),
       reader_(pool, store, protocol, settings_, state_),
       environment_{settings_, protocol, state_, budgets_, target_client_},
       callers_(
@@ -81,7 +82,7 @@
       peers_(
           pool,
           [this](const std::shared_ptr<http_exchange>& exchange) {
-            AnswerPeer(*exchange);
+            AnswerPeer(exchange);
           },
           InternalLimits()) {}
 
@@ -142,9 +143,13 @@
   exchange.Respond(protocol_.DirectoryAnswer(addresses, kDirectoryLifetime));
 }
 
-void gateway_daemon::AnswerPeer(http_exchange& exchange) {
-  if (exchange.request().Path() != kMetricsPath) {
-    exchange.Respond(Plain(kNotFound));
+void gateway_daemon::AnswerPeer(
+    const std::shared_ptr<http_exchange>& exchange) {
+  if (budgets_.AnswerPeer(exchange)) {
+    return;
+  }
+  if (exchange->request().Path() != kMetricsPath) {
+    exchange->Respond(Plain(kNotFound));
     return;
   }
   state_.metrics.SetGauge("open_requests",
@@ -153,7 +158,7 @@
                           static_cast<double>(state_.members.size()));
   http_response page = Plain(kOk, state_.metrics.ToPrometheus(state_.counters));
   page.headers.Add("Content-Type", "text/plain");
-  exchange.Respond(std::move(page));
+  exchange->Respond(std::move(page));
 }
 
 void gateway_daemon::Stop(std::function<void()> on_stopped) {
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -35,7 +35,7 @@
   result<success> Listen();
   void AnswerReadiness(http_exchange& exchange) const;
   void AnswerDirectory(http_exchange& exchange) const;
-  void AnswerPeer(http_exchange& exchange);
+  void AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
   void FinishStop();
 
   io_pool& pool_;
@@ -43,6 +43,7 @@
   const gateway_settings settings_;
   gateway_state state_;
   http_client target_client_;
+  http_client peer_client_;
   budget_service budgets_;
   state_reader reader_;
   gateway_environment environment_;
