Lose fewer budget tokens to failures and wait out an outage of the store

In an outage every turn was refused at once. Change: a quarter of the budget is claimed beyond the waiting turns; the next owner by rank is asked; a stopping daemon gives tokens back; turns wait for the store for 0.4 of their time; the first turn may start unclaimed (the users allow one turn beyond the budget). Records of members are kept 5 s after they vanish, because an outage may end all leases at once.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -10,9 +10,10 @@
 // Writes without an answer after which waiting turns are given up. A second
 // try uses a new connection and tells whether the first one took effect.
 constexpr int kMaxFailures = 2;
-// Part of a budget that is claimed at once. Most programs need one or two
-// writes then; a daemon that stops loses at most this part to a program.
-constexpr double kClaimedPart = 0.5;
+// Part of a budget that is claimed beyond the turns that wait. Programs
+// commonly use a fifth of their budgets, so that one or two writes are enough
+// for most; a daemon that fails loses at most this part to a program.
+constexpr double kClaimedAhead = 0.25;
 
 }  // namespace
 
@@ -73,9 +74,9 @@
   for (const token_request& next : own.waiting) {
     wanted += next.most;
   }
-  const auto ahead =
-      static_cast<std::int64_t>(kClaimedPart * static_cast<double>(own.budget));
-  return std::min(std::max(wanted, ahead), own.budget - own.claimed);
+  const auto ahead = static_cast<std::int64_t>(kClaimedAhead *
+                                               static_cast<double>(own.budget));
+  return std::min(wanted + ahead, own.budget - own.claimed);
 }
 
 budget_commands budget_ledger::Advance(const std::string& program,
@@ -157,6 +158,13 @@
   }
   own.writing = false;
   own.failures = 0;
+  if (MayOweOneTurn(own)) {
+    own.owes_turn = true;
+    own.available -= own.waiting.front().most;
+    commands.verdicts.push_back(
+        {own.waiting.front().ticket, budget_verdict::granted});
+    own.waiting.pop_front();
+  }
   for (const token_request& next : own.waiting) {
     commands.verdicts.push_back({next.ticket, budget_verdict::unavailable});
   }
@@ -175,6 +183,29 @@
   return found == accounts_.end() ? 0 : found->second.used;
 }
 
+// The first turn of a program may start before its tokens are claimed: if this
+// daemon fails before it claims them, the program exceeds its budget by one
+// turn at most, which the users allow.
+bool budget_ledger::MayOweOneTurn(const account& own) {
+  return own.version == 0 && !own.owes_turn && !own.waiting.empty() &&
+         own.waiting.front().most <= own.budget;
+}
+
+std::vector<budget_commands::write> budget_ledger::ReleaseAll() {
+  std::vector<budget_commands::write> writes;
+  for (auto& [program, own] : accounts_) {
+    if (own.available > 0 && !own.writing && own.version != 0) {
+      own.claimed -= own.available;
+      own.available = 0;
+      writes.push_back(
+          {program, own.version,
+           EncodeClaim(
+               {own.claimed, writer_ + "-" + std::to_string(++last_write_)})});
+    }
+  }
+  return writes;
+}
+
 void budget_ledger::Forget(steady_time limit) {
   for (auto next = accounts_.begin(); next != accounts_.end();) {
     const account& own = next->second;
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -96,6 +96,11 @@
       them. */
   std::int64_t UsedOf(const std::string& program) const;
 
+  /** Gives all tokens that are not in use back, before the daemon stops.
+
+      @returns  the writes; their outcome need not be reported */
+  std::vector<budget_commands::write> ReleaseAll();
+
   std::size_t size() const { return accounts_.size(); }
 
  private:
@@ -113,12 +118,15 @@
     std::int64_t write_amount = 0;
     bool writing = false;
     int failures = 0;
+    /** A turn was granted while the key-value service did not answer. */
+    bool owes_turn = false;
     steady_time used_at;
   };
 
   budget_commands Advance(const std::string& program, account& own);
   void GrantWaiting(account& own, budget_commands& commands);
   static std::int64_t AmountToClaim(const account& own);
+  static bool MayOweOneTurn(const account& own);
 
   std::string writer_;
   std::uint64_t last_write_ = 0;
--- a/source/gentian_gateway/program_owner.h
+++ b/source/gentian_gateway/program_owner.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_PROGRAM_OWNER_H_
 #define GENTIAN_GATEWAY_PROGRAM_OWNER_H_
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -11,10 +12,13 @@
 /** The daemon that keeps what belongs to a key, such as the budget of a
     program: all daemons with the same list of members name the same one.
 
-    @returns  nothing if no daemon is registered that is not stopping */
+    @param usable  daemons for which it is false are passed over
+    @returns       nothing if no usable daemon is registered that is not
+                   stopping */
 const member_record* OwnerOf(
     const std::string& key,
-    const std::map<std::string, member_record>& members);
+    const std::map<std::string, member_record>& members,
+    const std::function<bool(const member_record&)>& usable);
 
 }  // namespace gentian
 
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -532,6 +532,8 @@
        {"route", route_ == nullptr ? "" : route_->name},
        {"team", team_ == nullptr ? "" : team_->name},
        {"program", call_ ? call_->program : ""},
+       {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
+       {"most", call_ ? call_->max_output_tokens : -1},
        {"target", target_},
        {"sends", sends_},
        {"runs", runs_},
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -185,6 +185,7 @@
   }
   Log(write_log::level::info, "stopped",
       {{"abandoned_requests", state_.open_requests}});
+  turns_.Release();
   reader_.Deregister();
   // Lets the last bytes of answers and the deregistration leave.
   pool_.After(2 * kStopPoll, [this] { on_stopped_(); });
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -23,8 +23,12 @@
   configuration_holder configuration;
   target_table targets;
   allowance_meter allowances;
-  /** Registered daemons by key, this one included. */
+  /** Registered daemons by key, this one included. A record that vanished is
+      kept for some seconds: all of them may vanish while the key-value service
+      is away, and are written again. */
   std::map<std::string, member_record> members;
+  /** The last call to the key-value service was answered. */
+  bool store_reached = false;
   bool stopping = false;
   std::size_t open_requests = 0;
   counter_set counters;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -13,8 +13,8 @@
 // Changes of the configuration have to be in force within two seconds, and a
 // target that is leaving gets no work after two seconds; one lost call may be
 // repeated within that time.
-constexpr milliseconds kConfigurationInterval{900};
-constexpr milliseconds kTargetsInterval{900};
+constexpr milliseconds kConfigurationInterval{1'200};
+constexpr milliseconds kTargetsInterval{1'200};
 constexpr milliseconds kMembersInterval{2'000};
 // A call without an answer for this long is given up; its connection may have
 // gone silent.
@@ -27,6 +27,10 @@
 constexpr milliseconds kLeaseTime{6'000};
 constexpr milliseconds kRenewInterval{1'500};
 
+// All records may vanish while the key-value service is away. Taking a daemon
+// for gone too early would give its part of the allowances to others.
+constexpr milliseconds kMemberRetention{5'000};
+
 duration RetryDelay(int failures) {
   return std::min<duration>(
       kMaxRetry, kFirstRetry * (1 << std::min(failures, kMaxDoublings)));
@@ -97,6 +101,7 @@
               : ToMilliseconds(now - subject.last_answer).count()}});
   }
   subject.reached = reached;
+  state_.store_reached = reached;
   if (reached) {
     subject.last_answer = now;
   }
@@ -150,12 +155,17 @@
   }
 }
 
-void state_reader::ApplyMembers(const kv_answer& answer,
-                                steady_time /*asked_at*/) {
+void state_reader::ApplyMembers(const kv_answer& answer, steady_time asked_at) {
   std::map<std::string, member_record> members;
   for (const kv_entry& entry : answer.entries) {
     if (auto member = DecodeMember(entry.value)) {
       members[entry.key] = std::move(*member);
+      member_seen_at_[entry.key] = asked_at;
+    }
+  }
+  for (const auto& [key, member] : state_.members) {
+    if (asked_at - member_seen_at_[key] < kMemberRetention) {
+      members.emplace(key, member);
     }
   }
   if (members.size() != state_.members.size()) {
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -75,6 +75,7 @@
   std::uint64_t lease_ = 0;
   std::uint64_t record_version_ = 0;
   std::map<std::string, bool> drains_;
+  std::map<std::string, steady_time> member_seen_at_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -28,6 +28,10 @@
 // Programs are unused for at most some seconds between two turns. A program
 // that comes back later finds its claim in the key-value service.
 constexpr milliseconds kAccountLifetime{120'000};
+// Part of a caller's time that a turn waits for the key-value service to
+// return, and the time between two tries.
+constexpr double kOutageWaitPart = 0.4;
+constexpr milliseconds kOutageRetry{150};
 // Part of its budget beyond which a program counts as one that may not end.
 constexpr double kExcessivePart = 0.6;
 
@@ -64,25 +68,46 @@
 std::uint64_t turn_service::Request(const turn_request& request,
                                     verdict_handler handler) {
   const std::uint64_t number = ++last_number_;
-  asked_[number] = {request, BootTimeNow(), std::move(handler), 0, nullptr};
-  const member_record* owner = ReachableOwner(request.program);
+  const steady_time now = BootTimeNow();
+  const steady_time give_up_at =
+      now + FromSeconds(kOutageWaitPart * ToSeconds(request.time_left));
+  asked_[number] = {request, now, give_up_at, std::move(handler), 0, nullptr};
+  Ask(number);
+  return number;
+}
+
+void turn_service::Ask(std::uint64_t number) {
+  const member_record* owner =
+      ReachableOwner(asked_.at(number).request.program);
   if (owner == nullptr || owner->host == settings_.host) {
     DecideHere(number);
   } else {
     AskOwner(owner->peer_address, number, 0);
   }
-  return number;
+}
+
+void turn_service::AskAgainLater(std::uint64_t number) {
+  asked_turn& asked = asked_.at(number);
+  asked.own_ticket = 0;
+  asked.call.reset();
+  if (BootTimeNow() >= asked.give_up_at) {
+    Answer(number, turn_verdict{}, "");
+    return;
+  }
+  pool_.After(kOutageRetry, [this, number] {
+    if (asked_.count(number) > 0) {
+      Ask(number);
+    }
+  });
 }
 
 const member_record* turn_service::ReachableOwner(
     const std::string& program) const {
-  const member_record* owner = OwnerOf(program, state_.members);
-  if (owner == nullptr) {
-    return nullptr;
-  }
-  const auto found = unreachable_.find(owner->peer_address);
-  return found != unreachable_.end() && BootTimeNow() < found->second ? nullptr
-                                                                      : owner;
+  const steady_time now = BootTimeNow();
+  return OwnerOf(program, state_.members, [&](const member_record& member) {
+    const auto found = unreachable_.find(member.peer_address);
+    return found == unreachable_.end() || now >= found->second;
+  });
 }
 
 http_client_request turn_service::PeerRequest(const std::string& owner,
@@ -113,7 +138,7 @@
         if (asked_.count(number) > 0) {
           state_.counters.Add("owner_lost");
           unreachable_[owner] = BootTimeNow() + kUnreachableTime;
-          DecideHere(number);
+          Ask(number);
         }
       });
 }
@@ -135,7 +160,11 @@
     AskOwner(owner, number, verdict.ticket);
   } else if (verdict.result == outcome::unavailable) {
     // The key-value service may turn the owner away and serve this daemon.
-    DecideHere(number);
+    if (state_.store_reached) {
+      DecideHere(number);
+    } else {
+      AskAgainLater(number);
+    }
   } else {
     Answer(number, verdict, owner);
   }
@@ -153,7 +182,11 @@
     if (verdict.result != outcome::granted) {
       owned_.erase(verdict.ticket);
     }
-    Answer(number, verdict, "");
+    if (verdict.result == outcome::unavailable && asked_.count(number) > 0) {
+      AskAgainLater(number);
+    } else {
+      Answer(number, verdict, "");
+    }
   });
 }
 
@@ -372,6 +405,16 @@
   });
 }
 
+void turn_service::Release() {
+  for (const auto& write : ledger_.ReleaseAll()) {
+    store_.Call(kv_compare_and_swap{kClaimPrefix + write.program,
+                                    write.expected_version, write.value, 0},
+                kWriteDeadline, [](const kv_answer&) {
+                  // Without effect, the tokens are lost to the program.
+                });
+  }
+}
+
 void turn_service::Execute(budget_commands commands) {
   for (const auto& write : commands.writes) {
     Write(write);
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -55,6 +55,9 @@
       service. */
   bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
 
+  /** Gives claimed tokens back before the daemon stops. */
+  void Release();
+
  private:
   /** A turn that another daemon or this one asked for. */
   struct owned_turn {
@@ -70,6 +73,8 @@
   struct asked_turn {
     turn_request request;
     steady_time asked_at;
+    /** When it is refused if the budget can not be read. */
+    steady_time give_up_at;
     verdict_handler handler;
     turn_ticket own_ticket = 0;
     std::shared_ptr<http_call> call;
@@ -83,6 +88,8 @@
   void OnOwnerAnswer(const std::string& owner,
                      std::uint64_t number,
                      const http_response& response);
+  void AskAgainLater(std::uint64_t number);
+  void Ask(std::uint64_t number);
   void DecideHere(std::uint64_t number);
   void Answer(std::uint64_t number,
               const turn_verdict& verdict,
