Let only a settled owner start a turn before its tokens are claimed

Change: only the daemon that all members name, six seconds after the list of members last changed, may do so.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -188,6 +188,7 @@
 // turn at most, which the users allow.
 bool budget_ledger::MayOweOneTurn(const account& own) {
   return own.version == 0 && !own.owes_turn && !own.waiting.empty() &&
+         own.waiting.front().may_start_unclaimed &&
          own.waiting.front().most <= own.budget;
 }
 
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -23,6 +23,10 @@
   std::int64_t budget = 0;
   std::int64_t most = 0;
   budget_ticket ticket = 0;
+  /** The program's first turn may start before its tokens are claimed if the
+      key-value service does not answer. Only one daemon may allow this for a
+      program, because the users allow one turn beyond the budget. */
+  bool may_start_unclaimed = false;
 };
 
 /** The answer to a token_request. */
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -27,6 +27,8 @@
       kept for some seconds: all of them may vanish while the key-value service
       is away, and are written again. */
   std::map<std::string, member_record> members;
+  /** When the list of members last changed. */
+  steady_time members_changed_at;
   /** The last call to the key-value service was answered. */
   bool store_reached = false;
   bool stopping = false;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -182,7 +182,15 @@
   if (vanished.size() > members.size()) {
     members.merge(vanished);
   }
-  if (members.size() != state_.members.size()) {
+  const bool same =
+      members.size() == state_.members.size() &&
+      std::equal(members.begin(), members.end(), state_.members.begin(),
+                 [](const auto& a, const auto& b) {
+                   return a.first == b.first &&
+                          a.second.stopping == b.second.stopping;
+                 });
+  if (!same) {
+    state_.members_changed_at = asked_at;
     Log(write_log::level::info, "members changed",
         {{"count", members.size()}, {"before", state_.members.size()}});
   }
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -28,6 +28,8 @@
 // Programs are unused for at most some seconds between two turns. A program
 // that comes back later finds its claim in the key-value service.
 constexpr milliseconds kAccountLifetime{120'000};
+// Time without a change of members after which all daemons have the same list.
+constexpr milliseconds kSettledAfter{6'000};
 // Time between two tries to read a budget while the key-value service is away.
 constexpr milliseconds kOutageRetry{150};
 // Part of its budget beyond which a program counts as one that may not end.
@@ -240,11 +242,21 @@
   own.finish_by = now + request.finish_within;
   own.give_up_at = now + request.wait_limit;
   ArmTimer();
-  Execute(ledger_.Reserve(
-      {request.program, request.budget, request.most, ticket}, now));
+  Execute(ledger_.Reserve({request.program, request.budget, request.most,
+                           ticket, IsSettledOwner(request.program)},
+                          now));
   return ticket;
 }
 
+// True if all daemons name this one as the program's owner and have done so
+// since before the program's current turns.
+bool turn_service::IsSettledOwner(const std::string& program) const {
+  const member_record* owner = OwnerOf(
+      program, state_.members, [](const member_record&) { return true; });
+  return owner != nullptr && owner->host == settings_.host &&
+         BootTimeNow() - state_.members_changed_at > kSettledAfter;
+}
+
 void turn_service::Await(turn_ticket ticket,
                          std::function<void(turn_verdict)> reply) {
   owned_turn& own = owned_.at(ticket);
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -101,6 +101,7 @@
 
   // Being the owner.
   turn_ticket Own(const turn_request& request);
+  bool IsSettledOwner(const std::string& program) const;
   void Await(turn_ticket ticket, std::function<void(turn_verdict)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
   void EndOwned(const turn_end& end);
