Bound the excess of allowances over all daemons

Cause: each daemon raised its part of a burst by two requests, which with more than ten daemons exceeds the 20 requests that the users allow beyond an allowance. Change: 14 requests in all, two at most a daemon.

--- a/source/gentian_gateway/allowance_meter.cc
+++ b/source/gentian_gateway/allowance_meter.cc
@@ -7,9 +7,11 @@
 
 namespace {
 
-// Whole requests that each daemon's part of a burst is raised by, so that a
-// team with a small burst is not refused for coming to one daemon twice.
+// Requests that each daemon's part of a burst is raised by, so that a team with
+// a small burst is not refused for coming to one daemon twice. The users allow
+// 20 requests beyond the allowance over all daemons.
 constexpr double kExtraDepth = 2;
+constexpr double kExtraInAll = 14;
 // Part of the burst that a daemon grants right after its start. Its predecessor
 // may have granted the whole burst shortly before.
 constexpr double kStartPart = 0.4;
@@ -17,7 +19,8 @@
 }  // namespace
 
 double allowance_meter::Depth(const gateway_team& team) const {
-  return team.burst / static_cast<double>(members_) + kExtraDepth;
+  const auto count = static_cast<double>(members_);
+  return team.burst / count + std::min(kExtraDepth, kExtraInAll / count);
 }
 
 std::optional<milliseconds> allowance_meter::Take(const gateway_team& team,
--- a/source/gentian_gateway/owner_of.cc
+++ b/source/gentian_gateway/owner_of.cc
@@ -1,4 +1,4 @@
-#include "gentian_gateway/program_owner.h"
+#include "gentian_gateway/owner_of.h"
 
 #include "gentian_core/gentian_core.h"
 
--- a/source/gentian_gateway/owner_of.h
+++ b/source/gentian_gateway/owner_of.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_GATEWAY_PROGRAM_OWNER_H_
-#define GENTIAN_GATEWAY_PROGRAM_OWNER_H_
+#ifndef GENTIAN_GATEWAY_OWNER_OF_H_
+#define GENTIAN_GATEWAY_OWNER_OF_H_
 
 #include <functional>
 #include <map>
@@ -22,4 +22,4 @@
 
 }  // namespace gentian
 
-#endif  // GENTIAN_GATEWAY_PROGRAM_OWNER_H_
+#endif  // GENTIAN_GATEWAY_OWNER_OF_H_
