--- /dev/null
+++ b/tests/gateway/budget_ledger_test.cc
@@ -0,0 +1,171 @@
+#include <criterion/criterion.h>
+
+#include "gentian_gateway/gentian_gateway.h"
+
+using namespace gentian;
+
+namespace {
+
+constexpr std::int64_t kBudget = 1'767;
+constexpr std::int64_t kMost = 589;
+
+steady_time At(int seconds) {
+  return steady_time(std::chrono::seconds(seconds));
+}
+
+token_request Turn(budget_ticket ticket, bool may_start_unclaimed = false) {
+  return {"program", kBudget, kMost, ticket, may_start_unclaimed};
+}
+
+// Several ledgers, as of several daemons, before one stored claim.
+class claim_store {
+ public:
+  /** Carries out writes until there are none; counts granted turns. */
+  int Run(budget_ledger& ledger, budget_commands commands) {
+    int granted = 0;
+    while (true) {
+      for (const auto& verdict : commands.verdicts) {
+        granted += verdict.outcome == budget_verdict::granted ? 1 : 0;
+      }
+      if (commands.writes.empty()) {
+        return granted;
+      }
+      const budget_commands::write write = commands.writes.front();
+      if (write.expected_version == version_) {
+        stored_ = DecodeClaim(write.value);
+        commands = ledger.OnWritten(write.program, ++version_);
+      } else {
+        commands = ledger.OnConflict(write.program, version_, stored_);
+      }
+    }
+  }
+
+  /** Carries out a write whose answer is lost. */
+  void RunUnanswered(const budget_commands::write& write) {
+    if (write.expected_version == version_) {
+      stored_ = DecodeClaim(write.value);
+      ++version_;
+    }
+  }
+
+ private:
+  std::uint64_t version_ = 0;
+  std::optional<budget_claim> stored_;
+};
+
+}  // namespace
+
+// Guards against a program that exceeds its budget by using several daemons.
+Test(budget_ledger, daemons_together_grant_no_more_than_the_budget) {
+  claim_store store;
+  int granted = 0;
+  for (int i = 0; i < 6; ++i) {
+    budget_ledger daemon("daemon-" + std::to_string(i));
+    for (budget_ticket ticket = 1; ticket <= 4; ++ticket) {
+      granted += store.Run(daemon, daemon.Reserve(Turn(ticket), At(i)));
+    }
+  }
+  cr_assert(granted * kMost <= kBudget);
+  cr_assert(granted > 0);
+}
+
+// Guards against a budget that a restarted daemon grants a second time.
+Test(budget_ledger, a_restart_does_not_renew_a_budget) {
+  claim_store store;
+  int granted = 0;
+  for (int start = 0; start < 5; ++start) {
+    budget_ledger daemon("start-" + std::to_string(start));
+    granted += store.Run(daemon, daemon.Reserve(Turn(1), At(start)));
+  }
+  cr_assert(granted * kMost <= kBudget);
+}
+
+// Guards against tokens that are lost although a turn did not use them.
+Test(budget_ledger, unused_tokens_serve_the_next_turn) {
+  claim_store store;
+  budget_ledger daemon("daemon");
+  int granted = 0;
+  for (int turn = 0; turn < 12; ++turn) {
+    const bool ran = store.Run(daemon, daemon.Reserve(Turn(1), At(turn))) == 1;
+    granted += ran ? 1 : 0;
+    if (ran) {
+      store.Run(daemon, daemon.Settle("program", kMost, 100, At(turn)));
+    }
+  }
+  cr_assert(granted == 12);
+  cr_assert(daemon.UsedOf("program") == 1'200);
+}
+
+// Guards against a write that is counted twice, or lost, because its answer
+// did not come.
+Test(budget_ledger, finds_out_whether_an_unanswered_write_took_effect) {
+  for (const bool took_effect : {false, true}) {
+    claim_store store;
+    budget_ledger daemon("daemon");
+    budget_commands commands = daemon.Reserve(Turn(1), At(0));
+    cr_assert(commands.writes.size() == 1);
+    if (took_effect) {
+      store.RunUnanswered(commands.writes.front());
+    }
+    int granted = store.Run(daemon, daemon.OnNoAnswer("program", true));
+    cr_assert(granted == 1);
+    for (budget_ticket ticket = 2; ticket < 8; ++ticket) {
+      granted += store.Run(daemon, daemon.Reserve(Turn(ticket), At(1)));
+    }
+    cr_assert(granted * kMost <= kBudget);
+    cr_assert(granted == 3);
+  }
+}
+
+// Guards against trouble-3 of the first site: in an outage, each daemon that
+// stood in for the owner let one turn start unclaimed.
+Test(budget_ledger, only_a_permitted_turn_starts_unclaimed) {
+  budget_ledger stand_in("stand-in");
+  stand_in.Reserve(Turn(1), At(0));
+  stand_in.OnNoAnswer("program", false);
+  budget_commands refused = stand_in.OnNoAnswer("program", false);
+  cr_assert(refused.verdicts.size() == 1);
+  cr_assert(refused.verdicts.front().outcome == budget_verdict::unavailable);
+
+  budget_ledger owner("owner");
+  owner.Reserve(Turn(1, true), At(0));
+  owner.OnNoAnswer("program", false);
+  budget_commands granted = owner.OnNoAnswer("program", false);
+  cr_assert(granted.verdicts.front().outcome == budget_verdict::granted);
+  owner.Reserve(Turn(2, true), At(0));
+  owner.OnNoAnswer("program", false);
+  budget_commands second = owner.OnNoAnswer("program", false);
+  cr_assert(second.verdicts.front().outcome == budget_verdict::unavailable);
+}
+
+// Guards against a turn that started unclaimed and is never claimed.
+Test(budget_ledger, claims_an_unclaimed_turn_afterwards) {
+  claim_store store;
+  budget_ledger owner("owner");
+  owner.Reserve(Turn(1, true), At(0));
+  owner.OnNoAnswer("program", false);
+  owner.OnNoAnswer("program", false);
+  int granted = 1;
+  for (budget_ticket ticket = 2; ticket < 8; ++ticket) {
+    granted += store.Run(owner, owner.Reserve(Turn(ticket), At(1)));
+  }
+  cr_assert(granted == 3);
+}
+
+// Guards against a stopping daemon that keeps tokens which it does not use.
+Test(budget_ledger, gives_unused_tokens_back) {
+  claim_store store;
+  budget_ledger leaving("leaving");
+  cr_assert(store.Run(leaving, leaving.Reserve(Turn(1), At(0))) == 1);
+  store.Run(leaving, leaving.Settle("program", kMost, 0, At(0)));
+  for (const auto& write : leaving.ReleaseAll()) {
+    store.RunUnanswered(write);
+  }
+  budget_ledger next("next");
+  int granted = 0;
+  for (budget_ticket ticket = 1; ticket < 8; ++ticket) {
+    granted += store.Run(next, next.Reserve(Turn(ticket), At(1)));
+  }
+  cr_assert(granted == 3);
+  cr_assert(store.Run(leaving, leaving.Reserve(Turn(9), At(2))) == 0);
+}
--- /dev/null
+++ b/tests/gateway/event_splitter_test.cc
@@ -0,0 +1,39 @@
+#include <criterion/criterion.h>
+
+#include "gentian_gateway/gentian_gateway.h"
+
+using namespace gentian;
+
+// Guards against an event that is passed on before it is complete, and against
+// bytes that are changed on the way.
+Test(event_splitter, passes_whole_events_on_byte_for_byte) {
+  const std::string stream =
+      "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\n: note\n\n";
+  for (std::size_t size = 1; size < stream.size(); ++size) {
+    event_splitter splitter;
+    std::string passed;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      passed += splitter.Feed(stream.substr(at, size)).bytes;
+    }
+    cr_assert(passed == stream);
+    cr_assert(splitter.rest().empty());
+    cr_assert(splitter.last_id() == "2");
+  }
+}
+
+// Guards against MIXED on scale-1 of the first site: the partial event of a
+// broken stream was sent before the events of the run that went on.
+Test(event_splitter, drops_a_partial_event_before_a_stream_goes_on) {
+  event_splitter splitter;
+  std::string passed = splitter.Feed("id: 1\ndata: a\n\nid: 2\nda").bytes;
+  splitter.DropRest();
+  passed += splitter.Feed("id: 2\ndata: b\n\n").bytes;
+  cr_assert(passed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against an identifier that is taken from an incomplete event.
+Test(event_splitter, resumes_after_the_last_complete_event) {
+  event_splitter splitter;
+  splitter.Feed("id: 7\r\ndata: a\r\n\r\nid: 8\r\n");
+  cr_assert(splitter.last_id() == "7");
+}
--- /dev/null
+++ b/tests/gateway/target_table_test.cc
@@ -0,0 +1,124 @@
+#include <criterion/criterion.h>
+
+#include "gentian_gateway/gentian_gateway.h"
+
+using namespace gentian;
+
+namespace {
+
+steady_time At(int ms) {
+  return steady_time(std::chrono::hours(1) + milliseconds(ms));
+}
+
+target_record Target(const std::string& id, bool draining = false) {
+  target_record record;
+  record.id = id;
+  record.service = "model";
+  record.slots = 4;
+  record.draining = draining;
+  return record;
+}
+
+}  // namespace
+
+// Guards against work for a target that is leaving or whose entry is gone.
+Test(target_table, drops_targets_that_leave_or_vanish) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.Update({Target("a", true)}, At(1'000));
+  cr_assert(table.Find("a") == nullptr);
+  cr_assert(table.Find("b") == nullptr);
+  cr_assert(table.Serving("model").empty());
+}
+
+// Guards against losing all targets because their entries lapsed while the
+// key-value service was away.
+Test(target_table, keeps_targets_that_lapsed_in_an_outage_for_a_while) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.Update({Target("a")}, At(6'000));
+  cr_assert(table.Find("b") != nullptr);
+  table.Update({Target("a"), Target("b")}, At(7'000));
+  cr_assert(table.Find("b") != nullptr);
+  table.Update({Target("a")}, At(8'000));
+  cr_assert(table.Find("b") == nullptr);
+}
+
+// Guards against DRAIN on trouble-1 of the first site (seed 910465616205): a
+// target that was listed after the outage and then left was kept for 2.2 s.
+Test(target_table, drops_a_target_that_leaves_right_after_an_outage) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.Update({Target("a"), Target("b")}, At(8'000));
+  table.Update({Target("a")}, At(8'900));
+  cr_assert(table.Find("b") == nullptr);
+}
+
+// Guards against keeping a target that is still missing two seconds after the
+// return of the key-value service.
+Test(target_table, drops_a_target_that_does_not_return) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.Update({Target("a")}, At(8'000));
+  table.Update({Target("a")}, At(9'950));
+  cr_assert(table.Find("b") == nullptr);
+}
+
+// Guards against trusting what was known of a target before its restart.
+Test(target_table, forgets_failures_of_a_target_that_restarted) {
+  target_table table;
+  target_record first = Target("a");
+  first.started_at_ms = 1;
+  table.Update({first}, At(0));
+  table.ReportFailure("a", At(10));
+  cr_assert(table.Find("a")->avoid_until > At(10));
+  target_record second = first;
+  second.started_at_ms = 2;
+  table.Update({second}, At(20));
+  cr_assert(table.Find("a")->avoid_until < At(10));
+}
+
+// Guards against sending work to a full or failing target while others are
+// free, and against refusing while one is left.
+Test(target_selector, prefers_reachable_targets_with_room) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  for (int i = 0; i < 4; ++i) {
+    table.RequestStarted("a");
+  }
+  target_demand demand;
+  demand.service = "model";
+  cr_assert(SelectTarget(table, demand, At(1))->record.id == "b");
+  table.ReportFailure("b", At(1));
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "a");
+  demand.excluded = {"a"};
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "b");
+  demand.excluded = {"a", "b"};
+  cr_assert(SelectTarget(table, demand, At(2)) == nullptr);
+}
+
+// Guards against an address that a different target has taken over.
+Test(target_selector, never_uses_a_target_that_was_replaced) {
+  target_table table;
+  table.Update({Target("a")}, At(0));
+  table.ReportReplaced("a");
+  target_demand demand;
+  demand.service = "model";
+  cr_assert(SelectTarget(table, demand, At(1)) == nullptr);
+}
+
+// Guards against daemons that send the requests of one program to different
+// targets, each of which would read its prompt.
+Test(target_selector, daemons_choose_the_same_target_for_a_program) {
+  target_table one;
+  target_table other;
+  one.Update({Target("a"), Target("b"), Target("c")}, At(0));
+  other.Update({Target("c"), Target("a"), Target("b")}, At(5));
+  for (int i = 0; i < 50; ++i) {
+    target_demand demand;
+    demand.service = "model";
+    demand.affinity_key = "program-" + std::to_string(i);
+    cr_assert(SelectTarget(one, demand, At(10))->record.id ==
+              SelectTarget(other, demand, At(10))->record.id);
+  }
+}
--- /dev/null
+++ b/tests/gateway/turn_scheduler_test.cc
@@ -0,0 +1,179 @@
+// Loads that the scheduler of turns answers.
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "gentian_gateway/gentian_gateway.h"
+
+using namespace gentian;
+
+namespace {
+
+steady_time At(int ms) {
+  return steady_time(std::chrono::hours(1) + milliseconds(ms));
+}
+
+target_table Engines(int count, int slots) {
+  std::vector<target_record> listing;
+  for (int i = 0; i < count; ++i) {
+    target_record record;
+    record.id = "engine-" + std::to_string(i);
+    record.service = "model";
+    record.slots = slots;
+    listing.push_back(record);
+  }
+  target_table table;
+  table.Update(listing, At(0));
+  return table;
+}
+
+waiting_turn Turn(turn_ticket ticket,
+                  const std::string& program,
+                  int priority = 0,
+                  int finish_ms = 10'000) {
+  waiting_turn turn;
+  turn.ticket = ticket;
+  turn.program = program;
+  turn.service = "model";
+  turn.priority = priority;
+  turn.finish_by = At(finish_ms);
+  turn.deadline = At(4'000);
+  turn.give_up_at = At(1'000);
+  return turn;
+}
+
+// Reports turns that were this much slower than on an idle engine.
+void Report(turn_scheduler& scheduler, int times, int interval_ms) {
+  for (int i = 0; i < times; ++i) {
+    scheduler.AddSample("model", {"engine-0", milliseconds(interval_ms)});
+  }
+}
+
+}  // namespace
+
+// Pattern: a burst of programs. Engines that run more turns than they can make
+// progress with let every program be late.
+Test(turn_scheduler, a_burst_waits_once_engines_slow_down) {
+  const target_table engines = Engines(2, 32);
+  turn_scheduler scheduler(engines);
+  scheduler.Add(Turn(1, "first"));
+  scheduler.Advance(At(1));
+  const double before = scheduler.LimitOf("model");
+  Report(scheduler, 1, 20);
+  Report(scheduler, 200, 80);
+  cr_assert(scheduler.LimitOf("model") < before / 2);
+  for (turn_ticket ticket = 2; ticket < 100; ++ticket) {
+    scheduler.Add(Turn(ticket, "p" + std::to_string(ticket)));
+  }
+  scheduler.Advance(At(2));
+  cr_assert(scheduler.waiting() > 50);
+  cr_assert(static_cast<double>(scheduler.running()) <=
+            scheduler.LimitOf("model") + 1);
+  // Room returns once the engines are fast again.
+  Report(scheduler, 400, 22);
+  cr_assert(scheduler.LimitOf("model") > before);
+}
+
+// Pattern: overload. What can still be finished in time goes before what is
+// late already, urgent routes before others, and programs without end last.
+Test(turn_scheduler, orders_by_excess_lateness_rank_and_due_time) {
+  const target_table engines = Engines(1, 4);
+  turn_scheduler scheduler(engines);
+  scheduler.Add(Turn(1, "fills-1"));
+  scheduler.Add(Turn(2, "fills-2"));
+  cr_assert(scheduler.Advance(At(1)).size() == 2);
+  waiting_turn endless = Turn(3, "endless");
+  endless.excessive = true;
+  scheduler.Add(endless);
+  scheduler.Add(Turn(4, "late", 0, 100));
+  scheduler.Add(Turn(5, "less-urgent", 1, 5'000));
+  scheduler.Add(Turn(6, "due-later", 0, 9'000));
+  scheduler.Add(Turn(7, "due-soon", 0, 5'000));
+  cr_assert(scheduler.Advance(At(2)).empty());
+  std::vector<turn_ticket> order;
+  turn_ticket ended = 1;
+  for (int i = 0; i < 5; ++i) {
+    scheduler.Remove(ended);
+    const auto started = scheduler.Advance(At(3));
+    cr_assert(started.size() == 1);
+    ended = started.front().ticket;
+    order.push_back(ended);
+  }
+  cr_assert(order == std::vector<turn_ticket>({7, 6, 5, 4, 3}));
+}
+
+// Pattern: overload that lasts. A turn is refused while its caller can still
+// come back, not at the caller's deadline.
+Test(turn_scheduler, refuses_a_turn_that_waited_for_too_long) {
+  const target_table engines = Engines(1, 4);
+  turn_scheduler scheduler(engines);
+  scheduler.Add(Turn(1, "a"));
+  scheduler.Add(Turn(2, "b"));
+  scheduler.Advance(At(1));
+  scheduler.Add(Turn(3, "c"));
+  cr_assert(scheduler.Advance(At(999)).empty());
+  const auto decisions = scheduler.Advance(At(1'000));
+  cr_assert(decisions.size() == 1);
+  cr_assert(!decisions.front().admitted);
+  cr_assert(scheduler.waiting() == 0);
+}
+
+// Pattern: programs of several turns. Moving a program makes another engine
+// read its whole prompt.
+Test(turn_scheduler, keeps_a_program_at_its_engine) {
+  const target_table engines = Engines(5, 32);
+  turn_scheduler scheduler(engines);
+  std::set<std::string> used;
+  for (turn_ticket ticket = 1; ticket <= 6; ++ticket) {
+    scheduler.Add(Turn(ticket, "program"));
+    used.insert(scheduler.Advance(At(1)).front().target);
+    scheduler.Remove(ticket);
+  }
+  cr_assert(used.size() == 1);
+}
+
+// Pattern: one engine of three is slow. It gets fewer new programs.
+Test(turn_scheduler, places_new_programs_by_load_and_speed) {
+  target_table engines = Engines(3, 32);
+  turn_scheduler scheduler(engines);
+  scheduler.AddSample("model", {"engine-0", milliseconds(60)});
+  scheduler.AddSample("model", {"engine-1", milliseconds(20)});
+  scheduler.AddSample("model", {"engine-2", milliseconds(20)});
+  std::map<std::string, int> placed;
+  for (turn_ticket ticket = 1; ticket <= 35; ++ticket) {
+    scheduler.Add(Turn(ticket, "p" + std::to_string(ticket)));
+    for (const turn_decision& decision : scheduler.Advance(At(1))) {
+      ++placed[decision.target];
+    }
+  }
+  cr_assert(placed["engine-0"] > 0);
+  cr_assert(placed["engine-0"] * 2 < placed["engine-1"]);
+  cr_assert(placed["engine-0"] * 2 < placed["engine-2"]);
+}
+
+// Pattern: an engine leaves. Its programs go on at another one.
+Test(turn_scheduler, moves_programs_of_an_engine_that_leaves) {
+  target_table engines = Engines(2, 8);
+  turn_scheduler scheduler(engines);
+  scheduler.Add(Turn(1, "program"));
+  const std::string first = scheduler.Advance(At(1)).front().target;
+  scheduler.Remove(1);
+  target_record left;
+  left.id = first == "engine-0" ? "engine-1" : "engine-0";
+  left.service = "model";
+  left.slots = 8;
+  engines.Update({left}, At(1'000));
+  scheduler.Add(Turn(2, "program"));
+  cr_assert(scheduler.Advance(At(1'001)).front().target == left.id);
+}
+
+// Guards against turns whose end was lost and that take up room for good.
+Test(turn_scheduler, forgets_turns_after_their_deadline) {
+  const target_table engines = Engines(1, 4);
+  turn_scheduler scheduler(engines);
+  scheduler.Add(Turn(1, "a"));
+  scheduler.Add(Turn(2, "b"));
+  cr_assert(scheduler.Advance(At(1)).size() == 2);
+  scheduler.Advance(At(4'600));
+  cr_assert(scheduler.running() == 0);
+}
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,175 @@
+#include <criterion/criterion.h>
+
+#include "platform/platform.h"
+
+using namespace gentian;
+
+namespace {
+
+http_request CallerRequest() {
+  http_request request;
+  request.method = "POST";
+  request.target = "/lohu930/4b?x=1";
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"Host", "ficu95.example"},
+           {"Request-Id", "e5b2"},
+           {"X-Api-Key", "secret"},
+           {"Tenant", "forged"},
+           {"Expect-Instance", "forged"},
+           {"Hold", "forged"},
+           {"Kv-From", "forged"},
+           {"Deadline-Ms", "3000"},
+           {"Program-Id", "3fa81c"},
+           {"Finish-Ms", "5200"},
+           {"Token-Budget", "4712"},
+           {"Token-Count", "1840,589"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"X-Own", "2"}}) {
+    request.headers.Add(name, value);
+  }
+  return request;
+}
+
+}  // namespace
+
+// Guards against a field of the wire that is read into the wrong place.
+Test(platform_protocol, reads_what_a_caller_says) {
+  const auto call = platform_protocol().DecodeCall(CallerRequest());
+  cr_assert(call.has_value());
+  cr_assert(call->request_id == "e5b2");
+  cr_assert(call->host == "ficu95.example");
+  cr_assert(call->path == "/lohu930/4b");
+  cr_assert(call->key == "secret");
+  cr_assert(call->time_left == milliseconds(3'000));
+  cr_assert(call->finish_within == milliseconds(5'200));
+  cr_assert(call->token_budget == 4'712);
+  cr_assert(call->max_output_tokens == 589);
+}
+
+// Guards against a key, or a field that only the system may set, that reaches
+// a target as the caller sent it.
+Test(platform_protocol, sets_the_systems_fields_itself) {
+  target_call details;
+  details.target_id = "i-1";
+  details.team = "team";
+  details.time_left = milliseconds(2'500);
+  const http_headers headers =
+      platform_protocol().TargetHeaders(CallerRequest(), details);
+  cr_assert(headers.Find("X-Api-Key").empty());
+  cr_assert(headers.Find("Hold").empty());
+  cr_assert(headers.Find("Kv-From").empty());
+  cr_assert(headers.Find("X-Hop").empty());
+  cr_assert(headers.Find("X-Own") == "2");
+  cr_assert(headers.Find("Tenant") == "team");
+  cr_assert(headers.Find("Expect-Instance") == "i-1");
+  cr_assert(headers.Find("Deadline-Ms") == "2500");
+  cr_assert(headers.Find("Request-Id") == "e5b2");
+}
+
+// Guards against a request that hides another one from one of two readers.
+Test(platform_protocol, rejects_an_ambiguous_request) {
+  http_request request = CallerRequest();
+  request.headers.Add("Transfer-Encoding", "identity, chunked");
+  cr_assert(!platform_protocol().DecodeCall(request));
+  http_request two_hosts = CallerRequest();
+  two_hosts.headers.Add("Host", "other.example");
+  cr_assert(!platform_protocol().DecodeCall(two_hosts));
+}
+
+// Guards against a refusal of a target that counts as a run, and the reverse.
+Test(platform_protocol, tells_a_refusal_from_a_run) {
+  http_headers refused;
+  refused.Add("Not-Run", "1");
+  refused.Add("Server-Load", "6,2,32");
+  const target_answer full = platform_protocol().DecodeAnswer(503, refused);
+  cr_assert(full.not_run);
+  cr_assert(full.load->running == 6);
+  cr_assert(full.load->waiting == 2);
+  cr_assert(!platform_protocol().DecodeAnswer(503, http_headers()).not_run);
+  cr_assert(platform_protocol().DecodeAnswer(421, http_headers()).wrong_target);
+}
+
+// Guards against entries of the list that another writer wrote.
+Test(platform_protocol, skips_entries_that_name_no_target) {
+  const platform_protocol protocol;
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+      R"("state":"ready","seq":3,"born":17})";
+  const auto target = protocol.DecodeTarget({"servers/i-7", good, 1});
+  cr_assert(target.has_value());
+  cr_assert(target->id == "i-7");
+  cr_assert(target->started_at_ms == 17);
+  for (const char* bad :
+       {"", "[]", "{}", "\xff\xfe", R"({"service":1})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+        R"("state":"lost","seq":3})",
+        R"({"service":"s","address":"nowhere","zone":"z","slots":4,)"
+        R"("state":"ready","seq":3})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4",)"
+        R"("state":"ready","seq":3})"}) {
+    cr_assert(!protocol.DecodeTarget({"servers/i-7", bad, 1}), "%s", bad);
+  }
+}
+
+// Guards against a route, key or limit of the configuration that is misread.
+Test(platform_protocol, reads_a_configuration) {
+  const std::string text =
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+      R"("kind":"streaming","timeout_ms":4000,"target_latency_ms":250,)"
+      R"("priority":1,"split":[{"service":"a","weight":90},)"
+      R"({"service":"b","weight":10}],"attempts":1,"public":false,)"
+      R"("sticky":true,"resumable":true,"gap_aim_ms":300}],)"
+      R"("services":[{"name":"a","max_conns":230,"engine":)"
+      R"({"tokens_per_event":19}}],"limits":{"max_body_bytes":99},)"
+      R"("tenants":[{"name":"t","api_keys":["k"],"rate_per_s":171,)"
+      R"("burst":171,"priority":2}]})";
+  const auto decoded =
+      platform_protocol().DecodeConfiguration({"op/config", text, 1});
+  cr_assert(!Failed(decoded));
+  const gateway_configuration& configuration = *ValueOf(decoded);
+  const gateway_route* route = configuration.FindRoute("h", "/p/x");
+  cr_assert(route->kind == route_kind::stream);
+  cr_assert(route->resumable);
+  cr_assert(route->max_targets == 1);
+  cr_assert(route->services.size() == 2);
+  cr_assert(route->stream_patience == milliseconds(2'400));
+  cr_assert(configuration.FindTeamByKey("k")->rate == 171);
+  cr_assert(configuration.FindService("a")->tokens_per_event == 19);
+  cr_assert(configuration.content().max_body_bytes == 99);
+  cr_assert(
+      Failed(platform_protocol().DecodeConfiguration({"op/config", "{", 1})));
+}
+
+// Guards against a kind of route that this version does not know and that may
+// then be repeated.
+Test(platform_protocol, an_unknown_kind_is_not_repeated) {
+  const auto decoded = platform_protocol().DecodeConfiguration(
+      {"op/config",
+       R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"new"}]})",
+       1});
+  cr_assert(ValueOf(decoded)->FindRoute("h", "/")->kind ==
+            route_kind::at_most_once);
+}
+
+// Guards against a start with settings that can not be used.
+Test(node_file, names_the_field_and_the_remedy) {
+  const std::string good =
+      R"({"node_name":"n","ip":"10.0.0.1","zone":"z","inner_ports":[7780,7795],)"
+      R"("listen":{"front":"10.0.0.1:80","ready":null},"unknown":1,)"
+      R"("bounds":{"revoke_ms":4000,"grace_s":6},)"
+      R"("platform":{"address":"10.0.0.9:1"}})";
+  const auto settings = ParseNodeFile(good, "file");
+  cr_assert(!Failed(settings));
+  cr_assert(ValueOf(settings).peer_address == "10.0.0.1:7780");
+  cr_assert(ValueOf(settings).readiness_address.empty());
+  cr_assert(ValueOf(settings).withdrawal_bound == milliseconds(4'000));
+  cr_assert(ValueOf(settings).stop_grace == milliseconds(6'000));
+  for (const char* bad : {"", "[]", R"({"node_name":"n"})"}) {
+    const auto failed = ParseNodeFile(bad, "file");
+    cr_assert(Failed(failed));
+    cr_assert(ErrorOf(failed).message.find("file") != std::string::npos);
+    cr_assert(!ErrorOf(failed).remedy.empty());
+  }
+}
