--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # Developer entry points. `make demo` and `make test` install what they need.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+# Objects of one checkout serve another.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 SOURCES := $(shell find source platform tests bench -name '*.cc' -o -name '*.h' 2>/dev/null)
 
 .PHONY: all deps build format format-check lint unit test demo bench \
--- /dev/null
+++ b/tests/platform/platform_stand_in.h
@@ -0,0 +1,151 @@
+#ifndef TESTS_PLATFORM_PLATFORM_STAND_IN_H_
+#define TESTS_PLATFORM_PLATFORM_STAND_IN_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "gentian_adapters/key_value_store.h"
+#include "gentian_net/gentian_net.h"
+
+namespace gentian::testing {
+
+/** The platform's store in memory, behind the product's interface. */
+class store_stand_in : public key_value_store {
+ public:
+  explicit store_stand_in(io_pool& pool) : pool_(pool) {}
+
+  /** Makes all calls fail as if the store were away. */
+  void SetAway(bool away) { away_ = away; }
+
+  void Put(const std::string& key, const std::string& value) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    items_[key] = {key, value, ++revision_};
+  }
+
+  void Remove(const std::string& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    items_.erase(key);
+  }
+
+  void Call(const kv_operation& operation,
+            milliseconds /*deadline*/,
+            answer_handler handler) override {
+    kv_answer answer;
+    if (away_) {
+      answer.outcome = kv_answer::status::not_sent;
+    } else {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      answer = std::visit([this](const auto& value) { return Do(value); },
+                          operation);
+    }
+    pool_.After(milliseconds(1),
+                [handler = std::move(handler), answer] { handler(answer); });
+  }
+
+ private:
+  static kv_answer Ok() {
+    kv_answer answer;
+    answer.outcome = kv_answer::status::ok;
+    return answer;
+  }
+
+  kv_answer Do(const kv_list& operation) {
+    kv_answer answer = Ok();
+    for (const auto& [key, item] : items_) {
+      if (key.rfind(operation.prefix, 0) == 0) {
+        answer.entries.push_back(item);
+      }
+    }
+    answer.revision = revision_;
+    return answer;
+  }
+
+  kv_answer Do(const kv_compare_and_swap& operation) {
+    const auto found = items_.find(operation.key);
+    const std::uint64_t version =
+        found == items_.end() ? 0 : found->second.version;
+    kv_answer answer = Ok();
+    if (version != operation.expected_version) {
+      answer.outcome = kv_answer::status::conflict;
+      if (found != items_.end()) {
+        answer.entries.push_back(found->second);
+      }
+      return answer;
+    }
+    items_[operation.key] = {operation.key, operation.value, ++revision_};
+    answer.revision = revision_;
+    return answer;
+  }
+
+  kv_answer Do(const kv_delete& operation) {
+    items_.erase(operation.key);
+    return Ok();
+  }
+
+  kv_answer Do(const kv_grant_lease&) {
+    kv_answer answer = Ok();
+    answer.lease = 1;
+    return answer;
+  }
+
+  kv_answer Do(const kv_renew_lease&) { return Ok(); }
+
+  // The gateway daemon does not use the others.
+  template <typename Other>
+  kv_answer Do(const Other&) {
+    return kv_answer{};
+  }
+
+  io_pool& pool_;
+  std::atomic<bool> away_{false};
+  std::mutex mutex_;
+  std::uint64_t revision_ = 0;
+  std::map<std::string, kv_entry> items_;
+};
+
+/** A target as the platform's pages describe it: counts what it runs and
+    answers as the test says. */
+class target_stand_in {
+ public:
+  using behaviour =
+      std::function<void(std::shared_ptr<http_exchange>, int run)>;
+
+  target_stand_in(io_pool& pool, behaviour answer)
+      : answer_(std::move(answer)),
+        server_(pool, [this](std::shared_ptr<http_exchange> exchange) {
+          answer_(std::move(exchange), ++runs_);
+        }) {
+    server_.Listen("127.0.0.1:0");
+  }
+
+  std::string address() const { return server_.address(); }
+  int runs() const { return runs_; }
+
+  /** Header fields of an answer to a request. */
+  static http_headers Sealed(const http_exchange& exchange) {
+    http_headers headers;
+    headers.Add("Request-Id", exchange.request().headers.Find("Request-Id"));
+    headers.Add("Response-Seal", "seal");
+    return headers;
+  }
+
+  /** Answers with a sealed body. */
+  static void AnswerWhole(const std::shared_ptr<http_exchange>& exchange,
+                          const std::string& body) {
+    exchange->Respond({200, Sealed(*exchange), body});
+  }
+
+ private:
+  behaviour answer_;
+  std::atomic<int> runs_{0};
+  http_server server_;
+};
+
+}  // namespace gentian::testing
+
+#endif  // TESTS_PLATFORM_PLATFORM_STAND_IN_H_
