--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -178,7 +178,7 @@
   request.wait_limit -= elapsed;
   const turn_ticket ticket = Own(request);
   asked.own_ticket = ticket;
-  Await(ticket, [this, number](turn_verdict verdict) {
+  Await(ticket, [this, number](const turn_verdict& verdict) {
     if (verdict.result != outcome::granted) {
       owned_.erase(verdict.ticket);
     }
@@ -258,15 +258,26 @@
 }
 
 void turn_service::Await(turn_ticket ticket,
-                         std::function<void(turn_verdict)> reply) {
+                         std::function<void(const turn_verdict&)> reply) {
   owned_turn& own = owned_.at(ticket);
   if (own.verdict) {
-    reply(*own.verdict);
+    // The reply may drop the turn.
+    const turn_verdict verdict = *own.verdict;
+    reply(verdict);
   } else {
     own.reply = std::move(reply);
   }
 }
 
+void turn_service::SetVerdict(owned_turn& own, const turn_verdict& verdict) {
+  own.verdict = verdict;
+  if (own.reply) {
+    // The reply may drop the turn.
+    const auto reply = std::exchange(own.reply, nullptr);
+    reply(verdict);
+  }
+}
+
 void turn_service::Decide(turn_ticket ticket, outcome result) {
   const auto found = owned_.find(ticket);
   if (found == owned_.end()) {
@@ -289,10 +300,7 @@
     Execute(ledger_.Settle(own.request.program, own.request.most, 0,
                            BootTimeNow()));
   }
-  own.verdict = turn_verdict{result, ticket, ""};
-  if (own.reply) {
-    std::exchange(own.reply, nullptr)(*own.verdict);
-  }
+  SetVerdict(own, turn_verdict{result, ticket, ""});
 }
 
 void turn_service::Advance() {
@@ -308,11 +316,8 @@
       continue;
     }
     owned_turn& own = found->second;
-    own.verdict =
-        turn_verdict{outcome::granted, decision.ticket, decision.target};
-    if (own.reply) {
-      std::exchange(own.reply, nullptr)(*own.verdict);
-    }
+    SetVerdict(
+        own, turn_verdict{outcome::granted, decision.ticket, decision.target});
   }
 }
 
@@ -398,7 +403,7 @@
         JsonResponse(kOk, turn_verdict{outcome::unavailable, ticket, ""}));
     return;
   }
-  Await(ticket, [this, exchange](turn_verdict verdict) {
+  Await(ticket, [this, exchange](const turn_verdict& verdict) {
     exchange->Respond(JsonResponse(kOk, json(verdict)));
     if (verdict.result != outcome::granted) {
       owned_.erase(verdict.ticket);
@@ -425,7 +430,7 @@
   }
 }
 
-void turn_service::Execute(budget_commands commands) {
+void turn_service::Execute(const budget_commands& commands) {
   for (const auto& write : commands.writes) {
     Write(write);
   }
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -68,7 +68,7 @@
     bool budget_granted = false;
     std::optional<turn_verdict> verdict;
     /** Whoever waits for the verdict at the moment. */
-    std::function<void(turn_verdict)> reply;
+    std::function<void(const turn_verdict&)> reply;
   };
   /** A request of a caller of this daemon. */
   struct asked_turn {
@@ -102,8 +102,10 @@
   // Being the owner.
   turn_ticket Own(const turn_request& request);
   bool IsSettledOwner(const std::string& program) const;
-  void Await(turn_ticket ticket, std::function<void(turn_verdict)> reply);
+  void Await(turn_ticket ticket,
+             std::function<void(const turn_verdict&)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
+  static void SetVerdict(owned_turn& own, const turn_verdict& verdict);
   void EndOwned(const turn_end& end);
   void DropOwned(turn_ticket ticket);
   void Advance();
@@ -112,7 +114,7 @@
                  const json& body);
 
   // Writing claims.
-  void Execute(budget_commands commands);
+  void Execute(const budget_commands& commands);
   void Write(const budget_commands::write& write);
   void OnWritten(const std::string& program, const kv_answer& answer);
 
