--- a/source/gentian_daemon/daemon.h
+++ b/source/gentian_daemon/daemon.h
@@ -4,12 +4,12 @@
 #include <memory>
 #include <string>
 
-#include "gentian_daemon/daemon_options.h"
-#include "gentian_decisions/initial_settings.h"
-#include "gentian_net/io_pool.h"
 #include "gentian_adapters/host_list.h"
 #include "gentian_adapters/key_value_store.h"
 #include "gentian_adapters/target_gateway.h"
+#include "gentian_daemon/daemon_options.h"
+#include "gentian_decisions/initial_settings.h"
+#include "gentian_net/io_pool.h"
 
 namespace gentian {
 
--- a/source/gentian_daemon/daemon_log.cc
+++ b/source/gentian_daemon/daemon_log.cc
@@ -49,9 +49,8 @@
       continue;
     }
     // Written at once: the last lines before a crash matter.
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(
-            output == log_output::standard_error, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
+        output == log_output::standard_error, true));
     appender->setLayout(std::make_unique<json_layout>(host));
     Logger().removeAllAppenders();
     Logger().setAdditivity(false);
--- a/tests/daemon/admin_daemon_test.cc
+++ b/tests/daemon/admin_daemon_test.cc
@@ -2,8 +2,8 @@
 
 #include <future>
 
-#include "gentian_daemon/gentian_daemon.h"
 #include "gentian_adapters/gentian_adapters.h"
+#include "gentian_daemon/gentian_daemon.h"
 
 using gentian::http_client_request;
 using gentian::http_response;
--- a/tests/daemon/daemon_test.cc
+++ b/tests/daemon/daemon_test.cc
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 
-#include "gentian_daemon/gentian_daemon.h"
 #include "gentian_adapters/gentian_adapters.h"
+#include "gentian_daemon/gentian_daemon.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
