--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -9,16 +9,9 @@
 
 namespace {
 
-// Time to connect to a target, after which another one is asked. A connection
-// within a region takes a few milliseconds.
-constexpr milliseconds kConnectLimit{250};
-// Sends of one request, refused ones included.
-constexpr int kMaxSends = 4;
-// Runs of one request that may be repeated, at one target.
-constexpr int kMaxRuns = 3;
 constexpr milliseconds kStaleRetryAfter{500};
-constexpr milliseconds kNoTargetRetryAfter{300};
-constexpr milliseconds kFullRetryAfter{150};
+// A route whose services are not configured.
+constexpr milliseconds kNoServiceRetryAfter{300};
 constexpr milliseconds kBudgetRetryAfter{700};
 constexpr milliseconds kOverloadRetryAfter{400};
 // For a program that does not say when it should be finished.
@@ -29,13 +22,6 @@
 constexpr double kPatiencePart = 0.5;
 // Events that an average interval is taken over at least.
 constexpr int kLeastEvents = 4;
-constexpr int kFirstFailureStatus = 300;
-
-// Statuses that promise that a request has not run. A target that sends one
-// without that promise has left it open.
-bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
 
 }  // namespace
 
@@ -97,7 +83,7 @@
     }
   }
   if (route_->services.empty()) {
-    return refusal{refusal_reason::no_target, kNoTargetRetryAfter};
+    return refusal{refusal_reason::no_target, kNoServiceRetryAfter};
   }
   double total = 0;
   for (const weighted_service& next : route_->services) {
@@ -221,268 +207,6 @@
   return ToMilliseconds(deadline_ - now);
 }
 
-const known_target* gateway_call::ChooseTarget(steady_time now) const {
-  const target_table& targets = environment_.state.targets;
-  if (!bound_target_.empty()) {
-    const known_target* bound = targets.Find(bound_target_);
-    if (bound != nullptr && bound->record.service == service_ &&
-        std::find(excluded_.begin(), excluded_.end(), bound_target_) ==
-            excluded_.end()) {
-      return bound;
-    }
-  }
-  const known_target* preferred = targets.Find(preferred_target_);
-  if (preferred != nullptr && preferred->record.service == service_ &&
-      now >= preferred->avoid_until &&
-      std::find(excluded_.begin(), excluded_.end(), preferred_target_) ==
-          excluded_.end()) {
-    return preferred;
-  }
-  target_demand demand;
-  demand.service = service_;
-  if (route_->has_prompts) {
-    demand.affinity_key = call_->program;
-  }
-  demand.failure_domain = environment_.settings.failure_domain;
-  demand.excluded = excluded_;
-  return SelectTarget(targets, demand, now);
-}
-
-void gateway_call::Dispatch() {
-  const steady_time now = BootTimeNow();
-  const milliseconds time_left = TimeLeft(now);
-  if (time_left.count() <= 0) {
-    Refuse(
-        {runs_ > 0 ? refusal_reason::target_timeout : refusal_reason::too_late,
-         std::nullopt});
-    return;
-  }
-  // Keys and routes may have changed while the request waited.
-  if (const auto refused = Authorize()) {
-    Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
-                     : *refused);
-    return;
-  }
-  const known_target* target = sends_ < kMaxSends ? ChooseTarget(now) : nullptr;
-  if (target == nullptr) {
-    if (runs_ > 0) {
-      Refuse({refusal_reason::target_failed, std::nullopt});
-    } else if (sends_ > 0) {
-      Refuse({refusal_reason::targets_full, kFullRetryAfter});
-    } else {
-      Refuse({refusal_reason::no_target, kNoTargetRetryAfter});
-    }
-    return;
-  }
-  Send(*target, time_left);
-}
-
-void gateway_call::Send(const known_target& target, milliseconds time_left) {
-  ++sends_;
-  target_ = target.record.id;
-  answer_ = target_answer();
-  answer_body_.clear();
-  events_.DropRest();
-  if (phase_ != phase::streaming) {
-    phase_ = phase::at_target;
-  }
-  const http_request& original = exchange_->request();
-  target_call details;
-  details.target_id = target_;
-  details.team = team_ == nullptr ? "" : team_->name;
-  details.time_left = time_left;
-  details.last_event_id =
-      events_.last_id().empty() ? call_->last_event_id : events_.last_id();
-  http_client_request request;
-  request.address = target.record.address;
-  request.method = original.method;
-  request.target = original.target;
-  request.headers = environment_.protocol.TargetHeaders(original, details);
-  request.body = original.body;
-  request.deadline = time_left;
-  request.connect_limit = std::min(kConnectLimit, time_left);
-  request.reuse_connection = true;
-  request.send_once = route_->kind != route_kind::idempotent;
-  environment_.state.targets.RequestStarted(target_);
-  const std::uint64_t serial = ++attempt_serial_;
-  // A handler of an attempt that has been given up has no effect.
-  const auto if_current = [me = shared_from_this(), serial] {
-    return me->phase_ != phase::ended && me->attempt_serial_ == serial;
-  };
-  http_client_handlers handlers;
-  handlers.on_header = [me = shared_from_this(), if_current](
-                           int status, const http_headers& headers) {
-    if (if_current()) {
-      me->OnHeader(status, headers);
-    }
-  };
-  handlers.on_body = [me = shared_from_this(),
-                      if_current](std::string_view bytes) {
-    if (if_current()) {
-      me->OnBody(bytes);
-    }
-  };
-  handlers.on_end = [me = shared_from_this(), if_current] {
-    if (if_current()) {
-      me->OnEnd();
-    }
-  };
-  handlers.on_failure = [me = shared_from_this(), if_current](
-                            http_failure failure, const std::string& message) {
-    if (if_current()) {
-      me->OnFailure(failure, message);
-    }
-  };
-  attempt_ = environment_.targets.Send(std::move(request), std::move(handlers));
-}
-
-void gateway_call::EndAttempt() {
-  ++attempt_serial_;
-  attempt_.reset();
-  environment_.state.targets.RequestEnded(target_);
-}
-
-void gateway_call::OnHeader(int status, const http_headers& headers) {
-  answer_ = environment_.protocol.DecodeAnswer(status, headers);
-  if (!answer_.request_id.empty() && answer_.request_id != call_->request_id) {
-    // A late answer to an earlier request on the same connection.
-    attempt_->Cancel();
-    EndAttempt();
-    AfterPossibleRun("foreign_answer");
-    return;
-  }
-  if (answer_.load) {
-    answer_.load->at = BootTimeNow();
-    environment_.state.targets.ReportLoad(target_, *answer_.load);
-  }
-  if (phase_ != phase::streaming) {
-    answer_headers_ = environment_.protocol.AnswerHeaders(headers);
-  }
-}
-
-void gateway_call::OnBody(std::string_view bytes) {
-  const bool events = answer_.status < kFirstFailureStatus &&
-                      answer_.is_signed && answer_.is_event_stream;
-  if (!events) {
-    answer_body_.append(bytes);
-    return;
-  }
-  event_splitter::part part = events_.Feed(bytes);
-  if (part.events == 0) {
-    return;
-  }
-  if (phase_ != phase::streaming) {
-    phase_ = phase::streaming;
-    first_event_ = BootTimeNow();
-    exchange_->StartChunks(answer_headers_);
-  }
-  events_sent_ += part.events;
-  last_event_ = BootTimeNow();
-  exchange_->SendChunk(std::move(part.bytes));
-}
-
-void gateway_call::OnEnd() {
-  EndAttempt();
-  environment_.state.targets.ReportSuccess(target_);
-  if (answer_.status < kFirstFailureStatus && answer_.is_signed &&
-      answer_.is_event_stream) {
-    OnStreamEnd();
-  } else {
-    OnWholeAnswer();
-  }
-}
-
-void gateway_call::OnStreamEnd() {
-  ++runs_;
-  if (phase_ != phase::streaming) {
-    exchange_->StartChunks(answer_headers_);
-    phase_ = phase::streaming;
-  }
-  if (!events_.rest().empty()) {
-    exchange_->SendChunk(events_.rest());
-  }
-  exchange_->EndStream();
-  Finish("answered");
-}
-
-void gateway_call::OnWholeAnswer() {
-  if (answer_.wrong_target) {
-    environment_.state.targets.ReportReplaced(target_);
-    RetryElsewhere("wrong_target");
-    return;
-  }
-  if (answer_.not_run) {
-    RetryElsewhere("target_full");
-    return;
-  }
-  const bool misleading =
-      PromisesNotRun(answer_.status) && route_->kind != route_kind::idempotent;
-  if (phase_ == phase::streaming || !answer_.is_signed || misleading) {
-    AfterPossibleRun("unusable_answer");
-    return;
-  }
-  ++runs_;
-  http_response response;
-  response.status = answer_.status;
-  response.headers = answer_headers_;
-  response.body = std::move(answer_body_);
-  exchange_->Respond(std::move(response));
-  Finish("answered");
-}
-
-void gateway_call::OnFailure(http_failure failure, const std::string&) {
-  EndAttempt();
-  const steady_time now = BootTimeNow();
-  if (failure == http_failure::not_sent) {
-    environment_.state.targets.ReportFailure(target_, now);
-    RetryElsewhere("not_sent");
-    return;
-  }
-  if (failure == http_failure::broken) {
-    environment_.state.targets.ReportFailure(target_, now);
-  }
-  AfterPossibleRun(failure == http_failure::deadline ? "deadline" : "broken");
-}
-
-void gateway_call::RetryElsewhere(const char* reason) {
-  last_reason_ = reason;
-  environment_.state.counters.Add(std::string("retried.") + reason);
-  excluded_.push_back(target_);
-  Dispatch();
-}
-
-bool gateway_call::MayRunAgain() const {
-  switch (route_->kind) {
-    case route_kind::idempotent:
-      return true;
-    case route_kind::stream:
-      return route_->resumable;
-    case route_kind::at_most_once:
-      return false;
-  }
-  return false;
-}
-
-void gateway_call::AfterPossibleRun(const char* reason) {
-  ++runs_;
-  last_reason_ = reason;
-  const bool in_time = TimeLeft(BootTimeNow()).count() > 0;
-  if (!in_time || !MayRunAgain() || runs_ >= kMaxRuns) {
-    Refuse({in_time ? refusal_reason::target_failed
-                    : refusal_reason::target_timeout,
-            std::nullopt});
-    return;
-  }
-  environment_.state.counters.Add(std::string("retried.") + reason);
-  if (runs_ >= route_->max_targets) {
-    // No further target may run it, but this one may once more.
-    bound_target_ = target_;
-  } else {
-    excluded_.push_back(target_);
-  }
-  Dispatch();
-}
-
 void gateway_call::OnDisconnect() {
   if (phase_ == phase::ended) {
     return;
