--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -398,6 +398,15 @@
   turn_ticket ticket = body.value("ticket", turn_ticket{0});
   if (ticket == 0) {
     ticket = Own(body.get<turn_request>());
+    const owned_turn& own = owned_.at(ticket);
+    if (!state_.store_reached && !own.verdict && !own.budget_granted) {
+      // The daemon that asks may reach the key-value service; a write of this
+      // one would hold its turn up until the write is given up.
+      DropOwned(ticket);
+      exchange->Respond(JsonResponse(
+          kOk, json(turn_verdict{outcome::unavailable, ticket, ""})));
+      return;
+    }
   } else if (owned_.count(ticket) == 0) {
     exchange->Respond(
         JsonResponse(kOk, turn_verdict{outcome::unavailable, ticket, ""}));
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
+#include "gentian_gateway_daemon/turn_request.h"
 #include "platform/platform.h"
 #include "platform/platform_stand_in.h"
 #include "support/synchronous_http.h"
@@ -44,6 +45,7 @@
     settings.caller_address = caller_address;
     settings.directory_address = directory_address;
     settings.readiness_address = readiness_address;
+    settings.peer_address = peer_address;
     settings.withdrawal_bound = milliseconds(2'000);
     daemon = std::make_unique<gateway_daemon>(daemon_pool, store, protocol,
                                               settings, "start-1");
@@ -96,6 +98,7 @@
   io_pool daemon_pool{1};
   const std::string caller_address = OwnAddress(18368);
   const std::string directory_address = OwnAddress(18360);
+  const std::string peer_address = OwnAddress(17780);
   const std::string readiness_address = OwnAddress(18369);
   target_stand_in target;
   store_stand_in store;
@@ -234,6 +237,34 @@
   cr_assert(WaitFor([&] { return status() == 401; }));
 }
 
+// Guards against inc-1251 of the second site: a daemon that was cut off from
+// the store held turns up that other daemons asked it about.
+Test(gateway_daemon, an_owner_without_the_store_answers_at_once) {
+  rig subject([](const std::shared_ptr<http_exchange>& exchange, int) {
+    target_stand_in::AnswerWhole(exchange, "whole");
+  });
+  subject.store.SetSilent(true);
+  // Time for the next listing to fail.
+  std::this_thread::sleep_for(milliseconds(2'300));
+  turn_request turn;
+  turn.program = "p";
+  turn.service = "s";
+  turn.budget = 100;
+  turn.most = 30;
+  turn.time_left = milliseconds(2'000);
+  turn.wait_limit = milliseconds(1'000);
+  http_client_request request;
+  request.address = subject.peer_address;
+  request.method = "POST";
+  request.target = "/turns/ask";
+  request.body = json(turn).dump();
+  const auto began = std::chrono::steady_clock::now();
+  const http_outcome outcome = Fetch(subject.client, request);
+  cr_assert(std::chrono::steady_clock::now() - began < milliseconds(150));
+  cr_assert(json::parse(outcome.response.body).get<turn_verdict>().result ==
+            turn_verdict::outcome::unavailable);
+}
+
 // Guards against work for a target that has left.
 Test(gateway_daemon, refuses_at_once_without_a_target) {
   rig subject([](const std::shared_ptr<http_exchange>& exchange, int) {
--- a/tests/platform/platform_stand_in.h
+++ b/tests/platform/platform_stand_in.h
@@ -22,6 +22,9 @@
   /** Makes all calls fail as if the store were away. */
   void SetAway(bool away) { away_ = away; }
 
+  /** Makes all calls end without an answer at their deadlines. */
+  void SetSilent(bool silent) { silent_ = silent; }
+
   void Put(const std::string& key, const std::string& value) {
     const std::lock_guard<std::mutex> lock(mutex_);
     items_[key] = {key, value, ++revision_};
@@ -33,9 +36,14 @@
   }
 
   void Call(const kv_operation& operation,
-            milliseconds /*deadline*/,
+            milliseconds deadline,
             answer_handler handler) override {
     kv_answer answer;
+    if (silent_) {
+      pool_.After(deadline,
+                  [handler = std::move(handler), answer] { handler(answer); });
+      return;
+    }
     if (away_) {
       answer.outcome = kv_answer::status::not_sent;
     } else {
@@ -103,6 +111,7 @@
 
   io_pool& pool_;
   std::atomic<bool> away_{false};
+  std::atomic<bool> silent_{false};
   std::mutex mutex_;
   std::uint64_t revision_ = 0;
   std::map<std::string, kv_entry> items_;
