--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -16,6 +16,9 @@
 // Time for one write. The service answers in milliseconds; a slow one in some
 // hundred.
 constexpr milliseconds kWriteDeadline{900};
+// Time for one write while the service does not answer: others may reach it and
+// wait for this daemon.
+constexpr milliseconds kOutageWriteDeadline{150};
 // The owner answers after this time at the latest, if only that it has not
 // decided, so that one that is frozen or cut off is noticed soon.
 constexpr milliseconds kReplyWithin{250};
@@ -398,15 +401,6 @@
   turn_ticket ticket = body.value("ticket", turn_ticket{0});
   if (ticket == 0) {
     ticket = Own(body.get<turn_request>());
-    const owned_turn& own = owned_.at(ticket);
-    if (!state_.store_reached && !own.verdict && !own.budget_granted) {
-      // The daemon that asks may reach the key-value service; a write of this
-      // one would hold its turn up until the write is given up.
-      DropOwned(ticket);
-      exchange->Respond(JsonResponse(
-          kOk, json(turn_verdict{outcome::unavailable, ticket, ""})));
-      return;
-    }
   } else if (owned_.count(ticket) == 0) {
     exchange->Respond(
         JsonResponse(kOk, turn_verdict{outcome::unavailable, ticket, ""}));
@@ -453,7 +447,8 @@
   operation.key = kClaimPrefix + write.program;
   operation.expected_version = write.expected_version;
   operation.value = write.value;
-  store_.Call(operation, kWriteDeadline,
+  store_.Call(operation,
+              state_.store_reached ? kWriteDeadline : kOutageWriteDeadline,
               [this, program = write.program](const kv_answer& answer) {
                 OnWritten(program, answer);
               });
