Write logs on their own thread, and explain requests from them

Cause: lines were written synchronously. With a reader that stops, a gateway stopped after some hundred requests: the new test gateway_daemon/serves_while_nobody_reads_its_log times out after 60 s on. One line told of a request; which owner refused a turn and from what could not be seen.

Change: module gentian_log. line_writer writes on a thread of its own from line_queue, bounded at 512 KB, routine lines half of it; line_sampler keeps 200 routine lines a second and then one program in sixteen. Losses are counted in the log and on the metrics page. New lines: attempt failed, turn decided, owner not reachable, with the inputs and their age. request_history and `gentianrun explain` put the lines of several hosts in order. The line's JSON is no longer parsed again by the layout. kv_client's names of a status became the one copy.

--- a/bench/micro/main.cc
+++ b/bench/micro/main.cc
@@ -7,6 +7,7 @@
 
 #include "control_traffic.h"
 #include "decisions/scheduling_fakes.h"
+#include "log_cost.h"
 
 namespace gentian {
 namespace {
@@ -74,5 +75,6 @@
   gentian::Measure("engines", &sizes::engines);
   gentian::Measure("teams", &sizes::teams);
   gentian::Measure("sessions", &sizes::sessions);
+  gentian::MeasureLogCost();
   gentian::MeasureControlTraffic();
 }
--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -7,6 +7,7 @@
 #include "gentian_app/signal_waiter.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/gentian_daemon.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
--- a/source/gentian_app/gateway_command.cc
+++ b/source/gentian_app/gateway_command.cc
@@ -10,6 +10,7 @@
 
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/gentian_daemon.h"
+#include "gentian_log/gentian_log.h"
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
 #include "platform/platform.h"
 
@@ -51,7 +52,7 @@
           return;
         }
         if (signal == SIGHUP) {
-          Log(write_log::level::info, "settings kept",
+          Log(log_level::info, "settings kept",
               {{"reason", "addresses are fixed while the process runs"}});
         } else {
           stop([&stopped] { stopped.set_value(); });
@@ -82,7 +83,7 @@
     pool.Stop();
     return Fail(ErrorOf(started));
   }
-  Log(write_log::level::info, "started",
+  Log(log_level::info, "started",
       {{"version", Version()},
        {"caller_address", settings.caller_address},
        {"failure_domain", settings.failure_domain},
@@ -101,10 +102,10 @@
   if (Failed(logging)) {
     return Fail(ErrorOf(logging));
   }
-  Log(write_log::level::info, "started", {{"version", Version()}});
+  Log(log_level::info, "started", {{"version", Version()}});
   io_pool pool(1);
   WaitForSignals(pool, [](const std::function<void()>& done) {
-    Log(write_log::level::info, "stopped");
+    Log(log_level::info, "stopped");
     done();
   });
   return 0;
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -4,10 +4,11 @@
 
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/version.h"
+#include "gentian_log/gentian_log.h"
 
 namespace {
 
-constexpr std::array<gentian::subcommand, 5> kSubcommands = {{
+constexpr std::array<gentian::subcommand, 6> kSubcommands = {{
     {"check", "check settings files without starting anything",
      gentian::RunCheck},
     {"admin", "show and change the settings of a fleet", gentian::RunAdmin},
@@ -15,6 +16,8 @@
      gentian::RunServe},
     {"gateway", "run a daemon on the users' platform",
      gentian::RunGatewayCommand},
+    {"explain", "tell from logs what became of a request",
+     gentian::RunExplain},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
 }};
@@ -44,7 +47,9 @@
   }
   for (const auto& next : kSubcommands) {
     if (name == next.name) {
-      return next.run(argc - 1, argv + 1);
+      const int status = next.run(argc - 1, argv + 1);
+      gentian::StopLog();
+      return status;
     }
   }
   std::cerr << "gentianrun: unknown subcommand '" << name
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -8,6 +8,7 @@
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/gentian_daemon.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -42,7 +43,7 @@
     return Fail(ErrorOf(started));
   }
   signals.Start([&subject] { subject.RequestStop(); });
-  Log(write_log::level::info, "daemon started",
+  Log(log_level::info, "daemon started",
       {{"caller_address", subject.caller_address()}});
   const result<success> stopped = subject.WaitUntilStopped();
   // Handlers that still wait refer to the daemon.
@@ -50,7 +51,7 @@
   if (Failed(stopped)) {
     return Fail(ErrorOf(stopped));
   }
-  Log(write_log::level::info, "daemon stopped");
+  Log(log_level::info, "daemon stopped");
   return 0;
 }
 
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -20,6 +20,9 @@
 /** Runs a daemon as its settings file describes it. */
 int RunServe(int argc, char** argv);
 
+/** Tells from logs what became of a request. */
+int RunExplain(int argc, char** argv);
+
 /** Runs a daemon on the users' platform. */
 int RunGatewayCommand(int argc, char** argv);
 
--- a/source/gentian_core/gentian_core.h
+++ b/source/gentian_core/gentian_core.h
@@ -15,6 +15,7 @@
 #include "gentian_core/identifiers.h"
 #include "gentian_core/incarnation.h"
 #include "gentian_core/json.h"
+#include "gentian_core/log_level.h"
 #include "gentian_core/random_source.h"
 #include "gentian_core/result.h"
 #include "gentian_core/steady_time.h"
--- a/source/gentian_daemon/admin_api.cc
+++ b/source/gentian_daemon/admin_api.cc
@@ -94,7 +94,7 @@
       {request.method, request.target, authorization, request.body}, keys_);
   if (Failed(call)) {
     if (ErrorOf(call).kind == error_kind::unauthorized) {
-      log_({write_log::level::warning, "audit",
+      log_({log_level::warning, "audit",
             json{{"operation", "unknown key"}, {"path", path}}});
     }
     exchange->Respond(ErrorResponse(ErrorOf(call)));
--- a/source/gentian_daemon/admin_call.cc
+++ b/source/gentian_daemon/admin_call.cc
@@ -261,9 +261,9 @@
     return std::nullopt;
   }
   fields["operator"] = call.operator_name;
-  write_log line{write_log::level::info, "audit", nullptr};
+  write_log line{log_level::info, "audit", nullptr};
   if (Failed(answer)) {
-    line.severity = write_log::level::warning;
+    line.severity = log_level::warning;
     fields["outcome"] = "refused";
     fields["error"] = ErrorOf(answer);
   } else {
--- a/source/gentian_daemon/caller_api.cc
+++ b/source/gentian_daemon/caller_api.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -180,7 +180,7 @@
 }
 
 void caller_api::SendPart(pending& entry, const error& part) {
-  Log(write_log::level::debug, "request refused or failed",
+  Log(log_level::debug, "request refused or failed",
       {{"session", entry.session},
        {"reason", NameOf(part.kind)},
        {"outcome", NameOf(part.outcome)}});
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -8,7 +8,7 @@
 
 #include "gentian_daemon/admin_api.h"
 #include "gentian_daemon/caller_api.h"
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 #include "gentian_daemon/decision_loop.h"
 #include "gentian_daemon/fleet_snapshot.h"
 #include "gentian_daemon/peer_exchange.h"
@@ -53,7 +53,7 @@
              [this] { return loop_->IsOverloaded(); },
              [this](error_kind kind) { latencies_.CountRefusal(kind); }),
         admin_([this](event input) { loop_->Post(std::move(input)); },
-               [](const write_log& line) { Log(line); },
+               [](const write_log& line) { Log(line.severity, line.message, line.fields); },
                options_.operators_by_key_hash,
                latencies_),
         supervisor_(
@@ -76,7 +76,7 @@
   }
 
   void RequestStop() {
-    Log(write_log::level::info, "graceful shutdown begins");
+    Log(log_level::info, "graceful shutdown begins");
     stopping_ = true;
     server_->CloseAfterAnswers();
     admin_.StartDraining();
@@ -251,7 +251,7 @@
   void ReloadCertificates() {
     const result<success> loaded = caller_tls_->ReloadIfChanged();
     if (Failed(loaded)) {
-      Log(write_log::level::error, "the previous certificate stays in use",
+      Log(log_level::error, "the previous certificate stays in use",
           {{"reason", ErrorOf(loaded).message},
            {"remedy", ErrorOf(loaded).remedy}});
     }
@@ -332,7 +332,7 @@
     platform_.targets->Cancel(cancel.id);
   }
   void Carry(const order_target& order) { platform_.targets->Order(order); }
-  void Carry(const write_log& line) { Log(line); }
+  void Carry(const write_log& line) { Log(line.severity, line.message, line.fields); }
   void Carry(const stop_completed& /*stop*/) { Finish(success{}); }
 
   void Finish(result<success> outcome) {
--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -1,7 +1,7 @@
 /** The daemon: a supervisor tree that carries out the commands of a node, the
     callers' and administration interfaces, logs and metrics.
 
-    Dependencies: all other modules, log4cplus, Boost.Accumulators.
+    Dependencies: all other modules, Boost.Accumulators.
 */
 #ifndef GENTIAN_DAEMON_GENTIAN_DAEMON_H_
 #define GENTIAN_DAEMON_GENTIAN_DAEMON_H_
@@ -12,7 +12,6 @@
 #include "gentian_daemon/credential_filter.h"
 #include "gentian_daemon/daemon.h"
 #include "gentian_daemon/daemon_file.h"
-#include "gentian_daemon/daemon_log.h"
 #include "gentian_daemon/daemon_metrics.h"
 #include "gentian_daemon/daemon_options.h"
 #include "gentian_daemon/decision_loop.h"
--- a/source/gentian_daemon/peer_exchange.cc
+++ b/source/gentian_daemon/peer_exchange.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -22,7 +22,7 @@
 }
 
 void LogClosed(const std::string& peer, const std::string& reason) {
-  Log(write_log::level::info, "link to a daemon closed",
+  Log(log_level::info, "link to a daemon closed",
       {{"peer", peer}, {"reason", reason}});
 }
 
--- a/source/gentian_daemon/supervisor.cc
+++ b/source/gentian_daemon/supervisor.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -78,7 +78,7 @@
                       reason.remedy});
     return;
   }
-  Log(write_log::level::warning, "restarting a failed part",
+  Log(log_level::warning, "restarting a failed part",
       {{"part", name}, {"reason", reason.message}});
   const duration delay = DelayBefore(restarts.size(), policy);
   restarts.push_back(now);
--- a/source/gentian_decisions/command.h
+++ b/source/gentian_decisions/command.h
@@ -75,9 +75,7 @@
 
 /** Writes one structured log line. */
 struct write_log {
-  enum class level { debug, info, warning, error };
-
-  level severity = level::info;
+  log_level severity = log_level::info;
   std::string message;
   json fields;
 };
--- a/source/gentian_decisions/config_log.cc
+++ b/source/gentian_decisions/config_log.cc
@@ -70,7 +70,7 @@
     fields["reason"] = problems.front().reason;
   }
   context.counters.Add("config.not_usable");
-  context.Emit(write_log{write_log::level::error,
+  context.Emit(write_log{log_level::error,
                          "an accepted configuration can not be used; run the "
                          "same program version on all daemons",
                          std::move(fields)});
--- a/source/gentian_decisions/kv_client.cc
+++ b/source/gentian_decisions/kv_client.cc
@@ -28,12 +28,6 @@
   return kNames[operation.index()];
 }
 
-const char* NameOf(status outcome) {
-  static constexpr const char* kNames[] = {
-      "ok", "conflict", "lease_expired", "compacted", "no_answer", "not_sent"};
-  return kNames[static_cast<std::size_t>(outcome)];
-}
-
 bool IsWatch(const kv_operation& operation) {
   return std::holds_alternative<kv_watch>(operation);
 }
--- a/source/gentian_decisions/kv_operation.h
+++ b/source/gentian_decisions/kv_operation.h
@@ -100,6 +100,9 @@
   std::uint64_t lease = 0;
 };
 
+/** The stable name of a status, for logs. */
+const char* NameOf(kv_answer::status status);
+
 }  // namespace gentian
 
 #endif  // GENTIAN_DECISIONS_KV_OPERATION_H_
--- a/source/gentian_decisions/operator_requests.cc
+++ b/source/gentian_decisions/operator_requests.cc
@@ -31,7 +31,7 @@
 }
 
 void Audit(const std::string& message, json fields, node_context& context) {
-  context.Emit(write_log{write_log::level::info, "audit: " + message,
+  context.Emit(write_log{log_level::info, "audit: " + message,
                          std::move(fields)});
 }
 
--- a/source/gentian_decisions/shard_restore.cc
+++ b/source/gentian_decisions/shard_restore.cc
@@ -128,7 +128,7 @@
   // The owner wrote its shards in turn.
   const milliseconds window = interval * settings.fleet.shards;
   context.Emit(write_log{
-      write_log::level::warning,
+      log_level::warning,
       "restored sessions from checkpoints; calls within the loss window before "
       "the failure may be missing",
       json{{"shard", shard},
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -3,15 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "gentian_daemon/daemon_log.h"
-
 namespace gentian {
 
 namespace {
 
 constexpr milliseconds kStaleRetryAfter{500};
-// A route whose services are not configured.
-constexpr milliseconds kNoServiceRetryAfter{300};
 constexpr milliseconds kBudgetRetryAfter{700};
 constexpr milliseconds kOverloadRetryAfter{400};
 // For a program that does not say when it should be finished.
@@ -83,7 +79,7 @@
     }
   }
   if (route_->services.empty()) {
-    return refusal{refusal_reason::no_target, kNoServiceRetryAfter};
+    return refusal{refusal_reason::no_target, kNoTargetRetryAfter};
   }
   double total = 0;
   for (const weighted_service& next : route_->services) {
@@ -126,6 +122,7 @@
         (most + tokens_per_event_ - 1) / tokens_per_event_ * tokens_per_event_;
   }
   turn_request request;
+  request.request_id = call_->request_id;
   request.program = call_->program;
   request.service = service_;
   request.priority =
@@ -241,6 +238,7 @@
     exchange_->Respond(environment_.protocol.Refuse(
         answer, call_ ? call_->request_id : std::string()));
   }
+  retry_after_ = answer.retry_after;
   Finish(NameOf(answer.reason));
 }
 
@@ -259,28 +257,7 @@
   if (first_event_) {
     state.metrics.AddLatency("first_event", *first_event_ - arrived_);
   }
-  Log(write_log::level::info, "request ended",
-      {{"request", call_ ? call_->request_id : ""},
-       {"outcome", outcome},
-       {"status", answer_.status},
-       {"route", route_ == nullptr ? "" : route_->name},
-       {"team", team_ == nullptr ? "" : team_->name},
-       {"program", call_ ? call_->program : ""},
-       {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
-       {"most", call_ ? call_->max_output_tokens : -1},
-       {"target", target_},
-       {"sends", sends_},
-       {"runs", runs_},
-       {"retry_reason", last_reason_},
-       {"events", events_sent_},
-       {"first_event_ms",
-        first_event_ ? ToMilliseconds(*first_event_ - arrived_).count() : -1},
-       {"target_running", answer_.load ? answer_.load->running : -1},
-       {"target_waiting", answer_.load ? answer_.load->waiting : -1},
-       {"configuration", configuration_ ? configuration_->version() : 0},
-       {"configuration_age_ms",
-        state.configuration.Age(now).value_or(milliseconds(-1)).count()},
-       {"duration_ms", ToMilliseconds(now - arrived_).count()}});
+  LogEnd(outcome, now);
 }
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -35,6 +35,20 @@
   /** Where the caller's answer stands. */
   enum class phase { waiting, at_target, streaming, ended };
 
+  /** What a target was chosen from. */
+  struct target_choice {
+    const char* chosen_by = "";
+    std::optional<reported_load> load;
+    int open_requests = 0;
+    int failures = 0;
+    steady_time sent_at;
+  };
+
+  /** The outcome of a request that got a target's answer. */
+  static constexpr const char* kAnswered = "answered";
+  // For a service without a usable target; the next listing may have one.
+  static constexpr milliseconds kNoTargetRetryAfter{300};
+
   // Admission.
   std::optional<refusal> Authorize();
   std::optional<refusal> TakeAllowance();
@@ -62,6 +76,11 @@
   void ReturnAllowance();
   void EndTurn();
   void Finish(const std::string& outcome);
+
+  // Logging.
+  json ChoiceFields(steady_time now) const;
+  void LogFailedAttempt(const char* reason, bool may_have_run) const;
+  void LogEnd(const std::string& outcome, steady_time now) const;
   milliseconds TimeLeft(steady_time now) const;
 
   gateway_environment& environment_;
@@ -89,6 +108,7 @@
   std::shared_ptr<http_call> attempt_;
   std::uint64_t attempt_serial_ = 0;
   std::string target_;
+  target_choice choice_;
   std::vector<std::string> excluded_;
   /** A target that the request may have run on and has to go on at. */
   std::string bound_target_;
@@ -102,6 +122,7 @@
   std::optional<steady_time> first_event_;
   steady_time last_event_;
   std::string last_reason_;
+  std::optional<milliseconds> retry_after_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -16,7 +16,6 @@
 constexpr int kMaxSends = 4;
 // Runs of one request that may be repeated, at one target.
 constexpr int kMaxRuns = 3;
-constexpr milliseconds kNoTargetRetryAfter{300};
 constexpr milliseconds kFullRetryAfter{150};
 constexpr int kFirstFailureStatus = 300;
 
@@ -87,6 +86,10 @@
 void gateway_call::Send(const known_target& target, milliseconds time_left) {
   ++sends_;
   target_ = target.record.id;
+  choice_ = {target_ == bound_target_       ? "earlier attempt"
+             : target_ == preferred_target_ ? "owner"
+                                            : "this daemon",
+             target.load, target.open_requests, target.failures, BootTimeNow()};
   answer_ = target_answer();
   answer_body_.clear();
   events_.DropRest();
@@ -209,7 +212,7 @@
     exchange_->SendChunk(events_.rest());
   }
   exchange_->EndStream();
-  Finish("answered");
+  Finish(kAnswered);
 }
 
 void gateway_call::OnWholeAnswer() {
@@ -234,7 +237,7 @@
   response.headers = answer_headers_;
   response.body = std::move(answer_body_);
   exchange_->Respond(std::move(response));
-  Finish("answered");
+  Finish(kAnswered);
 }
 
 void gateway_call::OnFailure(http_failure failure, const std::string&) {
@@ -253,6 +256,7 @@
 
 void gateway_call::RetryElsewhere(const char* reason) {
   last_reason_ = reason;
+  LogFailedAttempt(reason, false);
   environment_.state.counters.Add(std::string("retried.") + reason);
   excluded_.push_back(target_);
   Dispatch();
@@ -273,6 +277,7 @@
 void gateway_call::AfterPossibleRun(const char* reason) {
   ++runs_;
   last_reason_ = reason;
+  LogFailedAttempt(reason, true);
   const bool in_time = TimeLeft(BootTimeNow()).count() > 0;
   if (!in_time || !MayRunAgain() || runs_ >= kMaxRuns) {
     Refuse({in_time ? refusal_reason::target_failed
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -0,0 +1,81 @@
+// The part of gateway_call that tells what was decided and from what.
+
+#include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_log/gentian_log.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr milliseconds kUnknown{-1};
+
+}  // namespace
+
+json gateway_call::ChoiceFields(steady_time now) const {
+  if (target_.empty()) {
+    return json::object();
+  }
+  const std::optional<reported_load>& load = choice_.load;
+  return {
+      {"target", target_},
+      {"chosen_by", choice_.chosen_by},
+      {"target_running", load ? load->running : -1},
+      {"target_waiting", load ? load->waiting : -1},
+      {"load_age_ms",
+       (load ? ToMilliseconds(choice_.sent_at - load->at) : kUnknown).count()},
+      {"target_open_here", choice_.open_requests},
+      {"target_failures", choice_.failures},
+      {"attempt_ms", ToMilliseconds(now - choice_.sent_at).count()}};
+}
+
+void gateway_call::LogFailedAttempt(const char* reason,
+                                    bool may_have_run) const {
+  json line = ChoiceFields(BootTimeNow());
+  line.update({{"request", call_->request_id},
+               {"program", call_->program},
+               {"reason", reason},
+               {"may_have_run", may_have_run},
+               {"status", answer_.status},
+               {"events", events_sent_},
+               {"send", sends_}});
+  Log(log_level::info, "attempt failed", line);
+}
+
+void gateway_call::LogEnd(const std::string& outcome, steady_time now) const {
+  const gateway_state& state = environment_.state;
+  json line = ChoiceFields(now);
+  line.update(
+      {{"request", call_ ? call_->request_id : ""},
+       {"outcome", outcome},
+       {"status", answer_.status},
+       {"route", route_ == nullptr ? "" : route_->name},
+       {"service", service_},
+       {"team", team_ == nullptr ? "" : team_->name},
+       {"program", call_ ? call_->program : ""},
+       {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
+       {"most", call_ ? call_->max_output_tokens : -1},
+       {"owner", turn_owner_},
+       {"sends", sends_},
+       {"runs", runs_},
+       {"retry_reason", last_reason_},
+       {"retry_after_ms", retry_after_.value_or(kUnknown).count()},
+       {"events", events_sent_},
+       {"first_event_ms",
+        (first_event_ ? ToMilliseconds(*first_event_ - arrived_) : kUnknown)
+            .count()},
+       {"members", state.members.size()},
+       {"configuration", configuration_ ? configuration_->version() : 0},
+       {"configuration_age_ms",
+        state.configuration.Age(now).value_or(kUnknown).count()},
+       {"time_left_ms",
+        deadline_ == steady_time() ? -1 : TimeLeft(now).count()},
+       {"duration_ms", ToMilliseconds(now - arrived_).count()}});
+  if (outcome == kAnswered && last_reason_.empty()) {
+    LogRoutine(call_->program.empty() ? call_->request_id : call_->program,
+               "request ended", line);
+  } else {
+    Log(log_level::info, "request ended", line);
+  }
+}
+
+}  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -156,6 +156,11 @@
                           static_cast<double>(state_.open_requests));
   state_.metrics.SetGauge("members",
                           static_cast<double>(state_.members.size()));
+  const log_losses losses = LogLosses();
+  state_.metrics.SetGauge("log_lines_sampled",
+                          static_cast<double>(losses.sampled));
+  state_.metrics.SetGauge("log_lines_dropped",
+                          static_cast<double>(losses.dropped));
   http_response page = Plain(kOk, state_.metrics.ToPrometheus(state_.counters));
   page.headers.Add("Content-Type", "text/plain");
   exchange->Respond(std::move(page));
@@ -165,8 +170,7 @@
   if (state_.stopping) {
     return;
   }
-  Log(write_log::level::info, "stopping",
-      {{"open_requests", state_.open_requests}});
+  Log(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
   on_stopped_ = std::move(on_stopped);
   state_.stopping = true;
   stop_by_ = BootTimeNow() + settings_.stop_grace - kStopMargin;
@@ -183,7 +187,7 @@
     pool_.After(kStopPoll, [this] { FinishStop(); });
     return;
   }
-  Log(write_log::level::info, "stopped",
+  Log(log_level::info, "stopped",
       {{"abandoned_requests", state_.open_requests}});
   turns_.Release();
   reader_.Deregister();
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gentian_daemon/daemon_log.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -91,10 +91,10 @@
   const bool reached = answer.outcome == kv_answer::status::ok;
   const steady_time now = BootTimeNow();
   if (reached != subject.reached) {
-    Log(reached ? write_log::level::info : write_log::level::warning,
+    Log(reached ? log_level::info : log_level::warning,
         reached ? "key-value service reached" : "key-value service lost",
         {{"listing", subject.name},
-         {"outcome", static_cast<int>(answer.outcome)},
+         {"outcome", NameOf(answer.outcome)},
          {"last_answer_age_ms",
           subject.last_answer == steady_time()
               ? -1
@@ -121,14 +121,14 @@
     const result<shared_configuration> decoded =
         protocol_.DecodeConfiguration(entry);
     if (Failed(decoded)) {
-      Log(write_log::level::error, "configuration not readable",
+      Log(log_level::error, "configuration not readable",
           {{"reason", ErrorOf(decoded).message},
            {"remedy", ErrorOf(decoded).remedy}});
       return;
     }
     if (state_.configuration.Confirm(ValueOf(decoded), asked_at)) {
       configuration_version_ = entry.version;
-      Log(write_log::level::info, "configuration in force",
+      Log(log_level::info, "configuration in force",
           {{"version", ValueOf(decoded)->version()},
            {"routes", ValueOf(decoded)->content().routes.size()},
            {"teams", ValueOf(decoded)->content().teams.size()},
@@ -149,8 +149,7 @@
   for (const std::string& id :
        state_.targets.Update(std::move(records), asked_at)) {
     const bool usable = state_.targets.Find(id) != nullptr;
-    Log(write_log::level::info,
-        usable ? "target usable" : "target leaving or gone",
+    Log(log_level::info, usable ? "target usable" : "target leaving or gone",
         {{"target", id}, {"listed", state_.targets.IsListed(id)}});
   }
 }
@@ -191,7 +190,7 @@
                  });
   if (!same) {
     state_.members_changed_at = asked_at;
-    Log(write_log::level::info, "members changed",
+    Log(log_level::info, "members changed",
         {{"count", members.size()}, {"before", state_.members.size()}});
   }
   state_.members = std::move(members);
@@ -232,7 +231,7 @@
   switch (answer.outcome) {
     case kv_answer::status::ok:
       record_version_ = answer.revision;
-      Log(write_log::level::info, "registered",
+      Log(log_level::info, "registered",
           {{"lease", lease_}, {"stopping", state_.stopping}});
       pool_.After(kRenewInterval, [this] { RenewLease(); });
       return;
@@ -252,17 +251,17 @@
   if (lease_ == 0) {
     return;
   }
-  store_.Call(
-      kv_renew_lease{lease_}, kCallDeadline, [this](const kv_answer& answer) {
-        if (answer.outcome == kv_answer::status::lease_expired) {
-          Log(write_log::level::warning, "lease expired", {{"lease", lease_}});
-          GrantLease();
-          return;
-        }
-        const bool renewed = answer.outcome == kv_answer::status::ok;
-        pool_.After(renewed ? kRenewInterval : kMaxRetry,
-                    [this] { RenewLease(); });
-      });
+  store_.Call(kv_renew_lease{lease_}, kCallDeadline,
+              [this](const kv_answer& answer) {
+                if (answer.outcome == kv_answer::status::lease_expired) {
+                  Log(log_level::warning, "lease expired", {{"lease", lease_}});
+                  GrantLease();
+                  return;
+                }
+                const bool renewed = answer.outcome == kv_answer::status::ok;
+                pool_.After(renewed ? kRenewInterval : kMaxRetry,
+                            [this] { RenewLease(); });
+              });
 }
 
 void state_reader::AnnounceStop() {
@@ -306,7 +305,7 @@
     if (!request || !drains_.try_emplace(request->status_key, false).second) {
       continue;
     }
-    Log(write_log::level::info, "host is to be emptied",
+    Log(log_level::info, "host is to be emptied",
         {{"drained_host", request->host}});
     WriteDrainStatus(request->status_key, 0, false);
   }
--- a/source/gentian_gateway_daemon/turn_request.cc
+++ b/source/gentian_gateway_daemon/turn_request.cc
@@ -12,8 +12,13 @@
 
 }  // namespace
 
+const char* NameOf(turn_verdict::outcome outcome) {
+  return kOutcomes[static_cast<std::size_t>(outcome)];
+}
+
 void to_json(json& out, const turn_request& value) {
-  out = {{"program", value.program},
+  out = {{"request", value.request_id},
+         {"program", value.program},
          {"service", value.service},
          {"priority", value.priority},
          {"budget", value.budget},
@@ -24,6 +29,8 @@
 }
 
 void from_json(const json& in, turn_request& value) {
+  // A daemon of the version before does not send it.
+  value.request_id = in.value("request", "");
   in.at("program").get_to(value.program);
   in.at("service").get_to(value.service);
   in.at("priority").get_to(value.priority);
@@ -38,7 +45,7 @@
 }
 
 void to_json(json& out, const turn_verdict& value) {
-  out = {{"outcome", kOutcomes[static_cast<std::size_t>(value.result)]},
+  out = {{"outcome", NameOf(value.result)},
          {"ticket", value.ticket},
          {"target", value.target}};
 }
--- a/source/gentian_gateway_daemon/turn_request.h
+++ b/source/gentian_gateway_daemon/turn_request.h
@@ -11,6 +11,8 @@
 
 /** A turn that asks the daemon that owns its program to start. */
 struct turn_request {
+  /** The caller's identifier, for logs. */
+  std::string request_id;
   std::string program;
   std::string service;
   int priority = 0;
@@ -45,6 +47,9 @@
   std::string target;
 };
 
+/** The stable name of an outcome. */
+const char* NameOf(turn_verdict::outcome outcome);
+
 /** The end of a turn that was granted. */
 struct turn_end {
   turn_ticket ticket = 0;
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -1,7 +1,10 @@
 #include "gentian_gateway_daemon/turn_service.h"
 
+#include <cmath>
 #include <utility>
 
+#include "gentian_log/gentian_log.h"
+
 namespace gentian {
 
 namespace {
@@ -139,6 +142,12 @@
       [this, owner, number](http_failure, const std::string&) {
         if (asked_.count(number) > 0) {
           state_.counters.Add("owner_lost");
+          const turn_request& request = asked_.at(number).request;
+          Log(log_level::warning, "owner not reachable",
+              {{"request", request.request_id},
+               {"program", request.program},
+               {"owner", owner},
+               {"not_asked_for_ms", kUnreachableTime.count()}});
           unreachable_[owner] = BootTimeNow() + kUnreachableTime;
           Ask(number);
         }
@@ -241,6 +250,7 @@
   const turn_ticket ticket = ++last_ticket_;
   owned_turn& own = owned_[ticket];
   own.request = request;
+  own.asked_at = now;
   own.deadline = now + request.time_left;
   own.finish_by = now + request.finish_within;
   own.give_up_at = now + request.wait_limit;
@@ -272,7 +282,36 @@
   }
 }
 
+void turn_service::LogVerdict(const owned_turn& own,
+                              const turn_verdict& verdict) const {
+  const turn_request& request = own.request;
+  const steady_time now = BootTimeNow();
+  const json line = {
+      {"request", request.request_id},
+      {"program", request.program},
+      {"service", request.service},
+      {"outcome", NameOf(verdict.result)},
+      {"target", verdict.target},
+      {"waited_ms", ToMilliseconds(now - own.asked_at).count()},
+      {"wait_limit_ms", request.wait_limit.count()},
+      {"finish_in_ms", ToMilliseconds(own.finish_by - now).count()},
+      {"budget", request.budget},
+      {"used", ledger_.UsedOf(request.program)},
+      {"most", request.most},
+      {"turns_waiting", scheduler_.waiting()},
+      {"turns_running", scheduler_.running()},
+      {"service_limit", std::lround(scheduler_.LimitOf(request.service))},
+      {"members", state_.members.size()},
+      {"store_reached", state_.store_reached}};
+  if (verdict.result == outcome::granted) {
+    LogRoutine(request.program, "turn decided", line);
+  } else {
+    Log(log_level::info, "turn decided", line);
+  }
+}
+
 void turn_service::SetVerdict(owned_turn& own, const turn_verdict& verdict) {
+  LogVerdict(own, verdict);
   own.verdict = verdict;
   if (own.reply) {
     // The reply may drop the turn.
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -62,6 +62,7 @@
   /** A turn that another daemon or this one asked for. */
   struct owned_turn {
     turn_request request;
+    steady_time asked_at;
     steady_time deadline;
     steady_time finish_by;
     steady_time give_up_at;
@@ -105,7 +106,8 @@
   void Await(turn_ticket ticket,
              std::function<void(const turn_verdict&)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
-  static void SetVerdict(owned_turn& own, const turn_verdict& verdict);
+  void SetVerdict(owned_turn& own, const turn_verdict& verdict);
+  void LogVerdict(const owned_turn& own, const turn_verdict& verdict) const;
   void EndOwned(const turn_end& end);
   void DropOwned(turn_ticket ticket);
   void Advance();
--- a/source/gentian_daemon/json_layout.h
+++ b/source/gentian_log/json_layout.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_DAEMON_JSON_LAYOUT_H_
-#define GENTIAN_DAEMON_JSON_LAYOUT_H_
+#ifndef GENTIAN_LOG_JSON_LAYOUT_H_
+#define GENTIAN_LOG_JSON_LAYOUT_H_
 
 #include <log4cplus/layout.h>
 
@@ -8,21 +8,22 @@
 namespace gentian {
 
 /** Writes a log event as one JSON object a line. The event's message is a
-    JSON object with the fields of the line.
+    non-empty JSON object with the fields of the line.
 */
 class json_layout : public log4cplus::Layout {
  public:
   /** @param host  name that every line carries */
-  explicit json_layout(std::string host);
+  explicit json_layout(const std::string& host);
 
   void formatAndAppend(
       log4cplus::tostream& output,
       const log4cplus::spi::InternalLoggingEvent& event) override;
 
  private:
-  std::string host_;
+  /** The host's name as a JSON string. */
+  std::string quoted_host_;
 };
 
 }  // namespace gentian
 
-#endif  // GENTIAN_DAEMON_JSON_LAYOUT_H_
+#endif  // GENTIAN_LOG_JSON_LAYOUT_H_
--- /dev/null
+++ b/source/gentian_log/line_sampler.cc
@@ -0,0 +1,28 @@
+#include "gentian_log/line_sampler.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr std::chrono::seconds kWindow{1};
+// Letter 1 asks for 63 requests a second and daemon, of two lines at most. The
+// log of a daemon at that load is whole; 600 bytes a line make 120 KB/s.
+constexpr int kUnsampledLines = 200;
+constexpr std::uint64_t kOneSubjectIn = 16;
+
+}  // namespace
+
+bool line_sampler::Keep(const std::string& subject, steady_time now) {
+  if (now - window_start_ >= kWindow) {
+    window_start_ = now;
+    lines_in_window_ = 0;
+  }
+  if (++lines_in_window_ <= kUnsampledLines ||
+      StableHash(subject) % kOneSubjectIn == 0) {
+    return true;
+  }
+  ++left_out_;
+  return false;
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_log/line_writer.cc
@@ -0,0 +1,115 @@
+#include "gentian_log/line_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <condition_variable>
+#include <mutex>
+#include <string_view>
+#include <thread>
+
+namespace gentian {
+
+namespace {
+
+// Time for the last lines at the end of the process. A reader that reads at
+// all takes them in some milliseconds.
+constexpr milliseconds kFlushLimit{200};
+
+// Writes all bytes; false if the reader is gone.
+bool WriteAll(int descriptor, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t count = ::write(descriptor, bytes.data(), bytes.size());
+    if (count >= 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(count));
+    } else if (errno == EAGAIN) {
+      // Whoever started the process may have made the descriptor non-blocking.
+      pollfd writable{descriptor, POLLOUT, 0};
+      ::poll(&writable, 1, -1);
+    } else if (errno != EINTR) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+struct line_writer::shared_state {
+  shared_state(int file, std::size_t max_bytes)
+      : descriptor(file), queue(max_bytes) {}
+
+  const int descriptor;
+  std::mutex mutex;
+  std::condition_variable lines_added;
+  std::condition_variable lines_written;
+  line_queue queue;
+  bool writing = false;
+  bool ended = false;
+  // A reader that has gone does not come back.
+  bool reader_gone = false;
+  std::uint64_t lost_with_reader = 0;
+};
+
+line_writer::line_writer(int descriptor, std::size_t max_bytes)
+    : state_(std::make_shared<shared_state>(descriptor, max_bytes)) {
+  std::thread([state = state_] { Run(state); }).detach();
+}
+
+line_writer::~line_writer() {
+  Flush(kFlushLimit);
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  state_->ended = true;
+  state_->lines_added.notify_one();
+}
+
+void line_writer::Run(const std::shared_ptr<shared_state>& state) {
+  std::unique_lock<std::mutex> lock(state->mutex);
+  while (true) {
+    state->lines_added.wait(
+        lock, [&] { return state->ended || !state->queue.empty(); });
+    if (state->queue.empty()) {
+      return;
+    }
+    const std::string lines = state->queue.TakeAll();
+    state->writing = true;
+    lock.unlock();
+    const bool written = WriteAll(state->descriptor, lines);
+    lock.lock();
+    state->writing = false;
+    if (!written) {
+      state->reader_gone = true;
+      state->lost_with_reader += static_cast<std::uint64_t>(
+          std::count(lines.begin(), lines.end(), '\n'));
+    }
+    state->lines_written.notify_all();
+  }
+}
+
+void line_writer::Write(const std::string& line, line_queue::importance kind) {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  if (state_->reader_gone) {
+    ++state_->lost_with_reader;
+    return;
+  }
+  const bool was_empty = state_->queue.empty();
+  if (state_->queue.Add(line, kind) && was_empty) {
+    state_->lines_added.notify_one();
+  }
+}
+
+bool line_writer::Flush(milliseconds limit) {
+  std::unique_lock<std::mutex> lock(state_->mutex);
+  return state_->lines_written.wait_for(lock, limit, [this] {
+    return state_->queue.empty() && !state_->writing;
+  });
+}
+
+std::uint64_t line_writer::dropped() const {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  return state_->queue.dropped() + state_->lost_with_reader;
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_log/request_history.cc
@@ -0,0 +1,197 @@
+#include "gentian_log/request_history.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <iomanip>
+#include <istream>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace gentian {
+
+namespace {
+
+// Beliefs are read again every one to two seconds; a lease lives for some
+// seconds. What changed in this time before a request may have decided it.
+constexpr milliseconds kBefore{10'000};
+// A daemon notices a lost dependency with its next reading.
+constexpr milliseconds kAfter{2'000};
+
+struct meaning_row {
+  const char* outcome;
+  const char* meaning;
+};
+
+constexpr std::array<meaning_row, 15> kMeanings = {{
+    {"answered", "The target's answer was passed on."},
+    {"caller_gone",
+     "The caller closed its connection before the answer was complete."},
+    {"malformed", "Not run. The request could not be read."},
+    {"unknown_route", "Not run. No route of that configuration matched."},
+    {"unknown_key", "Not run. No team of that configuration has the key."},
+    {"too_large", "Not run. The request was larger than configured."},
+    {"over_allowance",
+     "Not run. The team was above its rate; look at its other requests at this "
+     "host in the seconds before."},
+    {"stale_configuration",
+     "Not run. The configuration was too old to trust the key; look for a lost "
+     "key-value service on this host."},
+    {"budget_spent",
+     "Not run. The program's budget did not hold the turn; look at what its "
+     "earlier turns claimed."},
+    {"budget_unavailable",
+     "Not run. The program's budget could not be read or written; look for a "
+     "lost key-value service on the owner."},
+    {"overloaded",
+     "Not run. The turn waited at its owner for as long as its caller could "
+     "wait; look at the load that targets reported."},
+    {"no_target",
+     "Not run. No target of the service was usable; look at the changes of "
+     "targets before it."},
+    {"targets_full",
+     "Not run. Each target that was asked turned the request away."},
+    {"target_failed",
+     "May have run. A target broke off; look at other requests to the same "
+     "target."},
+    {"target_timeout",
+     "May have run. No complete answer came before the caller's deadline."},
+}};
+
+// "2026-08-18T08:46:47.959Z" in UTC.
+std::optional<milliseconds> ParseTime(const std::string& text) {
+  std::tm parts{};
+  std::istringstream in(text);
+  in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+  if (in.fail()) {
+    return std::nullopt;
+  }
+  int fraction = 0;
+  if (in.peek() == '.') {
+    in.ignore();
+    in >> fraction;
+  }
+  constexpr int kMillisecondsPerSecond = 1'000;
+  return milliseconds(static_cast<milliseconds::rep>(timegm(&parts)) *
+                          kMillisecondsPerSecond +
+                      fraction);
+}
+
+bool SaysNothing(const json& value) {
+  return value.is_null() || (value.is_string() && value.empty()) ||
+         value == json("") || value == json(-1);
+}
+
+std::string TextIn(const json& fields, const char* name) {
+  const auto found = fields.find(name);
+  return found != fields.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
+}
+
+std::optional<request_history::step> ParseLine(const std::string& line) {
+  const std::size_t start = line.find('{');
+  if (start == std::string::npos) {
+    return std::nullopt;
+  }
+  json fields = json::parse(line.substr(start), nullptr, false);
+  if (!fields.is_object()) {
+    return std::nullopt;
+  }
+  const auto at = ParseTime(TextIn(fields, "time"));
+  if (!at) {
+    return std::nullopt;
+  }
+  request_history::step step;
+  step.at = *at;
+  step.host = TextIn(fields, "host");
+  step.message = TextIn(fields, "message");
+  for (const char* name : {"time", "host", "message"}) {
+    fields.erase(name);
+  }
+  for (auto next = fields.begin(); next != fields.end();) {
+    next = SaysNothing(*next) ? fields.erase(next) : std::next(next);
+  }
+  step.fields = std::move(fields);
+  return step;
+}
+
+}  // namespace
+
+void request_history::Read(std::istream& lines) {
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.empty()) {
+      continue;
+    }
+    std::optional<step> parsed = ParseLine(line);
+    if (!parsed) {
+      ++unreadable_;
+      continue;
+    }
+    parsed->is_own = TextIn(parsed->fields, "request") == id_ ||
+                     TextIn(parsed->fields, "program") == id_;
+    if (parsed->is_own) {
+      own_.push_back(std::move(*parsed));
+    } else if (!parsed->fields.contains("request") &&
+               !parsed->fields.contains("program")) {
+      beliefs_.push_back(std::move(*parsed));
+    }
+  }
+}
+
+std::vector<request_history::step> request_history::Steps() const {
+  if (own_.empty()) {
+    return {};
+  }
+  std::set<std::string> hosts;
+  std::set<std::string> targets;
+  milliseconds first = own_.front().at;
+  milliseconds last = first;
+  for (const step& next : own_) {
+    hosts.insert(next.host);
+    targets.insert(TextIn(next.fields, "target"));
+    // A line is written when a request ends; it began earlier.
+    const auto lasted = milliseconds(next.fields.value("duration_ms", 0));
+    first = std::min(first, next.at - lasted);
+    last = std::max(last, next.at);
+  }
+  std::vector<step> steps = own_;
+  for (const step& next : beliefs_) {
+    const std::string target = TextIn(next.fields, "target");
+    if (hosts.count(next.host) > 0 && next.at >= first - kBefore &&
+        next.at <= last + kAfter &&
+        (target.empty() || targets.count(target) > 0)) {
+      steps.push_back(next);
+    }
+  }
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const step& a, const step& b) { return a.at < b.at; });
+  return steps;
+}
+
+std::string request_history::Outcome() const {
+  const step* latest = nullptr;
+  for (const step& next : own_) {
+    if (next.message == "request ended" &&
+        (latest == nullptr || next.at >= latest->at)) {
+      latest = &next;
+    }
+  }
+  return latest == nullptr ? "" : TextIn(latest->fields, "outcome");
+}
+
+std::string request_history::MeaningOf(const std::string& outcome) {
+  for (const meaning_row& row : kMeanings) {
+    if (outcome == row.outcome) {
+      return row.meaning;
+    }
+  }
+  return outcome.empty() ? "No line tells of its end: the process was killed, "
+                           "the lines were "
+                           "sampled, or its log is missing."
+                         : "";
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/tests/log/log_test.cc
@@ -0,0 +1,105 @@
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "gentian_log/gentian_log.h"
+
+using namespace gentian;
+
+namespace {
+
+// The log of this process goes to a pipe whose reader is the test.
+class piped_log {
+ public:
+  piped_log() {
+    cr_assert(::pipe(ends_.data()) == 0);
+    cr_assert(::dup2(ends_[1], STDOUT_FILENO) >= 0);
+    ::close(ends_[1]);
+    cr_assert(!Failed(StartLog("info", "h", log_output::standard_output)));
+  }
+
+  void CloseReader() { ::close(ends_[0]); }
+
+  // Reads until a line contains the text.
+  std::string ReadUntil(const std::string& text) {
+    std::string read;
+    std::array<char, 65536> part{};
+    while (read.find(text) == std::string::npos) {
+      const ssize_t count = ::read(ends_[0], part.data(), part.size());
+      cr_assert(count > 0);
+      read.append(part.data(), static_cast<std::size_t>(count));
+    }
+    return read;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
+// More than a pipe and the queue hold.
+constexpr int kManyLines = 20'000;
+
+void WriteMany() {
+  for (int i = 0; i < kManyLines; ++i) {
+    Log(log_level::info, "line",
+        {{"number", i}, {"pad", std::string(80, 'x')}});
+  }
+}
+
+}  // namespace
+
+// Guards against lines that other programs can not read, and against keys in
+// the log.
+Test(log, writes_one_object_a_line, .timeout = 20) {
+  piped_log log;
+  Log(log_level::warning, "a \"b\"\n", {{"n", 1}, {"api_key", "secret"}});
+  const std::string line = log.ReadUntil("\n");
+  const json fields = json::parse(line);
+  cr_assert(fields["message"] == "a \"b\"\n");
+  cr_assert(fields["host"] == "h");
+  cr_assert(fields["level"] == "WARN");
+  cr_assert(fields["n"] == 1);
+  cr_assert(line.find("secret") == std::string::npos);
+}
+
+// Guards against a process that stops because nobody reads its log, and against
+// losses that nobody is told of.
+Test(log, a_reader_that_stops_holds_nothing_up, .timeout = 20) {
+  piped_log log;
+  WriteMany();
+  const std::uint64_t dropped = LogLosses().dropped;
+  cr_assert(dropped > 0);
+  // The reader is back; the next lines tell what is missing.
+  std::thread writer([] {
+    for (int i = 0; i < 300; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+      Log(log_level::info, "later");
+    }
+  });
+  const std::string text = log.ReadUntil("log lines left out");
+  writer.join();
+  cr_assert(text.find("\"number\":0,") != std::string::npos);
+}
+
+// Guards against a crash, or a wait, when the reader ends.
+Test(log, a_reader_that_ends_holds_nothing_up, .timeout = 20) {
+  std::signal(SIGPIPE, SIG_IGN);
+  piped_log log;
+  log.CloseReader();
+  WriteMany();
+  cr_assert(LogLosses().dropped > 0);
+  StopLog();
+}
+
+// Guards against last lines that are lost when the process ends.
+Test(log, the_last_lines_are_written, .timeout = 20) {
+  piped_log log;
+  Log(log_level::info, "last");
+  StopLog();
+  cr_assert(log.ReadUntil("\n").find("last") != std::string::npos);
+}
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -3,10 +3,12 @@
 #include <criterion/criterion.h>
 #include <unistd.h>
 
+#include <array>
 #include <thread>
 
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
 #include "gentian_gateway_daemon/turn_request.h"
+#include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
 #include "platform/platform_stand_in.h"
 #include "support/synchronous_http.h"
@@ -110,6 +112,24 @@
 
 }  // namespace
 
+// Guards against requests that are not served because nobody reads the log.
+Test(gateway_daemon, serves_while_nobody_reads_its_log, .timeout = 60) {
+  std::array<int, 2> pipe_ends{};
+  cr_assert(::pipe(pipe_ends.data()) == 0);
+  cr_assert(::dup2(pipe_ends[1], STDOUT_FILENO) >= 0);
+  cr_assert(!Failed(StartLog("info", "host", log_output::standard_output)));
+  rig subject([](const std::shared_ptr<http_exchange>& exchange, int) {
+    target_stand_in::AnswerWhole(exchange, "");
+  });
+  // The pipe holds the lines of some hundred requests.
+  constexpr int kRequests = 600;
+  for (int i = 0; i < kRequests; ++i) {
+    const http_outcome outcome =
+        Fetch(subject.client, subject.Request("/again/x"));
+    cr_assert(outcome.response.status == 200);
+  }
+}
+
 // Guards against an answer that is changed, or a key that reaches a target.
 Test(gateway_daemon, passes_requests_and_answers_on) {
   rig subject([](const std::shared_ptr<http_exchange>& exchange, int) {
