Apply the platform's limits on callers, and bound the wait for a header

Cause: gateway_configuration held max_header_bytes and idle_timeout, and nothing applied them; header_timeout_ms was not read. Seen from outside, 400 connections with half a request line each were open after 12 s: only receive_deadline of 30 s bounded them. A budget of -1 calls became the default and 1e30 became 0.

Change: http_server_limits::header_deadline, from the first byte to the end of the header; http_server::SetLimits, used when a configuration comes into force. A wait of the receive timer that was replaced no longer closes the connection. Limits of a session's budget have to be unsigned whole numbers.

--- a/source/gentian_daemon/caller_request_reader.cc
+++ b/source/gentian_daemon/caller_request_reader.cc
@@ -1,5 +1,6 @@
 #include "gentian_daemon/caller_request_reader.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -53,6 +54,14 @@
   return value;
 }
 
+// JSON numbers below zero, or too large for an integer, would become others.
+bool IsWholeNumbers(const json& limits) {
+  return limits.is_object() &&
+         std::all_of(limits.begin(), limits.end(), [](const json& limit) {
+           return limit.is_number_unsigned() || limit.is_null();
+         });
+}
+
 operation_result ReadOpenSession(const filtered_request& request) {
   if (!request.body.is_object() || !request.body.contains("program")) {
     return Malformed("the body names no program",
@@ -62,6 +71,10 @@
     open_session operation;
     operation.program = request.body.at("program").get<program_id>();
     if (request.body.contains("budget")) {
+      if (!IsWholeNumbers(request.body.at("budget"))) {
+        return Malformed("a limit of the budget is not a whole number",
+                         "send whole numbers of zero or more");
+      }
       operation.budget = request.body.at("budget").get<budget_request>();
     }
     if (request.body.contains("parent")) {
--- a/source/gentian_gateway/gateway_configuration.h
+++ b/source/gentian_gateway/gateway_configuration.h
@@ -30,6 +30,9 @@
     bool requires_keys = false;
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
+    /** Time for a caller to send the header of a request. */
+    milliseconds header_timeout{10'000};
+    /** Time that a caller's connection stays open without a request. */
     milliseconds idle_timeout{75'000};
   };
 
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -1,5 +1,6 @@
 #include "gentian_gateway_daemon/gateway_daemon.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -22,11 +23,9 @@
 // Time before the forced end at which unfinished requests are given up.
 constexpr milliseconds kStopMargin{500};
 
+// Until a configuration is known.
 http_server_limits CallerLimits() {
   http_server_limits limits;
-  // The configuration bounds requests more closely; this bounds the memory
-  // that they can take before it is known which route they are for.
-  limits.max_header_bytes = 64 * 1024;
   limits.max_unsent_bytes = 1024 * 1024;
   return limits;
 }
@@ -58,7 +57,12 @@
       target_client_(pool),
       peer_client_(pool),
       turns_(pool, store, peer_client_, settings_, state_, incarnation),
-      reader_(pool, store, protocol, settings_, state_),
+      reader_(pool,
+              store,
+              protocol,
+              settings_,
+              state_,
+              [this] { ApplyCallerLimits(); }),
       environment_{settings_, protocol, state_, turns_, target_client_},
       callers_(
           pool,
@@ -114,6 +118,19 @@
   return success{};
 }
 
+void gateway_daemon::ApplyCallerLimits() {
+  const gateway_configuration::parts& configured =
+      state_.configuration.current()->content();
+  http_server_limits limits = CallerLimits();
+  limits.max_header_bytes = configured.max_header_bytes;
+  // A larger body is refused once its route is known.
+  limits.max_body_bytes =
+      std::max(limits.max_body_bytes, configured.max_body_bytes);
+  limits.header_deadline = configured.header_timeout;
+  limits.idle_deadline = configured.idle_timeout;
+  callers_.SetLimits(limits);
+}
+
 void gateway_daemon::AnswerReadiness(http_exchange& exchange) const {
   const bool known = exchange.request().Path() == protocol_.ReadinessPath();
   if (!known) {
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -33,6 +33,7 @@
 
  private:
   result<success> Listen();
+  void ApplyCallerLimits();
   void AnswerReadiness(http_exchange& exchange) const;
   void AnswerDirectory(http_exchange& exchange) const;
   void AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -42,12 +42,14 @@
                            key_value_store& store,
                            const gateway_protocol& protocol,
                            const gateway_settings& settings,
-                           gateway_state& state)
+                           gateway_state& state,
+                           std::function<void()> on_configuration)
     : pool_(pool),
       store_(store),
       protocol_(protocol),
       settings_(settings),
       state_(state),
+      on_configuration_(std::move(on_configuration)),
       listings_{{{"configuration", protocol.ConfigurationPrefix(),
                   kConfigurationInterval, &state_reader::ApplyConfiguration},
                  {"targets", protocol.TargetsPrefix(), kTargetsInterval,
@@ -133,6 +135,7 @@
            {"routes", ValueOf(decoded)->content().routes.size()},
            {"teams", ValueOf(decoded)->content().teams.size()},
            {"read_ms", ToMilliseconds(BootTimeNow() - asked_at).count()}});
+      on_configuration_();
     }
   }
 }
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -16,11 +16,13 @@
 */
 class state_reader {
  public:
+  /** @param on_configuration  runs when a configuration has come into force */
   state_reader(io_pool& pool,
                key_value_store& store,
                const gateway_protocol& protocol,
                const gateway_settings& settings,
-               gateway_state& state);
+               gateway_state& state,
+               std::function<void()> on_configuration);
 
   void Start();
 
@@ -70,6 +72,7 @@
   const gateway_protocol& protocol_;
   const gateway_settings& settings_;
   gateway_state& state_;
+  std::function<void()> on_configuration_;
   std::array<listing, 3> listings_;
   std::uint64_t configuration_version_ = 0;
   std::uint64_t lease_ = 0;
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -163,7 +163,9 @@
 
   bool IsClosing() const { return draining_ || environment_->closing; }
 
-  const http_server_limits& limits() const { return environment_->limits; }
+  http_server_limits limits() const {
+    return *std::atomic_load(&environment_->limits);
+  }
 
   template <typename Step>
   void Post(Step step) {
@@ -174,12 +176,15 @@
   }
 
   void ArmReceiveTimer(milliseconds limit) {
+    const std::uint64_t serial = ++receive_timer_serial_;
     receive_timer_.expires_after(limit);
-    receive_timer_.async_wait([me = shared_from_this()](error_code failure) {
-      if (!failure) {
-        me->Close();
-      }
-    });
+    receive_timer_.async_wait(
+        [me = shared_from_this(), serial](error_code failure) {
+          // A wait that was replaced may already have ended.
+          if (!failure && serial == me->receive_timer_serial_) {
+            me->Close();
+          }
+        });
   }
 
   void Read() {
@@ -222,7 +227,8 @@
           static_cast<std::uint32_t>(limits().max_header_bytes));
       parser_->body_limit(limits().max_body_bytes);
       sent_continue_ = false;
-      ArmReceiveTimer(limits().receive_deadline);
+      header_done_ = false;
+      ArmReceiveTimer(limits().header_deadline);
     }
     error_code failure;
     while (parser_ && !input_.empty() && !parser_->is_done()) {
@@ -232,6 +238,10 @@
         break;
       }
     }
+    if (parser_ && parser_->is_header_done() && !header_done_) {
+      header_done_ = true;
+      ArmReceiveTimer(limits().receive_deadline);
+    }
     if (failure && failure != http::error::need_more) {
       RefuseInput(failure);
     } else if (parser_ && parser_->is_done()) {
@@ -365,7 +375,9 @@
   std::uint64_t serial_ = 0;
   bool reading_ = false;
   bool writing_ = false;
+  bool header_done_ = false;
   bool sent_continue_ = false;
+  std::uint64_t receive_timer_serial_ = 0;
   bool answering_ = false;
   bool answer_ended_ = false;
   bool keep_alive_ = true;
--- a/source/gentian_net/http_connection.h
+++ b/source/gentian_net/http_connection.h
@@ -26,7 +26,8 @@
 /** What the connections of one server share. */
 struct connection_environment {
   http_server::handler on_request;
-  http_server_limits limits;
+  /** Replaced as a whole; read through std::atomic_load. */
+  std::shared_ptr<const http_server_limits> limits;
   /** Set once the server wants its callers to connect elsewhere. */
   std::atomic<bool> closing{false};
 };
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -54,7 +54,8 @@
       return;
     }
     // A connection beyond the bound is closed when `socket` is destroyed.
-    if (connections.size() < environment->limits.max_connections) {
+    if (connections.size() <
+        std::atomic_load(&environment->limits)->max_connections) {
       AddConnection(std::move(socket));
     }
     Accept();
@@ -106,13 +107,18 @@
   state_->tls = std::move(tls);
   state_->environment = std::make_shared<detail::connection_environment>();
   state_->environment->on_request = std::move(on_request);
-  state_->environment->limits = limits;
+  SetLimits(limits);
 }
 
 http_server::~http_server() {
   Stop();
 }
 
+void http_server::SetLimits(const http_server_limits& limits) {
+  std::atomic_store(&state_->environment->limits,
+                    std::make_shared<const http_server_limits>(limits));
+}
+
 result<success> http_server::Bind(const std::string& address) {
   return BindAcceptor(state_->acceptor, address);
 }
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -53,7 +53,9 @@
 struct http_server_limits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 8 * 1024 * 1024;
-  /** Time for one request to arrive, from its first byte. */
+  /** Time for the header of a request to arrive, from its first byte. */
+  milliseconds header_deadline{10'000};
+  /** Time for one request to arrive, from the end of its header. */
   milliseconds receive_deadline{30'000};
   /** Time that a connection without a request stays open. */
   milliseconds idle_deadline{75'000};
@@ -81,6 +83,11 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  /** Sets the bounds of requests that arrive from now on and of connections
+     that become idle. The number of connections stays bounded as it was.
+  */
+  void SetLimits(const http_server_limits& limits);
+
   /** Binds to `ip:port`; port 0 picks a free one. Connections wait until
       Serve is called.
   */
--- a/tests/daemon/credential_filter_test.cc
+++ b/tests/daemon/credential_filter_test.cc
@@ -58,6 +58,24 @@
   cr_assert(request.body["text"] == "my key is [removed]");
 }
 
+// Guards against a limit of -1 that becomes the default, and one of 1e30 that
+// becomes zero.
+Test(caller_request_reader, limits_are_whole_numbers) {
+  http_request request;
+  request.method = "POST";
+  request.target = "/v1/sessions";
+  request.headers.Add("Authorization", "Bearer k");
+  for (const char* limit : {"-1", "1e30", "1.5", "\"7\"", "true"}) {
+    request.body =
+        R"({"program":"p","budget":{"calls":)" + std::string(limit) + "}}";
+    const auto parsed = ReadCallerRequest(request);
+    cr_assert(Failed(parsed), "%s", limit);
+    cr_assert(ErrorOf(parsed).kind == error_kind::malformed_request);
+  }
+  request.body = R"({"program":"p","budget":{"calls":20,"tokens":null}})";
+  cr_assert(!Failed(ReadCallerRequest(request)));
+}
+
 // Guards against requests of the public API that are read as another one.
 Test(caller_request_reader, paths_and_headers_give_operations) {
   http_request request;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <fstream>
+#include <thread>
 
+#include "support/raw_connection.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
@@ -79,6 +81,56 @@
   }
 }
 
+// Guards against connections that hold memory and descriptors by sending half a
+// request line, and against a short bound that cuts off slow bodies.
+Test(http, half_a_header_is_not_waited_for) {
+  http_server_limits limits;
+  limits.header_deadline = milliseconds(200);
+  limits.idle_deadline = milliseconds(60'000);
+  limits.receive_deadline = milliseconds(60'000);
+  server_fixture fixture(limits);
+  const raw_connection half(fixture.server.address());
+  const raw_connection slow(fixture.server.address());
+  half.Write("GET /x HT");
+  slow.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n12");
+  cr_assert(half.IsClosedWithin(milliseconds(5'000)));
+  cr_assert(!slow.IsClosedWithin(milliseconds(100)));
+  slow.Write("34");
+  cr_assert(slow.Read(milliseconds(5'000)).find(R"({"size":4})") !=
+            std::string::npos);
+}
+
+// Guards against a request that is lost because the process was suspended for
+// longer than connections may be idle.
+Test(http, a_request_that_came_while_suspended_is_answered) {
+  http_server_limits limits;
+  limits.idle_deadline = milliseconds(200);
+  server_fixture fixture(limits);
+  const raw_connection connection(fixture.server.address());
+  connection.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(!connection.Read(milliseconds(5'000)).empty());
+  // Both I/O threads are busy, as if the process were stopped.
+  for (int i = 0; i < 2; ++i) {
+    fixture.pool.After(milliseconds(50),
+                       [] { std::this_thread::sleep_for(milliseconds(600)); });
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  connection.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(connection.Read(milliseconds(5'000)).find("200 OK") !=
+            std::string::npos);
+}
+
+// Guards against new bounds that take effect only after a restart.
+Test(http, limits_change_while_serving) {
+  server_fixture fixture;
+  http_server_limits limits;
+  limits.max_header_bytes = 1'000;
+  fixture.server.SetLimits(limits);
+  http_client_request request = fixture.Get("/");
+  request.headers.Add("X-Large", std::string(2'000, 'x'));
+  cr_assert(Fetch(fixture.client, request).response.status == 413);
+}
+
 // Guards against unbounded memory and against a refusal that is no JSON error.
 Test(http, large_body_and_header_are_refused_with_a_typed_error) {
   http_server_limits limits;
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -11,11 +11,13 @@
 #include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
 #include "platform/platform_stand_in.h"
+#include "support/raw_connection.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
 using gentian::testing::Fetch;
 using gentian::testing::http_outcome;
+using gentian::testing::raw_connection;
 using gentian::testing::store_stand_in;
 using gentian::testing::target_stand_in;
 using gentian::testing::WaitFor;
@@ -71,7 +73,9 @@
             R"("kind":"idempotent","timeout_ms":2000,"attempts":1,)"
             R"("service":"s"},{"name":"turn","host":"h","prefix":"/turn/",)"
             R"("kind":"streaming","resumable":true,"timeout_ms":3000,)"
-            R"("attempts":1,"service":"s"}],"services":[{"name":"s",)"
+            R"("attempts":1,"service":"s"}],)"
+            R"("limits":{"header_timeout_ms":300,"idle_timeout_ms":1500},)"
+            R"("services":[{"name":"s",)"
             R"("engine":{"tokens_per_event":10}}],"tenants":[{"name":"t",)"
             R"("api_keys":)" +
             keys + R"(,"rate_per_s":1000,"burst":1000}]})");
@@ -147,6 +151,19 @@
   cr_assert(outcome.response.headers.Find("Response-Seal") == "seal");
 }
 
+// Guards against the platform's limits on callers being read and not applied.
+Test(gateway_daemon, configured_limits_bound_callers) {
+  rig subject([](const std::shared_ptr<http_exchange>& exchange, int) {
+    target_stand_in::AnswerWhole(exchange, "");
+  });
+  const raw_connection half(subject.caller_address);
+  half.Write("GET /x HT");
+  cr_assert(half.IsClosedWithin(milliseconds(5'000)));
+  const raw_connection idle(subject.caller_address);
+  cr_assert(!idle.IsClosedWithin(milliseconds(600)));
+  cr_assert(idle.IsClosedWithin(milliseconds(5'000)));
+}
+
 // Guards against an action that runs twice, or is said not to have run, because
 // its answer was lost.
 Test(gateway_daemon, an_action_whose_answer_is_lost_is_not_repeated) {
