Let daemons that stand in for an owner claim only their turns' tokens

Cause: a daemon that can not reach a program's owner decides itself, and claimed a quarter of the budget beyond the turn. With two daemons cut off, several did so in turn, and programs that had used little were refused with 402 for good. `gentianrun explain` showed owners with used=0 and a budget that was spent.

Change: token_request::claim_ahead, set by the program's owner only.

Ruled out: the owner claiming half of the budget ahead.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -28,6 +28,7 @@
                                        steady_time now) {
   account& own = accounts_[request.program];
   own.budget = request.budget;
+  own.claim_ahead = request.claim_ahead;
   own.used_at = now;
   own.waiting.push_back(request);
   return Advance(request.program, own);
@@ -74,8 +75,10 @@
   for (const token_request& next : own.waiting) {
     wanted += next.most;
   }
-  const auto ahead = static_cast<std::int64_t>(kClaimedAhead *
-                                               static_cast<double>(own.budget));
+  const auto ahead = own.claim_ahead
+                         ? static_cast<std::int64_t>(
+                               kClaimedAhead * static_cast<double>(own.budget))
+                         : 0;
   return std::min(wanted + ahead, own.budget - own.claimed);
 }
 
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -27,6 +27,9 @@
       key-value service does not answer. Only one daemon may allow this for a
       program, because the users allow one turn beyond the budget. */
   bool may_start_unclaimed = false;
+  /** More than this turn's tokens may be claimed. A daemon that stands in for
+      the program's owner claims no more, as many may do so in turn. */
+  bool claim_ahead = true;
 };
 
 /** The answer to a token_request. */
@@ -122,6 +125,8 @@
     std::int64_t write_amount = 0;
     bool writing = false;
     int failures = 0;
+    /** As the last request says. */
+    bool claim_ahead = false;
     /** A turn was granted while the key-value service did not answer. */
     bool owes_turn = false;
     steady_time used_at;
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -255,18 +255,23 @@
   own.finish_by = now + request.finish_within;
   own.give_up_at = now + request.wait_limit;
   ArmTimer();
-  Execute(ledger_.Reserve({request.program, request.budget, request.most,
-                           ticket, IsSettledOwner(request.program)},
-                          now));
+  Execute(ledger_.Reserve(
+      {request.program, request.budget, request.most, ticket,
+       IsSettledOwner(request.program), IsOwner(request.program)},
+      now));
   return ticket;
 }
 
+bool turn_service::IsOwner(const std::string& program) const {
+  const member_record* owner = OwnerOf(
+      program, state_.members, [](const member_record&) { return true; });
+  return owner != nullptr && owner->host == settings_.host;
+}
+
 // True if all daemons name this one as the program's owner and have done so
 // since before the program's current turns.
 bool turn_service::IsSettledOwner(const std::string& program) const {
-  const member_record* owner = OwnerOf(
-      program, state_.members, [](const member_record&) { return true; });
-  return owner != nullptr && owner->host == settings_.host &&
+  return IsOwner(program) &&
          BootTimeNow() - state_.members_changed_at > kSettledAfter;
 }
 
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -102,6 +102,7 @@
 
   // Being the owner.
   turn_ticket Own(const turn_request& request);
+  bool IsOwner(const std::string& program) const;
   bool IsSettledOwner(const std::string& program) const;
   void Await(turn_ticket ticket,
              std::function<void(const turn_verdict&)> reply);
--- a/source/gentian_log/line_writer.cc
+++ b/source/gentian_log/line_writer.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <climits>
 #include <condition_variable>
 #include <mutex>
 #include <string_view>
@@ -18,10 +19,23 @@
 // all takes them in some milliseconds.
 constexpr milliseconds kFlushLimit{200};
 
+// As many whole lines as one write to a pipe carries without bytes of other
+// writers between them; a longer line alone.
+std::size_t AtomicPartOf(std::string_view lines) {
+  if (lines.size() <= PIPE_BUF) {
+    return lines.size();
+  }
+  const std::size_t last = lines.rfind('\n', PIPE_BUF - 1);
+  const std::size_t end =
+      last == std::string_view::npos ? lines.find('\n') : last;
+  return end == std::string_view::npos ? lines.size() : end + 1;
+}
+
 // Writes all bytes; false if the reader is gone.
 bool WriteAll(int descriptor, std::string_view bytes) {
   while (!bytes.empty()) {
-    const ssize_t count = ::write(descriptor, bytes.data(), bytes.size());
+    const ssize_t count =
+        ::write(descriptor, bytes.data(), AtomicPartOf(bytes));
     if (count >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(count));
     } else if (errno == EAGAIN) {
--- a/tests/log/log_test.cc
+++ b/tests/log/log_test.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <csignal>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -67,6 +68,34 @@
   cr_assert(line.find("secret") == std::string::npos);
 }
 
+// Guards against lines that are torn apart by those of another process at the
+// same pipe.
+Test(log, lines_of_two_processes_stay_whole, .timeout = 60) {
+  piped_log log;
+  const pid_t other = ::fork();
+  if (other == 0) {
+    // The writer's thread is not copied by fork.
+    StartLog("info", "other", log_output::standard_output);
+    WriteMany();
+    StopLog();
+    ::_exit(0);
+  }
+  WriteMany();
+  Log(log_level::info, "end of this process");
+  std::istringstream text(log.ReadUntil("end of this process"));
+  std::string line;
+  int lines = 0;
+  while (std::getline(text, line)) {
+    if (text.eof()) {
+      break;
+    }
+    ++lines;
+    cr_assert(json::accept(line), "%s", line.c_str());
+  }
+  cr_assert(lines > 1'000);
+  ::kill(other, SIGKILL);
+}
+
 // Guards against a process that stops because nobody reads its log, and against
 // losses that nobody is told of.
 Test(log, a_reader_that_stops_holds_nothing_up, .timeout = 20) {
