--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -107,6 +107,22 @@
   return commands;
 }
 
+budget_commands budget_ledger::EndWrite(
+    const std::string& program,
+    account& own,
+    std::uint64_t version,
+    const std::optional<budget_claim>& stored) {
+  own.writing = false;
+  own.failures = 0;
+  own.version = version;
+  own.claimed = stored ? stored->claimed : 0;
+  if (stored && stored->write_id == own.write_id) {
+    own.available += own.write_amount;
+  }
+  own.write_id.clear();
+  return Advance(program, own);
+}
+
 budget_commands budget_ledger::OnWritten(const std::string& program,
                                          std::uint64_t version) {
   const auto found = accounts_.find(program);
@@ -114,13 +130,8 @@
     return {};
   }
   account& own = found->second;
-  own.writing = false;
-  own.failures = 0;
-  own.version = version;
-  own.claimed += own.write_amount;
-  own.available += own.write_amount;
-  own.write_id.clear();
-  return Advance(program, own);
+  return EndWrite(program, own, version,
+                  budget_claim{own.claimed + own.write_amount, own.write_id});
 }
 
 budget_commands budget_ledger::OnConflict(
@@ -128,19 +139,9 @@
     std::uint64_t version,
     const std::optional<budget_claim>& stored) {
   const auto found = accounts_.find(program);
-  if (found == accounts_.end()) {
-    return {};
-  }
-  account& own = found->second;
-  own.writing = false;
-  own.failures = 0;
-  own.version = version;
-  own.claimed = stored ? stored->claimed : 0;
-  if (stored && stored->write_id == own.write_id) {
-    own.available += own.write_amount;
-  }
-  own.write_id.clear();
-  return Advance(program, own);
+  return found == accounts_.end()
+             ? budget_commands()
+             : EndWrite(program, found->second, version, stored);
 }
 
 budget_commands budget_ledger::OnNoAnswer(const std::string& program,
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -133,6 +133,11 @@
   };
 
   budget_commands Advance(const std::string& program, account& own);
+  /** The store holds this claim now. */
+  budget_commands EndWrite(const std::string& program,
+                           account& own,
+                           std::uint64_t version,
+                           const std::optional<budget_claim>& stored);
   void GrantWaiting(account& own, budget_commands& commands);
   static std::int64_t AmountToClaim(const account& own);
   static bool MayOweOneTurn(const account& own);
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -82,6 +82,11 @@
     std::shared_ptr<http_call> call;
   };
 
+  // Interface between daemons.
+  static constexpr const char* kAskPath = "/turns/ask";
+  static constexpr const char* kEndPath = "/turns/end";
+  static constexpr milliseconds kPeerDeadline{450};
+
   // Asking the owner.
   const member_record* ReachableOwner(const std::string& program) const;
   void AskOwner(const std::string& owner,
--- /dev/null
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -0,0 +1,337 @@
+// The part of turn_service that decides for the programs that this daemon owns.
+
+#include <cmath>
+#include <utility>
+
+#include "gentian_gateway_daemon/turn_service.h"
+#include "gentian_log/gentian_log.h"
+
+namespace gentian {
+
+namespace {
+
+using outcome = turn_verdict::outcome;
+
+constexpr const char* kClaimPrefix = "gentianrun/budget/";
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+// Time for one write. The service answers in milliseconds; a slow one in some
+// hundred.
+constexpr milliseconds kWriteDeadline{900};
+// Time for one write while the service does not answer: others may reach it and
+// wait for this daemon.
+constexpr milliseconds kOutageWriteDeadline{150};
+// The owner answers after this time at the latest, if only that it has not
+// decided, so that one that is frozen or cut off is noticed soon.
+constexpr milliseconds kReplyWithin{250};
+constexpr milliseconds kTick{25};
+// Programs are unused for at most some seconds between two turns. A program
+// that comes back later finds its claim in the key-value service.
+constexpr milliseconds kAccountLifetime{120'000};
+// Time without a change of members after which all daemons have the same list.
+constexpr milliseconds kSettledAfter{6'000};
+// Part of its budget beyond which a program counts as one that may not end.
+constexpr double kExcessivePart = 0.6;
+
+outcome OutcomeOf(budget_verdict verdict) {
+  switch (verdict) {
+    case budget_verdict::granted:
+      return outcome::granted;
+    case budget_verdict::spent:
+      return outcome::budget_spent;
+    case budget_verdict::unavailable:
+      return outcome::unavailable;
+  }
+  return outcome::unavailable;
+}
+
+}  // namespace
+
+turn_ticket turn_service::Own(const turn_request& request) {
+  const steady_time now = BootTimeNow();
+  if (now - forgotten_at_ > kAccountLifetime) {
+    ledger_.Forget(now - kAccountLifetime);
+    forgotten_at_ = now;
+  }
+  const turn_ticket ticket = ++last_ticket_;
+  owned_turn& own = owned_[ticket];
+  own.request = request;
+  own.asked_at = now;
+  own.deadline = now + request.time_left;
+  own.finish_by = now + request.finish_within;
+  own.give_up_at = now + request.wait_limit;
+  ArmTimer();
+  Execute(ledger_.Reserve(
+      {request.program, request.budget, request.most, ticket,
+       IsSettledOwner(request.program), IsOwner(request.program)},
+      now));
+  return ticket;
+}
+
+bool turn_service::IsOwner(const std::string& program) const {
+  const member_record* owner = OwnerOf(
+      program, state_.members, [](const member_record&) { return true; });
+  return owner != nullptr && owner->host == settings_.host;
+}
+
+// True if all daemons name this one as the program's owner and have done so
+// since before the program's current turns.
+bool turn_service::IsSettledOwner(const std::string& program) const {
+  return IsOwner(program) &&
+         BootTimeNow() - state_.members_changed_at > kSettledAfter;
+}
+
+void turn_service::Await(turn_ticket ticket,
+                         std::function<void(const turn_verdict&)> reply) {
+  owned_turn& own = owned_.at(ticket);
+  if (own.verdict) {
+    // The reply may drop the turn.
+    const turn_verdict verdict = *own.verdict;
+    reply(verdict);
+  } else {
+    own.reply = std::move(reply);
+  }
+}
+
+void turn_service::LogVerdict(const owned_turn& own,
+                              const turn_verdict& verdict) const {
+  const turn_request& request = own.request;
+  const steady_time now = BootTimeNow();
+  const json line = {
+      {"request", request.request_id},
+      {"program", request.program},
+      {"service", request.service},
+      {"outcome", NameOf(verdict.result)},
+      {"target", verdict.target},
+      {"waited_ms", ToMilliseconds(now - own.asked_at).count()},
+      {"wait_limit_ms", request.wait_limit.count()},
+      {"finish_in_ms", ToMilliseconds(own.finish_by - now).count()},
+      {"budget", request.budget},
+      {"used", ledger_.UsedOf(request.program)},
+      {"most", request.most},
+      {"turns_waiting", scheduler_.waiting()},
+      {"turns_running", scheduler_.running()},
+      {"service_limit", std::lround(scheduler_.LimitOf(request.service))},
+      {"members", state_.members.size()},
+      {"store_reached", state_.store_reached}};
+  if (verdict.result == outcome::granted) {
+    LogRoutine(request.program, "turn decided", line);
+  } else {
+    Log(log_level::info, "turn decided", line);
+  }
+}
+
+void turn_service::SetVerdict(owned_turn& own, const turn_verdict& verdict) {
+  LogVerdict(own, verdict);
+  own.verdict = verdict;
+  if (own.reply) {
+    // The reply may drop the turn.
+    const auto reply = std::exchange(own.reply, nullptr);
+    reply(verdict);
+  }
+}
+
+void turn_service::Decide(turn_ticket ticket, outcome result) {
+  const auto found = owned_.find(ticket);
+  if (found == owned_.end()) {
+    return;
+  }
+  owned_turn& own = found->second;
+  if (result == outcome::granted && !own.budget_granted) {
+    own.budget_granted = true;
+    const std::int64_t used = ledger_.UsedOf(own.request.program);
+    const bool excessive =
+        static_cast<double>(used) >
+        kExcessivePart * static_cast<double>(own.request.budget);
+    scheduler_.Add({ticket, own.request.program, own.request.service,
+                    own.request.priority, own.finish_by, own.deadline,
+                    own.give_up_at, excessive});
+    Advance();
+    return;
+  }
+  if (own.budget_granted) {
+    Execute(ledger_.Settle(own.request.program, own.request.most, 0,
+                           BootTimeNow()));
+  }
+  SetVerdict(own, turn_verdict{result, ticket, ""});
+}
+
+void turn_service::Advance() {
+  scheduler_.SetMembers(state_.members.size());
+  for (const turn_decision& decision : scheduler_.Advance(BootTimeNow())) {
+    const auto found = owned_.find(decision.ticket);
+    if (found == owned_.end()) {
+      scheduler_.Remove(decision.ticket);
+      continue;
+    }
+    if (!decision.admitted) {
+      Decide(decision.ticket, outcome::overloaded);
+      continue;
+    }
+    owned_turn& own = found->second;
+    SetVerdict(
+        own, turn_verdict{outcome::granted, decision.ticket, decision.target});
+  }
+}
+
+void turn_service::ArmTimer() {
+  if (timer_armed_) {
+    return;
+  }
+  timer_armed_ = true;
+  pool_.After(kTick, [this] {
+    timer_armed_ = false;
+    const steady_time now = BootTimeNow();
+    for (auto next = owned_.begin(); next != owned_.end();) {
+      // Whoever asked has not come for the verdict or not told the end.
+      const turn_ticket ticket = next->first;
+      const bool overdue = now > next->second.deadline + kPeerDeadline;
+      ++next;
+      if (overdue) {
+        DropOwned(ticket);
+      }
+    }
+    Advance();
+    if (!owned_.empty()) {
+      ArmTimer();
+    }
+  });
+}
+
+void turn_service::EndOwned(const turn_end& end) {
+  Execute(ledger_.Settle(end.program, end.reserved, end.used, BootTimeNow()));
+  if (end.load) {
+    state_.targets.ReportLoad(
+        end.target, {end.load->running, end.load->waiting, BootTimeNow()});
+  }
+  if (end.event_interval) {
+    scheduler_.AddSample(end.service, {end.target, *end.event_interval});
+  }
+  scheduler_.Remove(end.ticket);
+  owned_.erase(end.ticket);
+  Advance();
+}
+
+void turn_service::DropOwned(turn_ticket ticket) {
+  const auto found = owned_.find(ticket);
+  if (found == owned_.end()) {
+    return;
+  }
+  const owned_turn dropped = std::move(found->second);
+  owned_.erase(found);
+  scheduler_.Remove(ticket);
+  ledger_.Abandon(dropped.request.program, ticket);
+  if (dropped.budget_granted && !dropped.verdict) {
+    Execute(ledger_.Settle(dropped.request.program, dropped.request.most, 0,
+                           BootTimeNow()));
+  }
+}
+
+bool turn_service::AnswerPeer(const std::shared_ptr<http_exchange>& exchange) {
+  const std::string path = exchange->request().Path();
+  if (path != kAskPath && path != kEndPath) {
+    return false;
+  }
+  try {
+    const json body = json::parse(exchange->request().body);
+    if (path == kEndPath) {
+      EndOwned(body.get<turn_end>());
+      exchange->Respond(JsonResponse(kOk, json::object()));
+    } else {
+      AnswerAsk(exchange, body);
+    }
+  } catch (const json::exception& failure) {
+    exchange->Respond(JsonResponse(kBadRequest, {{"error", failure.what()}}));
+  }
+  return true;
+}
+
+void turn_service::AnswerAsk(const std::shared_ptr<http_exchange>& exchange,
+                             const json& body) {
+  turn_ticket ticket = body.value("ticket", turn_ticket{0});
+  if (ticket == 0) {
+    ticket = Own(body.get<turn_request>());
+  } else if (owned_.count(ticket) == 0) {
+    exchange->Respond(
+        JsonResponse(kOk, turn_verdict{outcome::unavailable, ticket, ""}));
+    return;
+  }
+  Await(ticket, [this, exchange](const turn_verdict& verdict) {
+    exchange->Respond(JsonResponse(kOk, json(verdict)));
+    if (verdict.result != outcome::granted) {
+      owned_.erase(verdict.ticket);
+    }
+  });
+  exchange->SetDisconnectHandler([this, ticket] { DropOwned(ticket); });
+  pool_.After(kReplyWithin, [this, exchange, ticket] {
+    const auto found = owned_.find(ticket);
+    if (found != owned_.end() && found->second.reply) {
+      found->second.reply = nullptr;
+      exchange->Respond(JsonResponse(
+          kOk, json(turn_verdict{outcome::undecided, ticket, ""})));
+    }
+  });
+}
+
+void turn_service::Release() {
+  for (const auto& write : ledger_.ReleaseAll()) {
+    store_.Call(kv_compare_and_swap{kClaimPrefix + write.program,
+                                    write.expected_version, write.value, 0},
+                kWriteDeadline, [](const kv_answer&) {
+                  // Without effect, the tokens are lost to the program.
+                });
+  }
+}
+
+void turn_service::Execute(const budget_commands& commands) {
+  for (const auto& write : commands.writes) {
+    Write(write);
+  }
+  for (const auto& verdict : commands.verdicts) {
+    Decide(verdict.ticket, OutcomeOf(verdict.outcome));
+  }
+}
+
+void turn_service::Write(const budget_commands::write& write) {
+  kv_compare_and_swap operation;
+  operation.key = kClaimPrefix + write.program;
+  operation.expected_version = write.expected_version;
+  operation.value = write.value;
+  store_.Call(operation,
+              state_.store_reached ? kWriteDeadline : kOutageWriteDeadline,
+              [this, program = write.program](const kv_answer& answer) {
+                OnWritten(program, answer);
+              });
+}
+
+void turn_service::OnWritten(const std::string& program,
+                             const kv_answer& answer) {
+  switch (answer.outcome) {
+    case kv_answer::status::ok:
+      Execute(ledger_.OnWritten(program, answer.revision));
+      return;
+    case kv_answer::status::conflict: {
+      if (answer.entries.empty()) {
+        Execute(ledger_.OnConflict(program, 0, std::nullopt));
+        return;
+      }
+      const kv_entry& stored = answer.entries.front();
+      const auto claim = DecodeClaim(stored.value);
+      if (!claim) {
+        // Nothing is known of what was spent, so nothing more is granted.
+        Execute(ledger_.OnNoAnswer(program, false));
+        return;
+      }
+      Execute(ledger_.OnConflict(program, stored.version, claim));
+      return;
+    }
+    case kv_answer::status::not_sent:
+      Execute(ledger_.OnNoAnswer(program, false));
+      return;
+    default:
+      Execute(ledger_.OnNoAnswer(program, true));
+      return;
+  }
+}
+
+}  // namespace gentian
