Keep members and their allowances through an outage of the store

Cause: after an outage of more than 5 s all records of members had lapsed and were forgotten, so that the first daemons that registered again were taken for the whole fleet: owners of programs changed, allowances changed hands, and each new holder waited.

Change: gateway_members, taken out of state_reader, decides who is a member; time in which no listing was answered does not count towards the retention of a record. kHandOverTime is unchanged.

--- /dev/null
+++ b/source/gentian_gateway/gateway_members.cc
@@ -0,0 +1,65 @@
+#include "gentian_gateway/gateway_members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentian {
+
+namespace {
+
+// Time that a daemon's part of the allowances is not given to others after its
+// record has vanished. It serves for 4.5 s without the key-value service.
+constexpr milliseconds kRetention{5'000};
+// Listings are asked for each 1.5 s; after a longer time the key-value service
+// was away.
+constexpr milliseconds kOutage{2'500};
+
+}  // namespace
+
+bool gateway_members::Update(std::map<std::string, member_record> listed,
+                             steady_time asked_at) {
+  const duration gap = last_listing_ ? asked_at - *last_listing_ : duration(0);
+  last_listing_ = asked_at;
+  std::map<std::string, member_record> vanished;
+  for (auto next = seen_at_.begin(); next != seen_at_.end();) {
+    if (gap > kOutage) {
+      next->second += gap;
+    }
+    const bool is_listed = listed.count(next->first) > 0;
+    if (!is_listed && asked_at - next->second >= kRetention) {
+      next = seen_at_.erase(next);
+      continue;
+    }
+    const auto before = members_.find(next->first);
+    if (!is_listed && before != members_.end()) {
+      vanished.insert(*before);
+    }
+    ++next;
+  }
+  for (const auto& [key, member] : listed) {
+    seen_at_[key] = asked_at;
+  }
+  if (vanished.size() > listed.size()) {
+    listed.merge(vanished);
+  }
+  const bool same = listed.size() == members_.size() &&
+                    std::equal(listed.begin(), listed.end(), members_.begin(),
+                               [](const auto& a, const auto& b) {
+                                 return a.first == b.first &&
+                                        a.second.stopping == b.second.stopping;
+                               });
+  members_ = std::move(listed);
+  return !same;
+}
+
+std::vector<std::string> gateway_members::MayGrant() const {
+  std::vector<std::string> keys = {self_};
+  for (const auto& [key, seen_at] : seen_at_) {
+    if (key != self_) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+}  // namespace gentian
--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -13,6 +13,7 @@
 #include "gentian_gateway/configuration_holder.h"
 #include "gentian_gateway/event_splitter.h"
 #include "gentian_gateway/gateway_configuration.h"
+#include "gentian_gateway/gateway_members.h"
 #include "gentian_gateway/member_record.h"
 #include "gentian_gateway/owner_of.h"
 #include "gentian_gateway/target_selector.h"
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -26,10 +26,6 @@
 constexpr milliseconds kLeaseTime{4'500};
 constexpr milliseconds kRenewInterval{1'200};
 
-// Time that a daemon's part of the allowances is not given to others after its
-// record has vanished.
-constexpr milliseconds kMemberRetention{5'000};
-
 duration RetryDelay(int failures) {
   return std::min<duration>(
       kMaxRetry, kFirstRetry * (1 << std::min(failures, kMaxDoublings)));
@@ -49,7 +45,7 @@
       settings_(settings),
       state_(state),
       on_configuration_(std::move(on_configuration)),
-      allowance_members_{MemberKey(settings.host)},
+      known_members_(MemberKey(settings.host)),
       listings_{{{"configuration", protocol.ConfigurationPrefix(),
                   kConfigurationInterval, &state_reader::ApplyConfiguration},
                  {"targets", protocol.TargetsPrefix(), kTargetsInterval,
@@ -159,55 +155,31 @@
 }
 
 void state_reader::ApplyMembers(const kv_answer& answer, steady_time asked_at) {
-  std::map<std::string, member_record> members;
+  std::map<std::string, member_record> listed;
   for (const kv_entry& entry : answer.entries) {
     if (auto member = DecodeMember(entry.value)) {
-      members[entry.key] = std::move(*member);
-      member_seen_at_[entry.key] = asked_at;
-    }
-  }
-  std::vector<std::string> may_grant = {MemberKey(settings_.host)};
-  std::map<std::string, member_record> vanished;
-  for (auto next = member_seen_at_.begin(); next != member_seen_at_.end();) {
-    if (asked_at - next->second >= kMemberRetention) {
-      next = member_seen_at_.erase(next);
-      continue;
-    }
-    const auto before = state_.members.find(next->first);
-    if (members.count(next->first) == 0 && before != state_.members.end()) {
-      vanished.insert(*before);
-    }
-    if (next->first != may_grant.front()) {
-      may_grant.push_back(next->first);
+      listed[entry.key] = std::move(*member);
+    } else {
+      state_.counters.Add("member_entry_unreadable");
     }
-    ++next;
-  }
-  // One daemon that vanishes has failed. Many that vanish at once have lost
-  // their leases with the key-value service and register again.
-  if (vanished.size() > members.size()) {
-    members.merge(vanished);
   }
-  const bool same =
-      members.size() == state_.members.size() &&
-      std::equal(members.begin(), members.end(), state_.members.begin(),
-                 [](const auto& a, const auto& b) {
-                   return a.first == b.first &&
-                          a.second.stopping == b.second.stopping;
-                 });
-  if (!same) {
+  const std::size_t listed_count = listed.size();
+  if (known_members_.Update(std::move(listed), asked_at)) {
     state_.members_changed_at = asked_at;
     Log(log_level::info, "members changed",
-        {{"count", members.size()}, {"before", state_.members.size()}});
+        {{"count", known_members_.members().size()},
+         {"listed", listed_count},
+         {"before", state_.members.size()}});
   }
-  state_.members = std::move(members);
-  allowance_members_ = std::move(may_grant);
+  state_.members = known_members_.members();
   UpdateHolders();
 }
 
 void state_reader::UpdateHolders() {
   const shared_configuration configuration = state_.configuration.current();
   if (configuration) {
-    state_.holders.Update(allowance_members_, configuration->content().teams,
+    state_.holders.Update(known_members_.MayGrant(),
+                          configuration->content().teams,
                           MemberKey(settings_.host), BootTimeNow());
   }
 }
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -74,14 +74,12 @@
   const gateway_settings& settings_;
   gateway_state& state_;
   std::function<void()> on_configuration_;
-  /** Keys of the daemons that may grant allowances. */
-  std::vector<std::string> allowance_members_;
+  gateway_members known_members_;
   std::array<listing, 3> listings_;
   std::uint64_t configuration_version_ = 0;
   std::uint64_t lease_ = 0;
   std::uint64_t record_version_ = 0;
   std::map<std::string, bool> drains_;
-  std::map<std::string, steady_time> member_seen_at_;
 };
 
 }  // namespace gentian
