--- a/source/gentian_app/gateway_command.cc
+++ b/source/gentian_app/gateway_command.cc
@@ -10,8 +10,8 @@
 
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/gentian_daemon.h"
-#include "gentian_log/gentian_log.h"
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
+#include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
 
 namespace gentian {
