--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -16,8 +16,7 @@
      gentian::RunServe},
     {"gateway", "run a daemon on the users' platform",
      gentian::RunGatewayCommand},
-    {"explain", "tell from logs what became of a request",
-     gentian::RunExplain},
+    {"explain", "tell from logs what became of a request", gentian::RunExplain},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
 }};
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -8,11 +8,11 @@
 
 #include "gentian_daemon/admin_api.h"
 #include "gentian_daemon/caller_api.h"
-#include "gentian_log/gentian_log.h"
 #include "gentian_daemon/decision_loop.h"
 #include "gentian_daemon/fleet_snapshot.h"
 #include "gentian_daemon/peer_exchange.h"
 #include "gentian_daemon/supervisor.h"
+#include "gentian_log/gentian_log.h"
 #include "gentian_net/http_server.h"
 
 namespace gentian {
@@ -53,7 +53,9 @@
              [this] { return loop_->IsOverloaded(); },
              [this](error_kind kind) { latencies_.CountRefusal(kind); }),
         admin_([this](event input) { loop_->Post(std::move(input)); },
-               [](const write_log& line) { Log(line.severity, line.message, line.fields); },
+               [](const write_log& line) {
+                 Log(line.severity, line.message, line.fields);
+               },
                options_.operators_by_key_hash,
                latencies_),
         supervisor_(
@@ -332,7 +334,9 @@
     platform_.targets->Cancel(cancel.id);
   }
   void Carry(const order_target& order) { platform_.targets->Order(order); }
-  void Carry(const write_log& line) { Log(line.severity, line.message, line.fields); }
+  void Carry(const write_log& line) {
+    Log(line.severity, line.message, line.fields);
+  }
   void Carry(const stop_completed& /*stop*/) { Finish(success{}); }
 
   void Finish(result<success> outcome) {
--- a/source/gentian_decisions/operator_requests.cc
+++ b/source/gentian_decisions/operator_requests.cc
@@ -31,8 +31,8 @@
 }
 
 void Audit(const std::string& message, json fields, node_context& context) {
-  context.Emit(write_log{log_level::info, "audit: " + message,
-                         std::move(fields)});
+  context.Emit(
+      write_log{log_level::info, "audit: " + message, std::move(fields)});
 }
 
 }  // namespace
