Look for holders to ask only where this gateway may not grant

allowance_service::Take looked for itself among the holders and then asked whether it may grant, which implies that it is one.

--- a/source/gentian_gateway_daemon/allowance_service.cc
+++ b/source/gentian_gateway_daemon/allowance_service.cc
@@ -53,19 +53,17 @@
     handler({outcome::granted, milliseconds(0), ""});
     return;
   }
-  const std::vector<std::string>& holders = state_.holders.HoldersOf(team.name);
-  const auto self = std::find(holders.begin(), holders.end(), self_);
-  if (self != holders.end() &&
-      state_.holders.MayGrant(team.name, BootTimeNow())) {
+  const steady_time now = BootTimeNow();
+  if (state_.holders.MayGrant(team.name, now)) {
     handler(TakeHere(team));
     return;
   }
+  const std::vector<std::string>& holders = state_.holders.HoldersOf(team.name);
   const auto subject = std::make_shared<asking>();
   subject->team = team;
   subject->handler = std::move(handler);
   const std::size_t start =
       holders.empty() ? 0 : StableHash(request_id) % holders.size();
-  const steady_time now = BootTimeNow();
   for (std::size_t i = 0;
        i < holders.size() && subject->holders.size() < kMaxAsked; ++i) {
     const std::string& holder = holders[(start + i) % holders.size()];
