--- a/tests/log/log_test.cc
+++ b/tests/log/log_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 #include <array>
@@ -45,8 +46,8 @@
 // More than a pipe and the queue hold.
 constexpr int kManyLines = 20'000;
 
-void WriteMany() {
-  for (int i = 0; i < kManyLines; ++i) {
+void WriteLines(int count) {
+  for (int i = 0; i < count; ++i) {
     Log(log_level::info, "line",
         {{"number", i}, {"pad", std::string(80, 'x')}});
   }
@@ -72,27 +73,28 @@
 // same pipe.
 Test(log, lines_of_two_processes_stay_whole, .timeout = 60) {
   piped_log log;
+  // Together more than a pipe holds, and each less than the queue does.
+  constexpr int kLines = 1'500;
   const pid_t other = ::fork();
   if (other == 0) {
+    // Ends with the test, also if that fails.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     // The writer's thread is not copied by fork.
     StartLog("info", "other", log_output::standard_output);
-    WriteMany();
+    WriteLines(kLines);
     StopLog();
     ::_exit(0);
   }
-  WriteMany();
+  WriteLines(kLines);
   Log(log_level::info, "end of this process");
   std::istringstream text(log.ReadUntil("end of this process"));
   std::string line;
   int lines = 0;
-  while (std::getline(text, line)) {
-    if (text.eof()) {
-      break;
-    }
+  while (std::getline(text, line) && !text.eof()) {
     ++lines;
     cr_assert(json::accept(line), "%s", line.c_str());
   }
-  cr_assert(lines > 1'000);
+  cr_assert(lines >= kLines);
   ::kill(other, SIGKILL);
 }
 
@@ -100,7 +102,7 @@
 // losses that nobody is told of.
 Test(log, a_reader_that_stops_holds_nothing_up, .timeout = 20) {
   piped_log log;
-  WriteMany();
+  WriteLines(kManyLines);
   const std::uint64_t dropped = LogLosses().dropped;
   cr_assert(dropped > 0);
   // The reader is back; the next lines tell what is missing.
@@ -120,7 +122,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   piped_log log;
   log.CloseReader();
-  WriteMany();
+  WriteLines(kManyLines);
   cr_assert(LogLosses().dropped > 0);
   StopLog();
 }
