Remove what the gateway and the log did twice

Change: peer_client is the one client for other daemons; turn_service and allowance_service each had the request and the list of daemons to avoid. state_reader writes the record in one place; gateway_members lives in the state instead of being copied there each 1.5 s, and holders are chosen again only if the daemons that may grant have changed. A turn's owner is looked up once instead of twice; a service's limit once a pass instead of once a waiting turn. Teams are shared with the configuration instead of copied three times a request. Connections take the server's limits once a request, the log one lock a line instead of three, and fields of sampled lines are not built. gateway and serve read their files through ReadTextFile. A condition without effect in request_history is gone. A test names each refusal that `explain` does not know. A malformed body of /allowance/take or its answer no longer throws.

--- a/bench/micro/log_cost.cc
+++ b/bench/micro/log_cost.cc
@@ -55,12 +55,12 @@
   }
   const double start = Seconds();
   for (int i = 0; i < kRequests; ++i) {
-    const json fields = EndFields(i);
+    const auto fields = [i] { return EndFields(i); };
     for (const char* message : {"turn decided", "request ended"}) {
       if (sampled) {
         LogRoutine("program-" + std::to_string(i), message, fields);
       } else {
-        Log(log_level::info, message, fields);
+        Log(log_level::info, message, fields());
       }
     }
   }
--- a/source/gentian_app/gateway_command.cc
+++ b/source/gentian_app/gateway_command.cc
@@ -2,13 +2,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <future>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 #include "gentian_app/subcommand.h"
+#include "gentian_app/text_file.h"
 #include "gentian_daemon/gentian_daemon.h"
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
 #include "gentian_log/gentian_log.h"
@@ -30,14 +29,11 @@
 }
 
 result<gateway_settings> ReadSettings(const std::string& path) {
-  std::ifstream in(path);
-  std::ostringstream text;
-  text << in.rdbuf();
-  if (!in) {
-    return error{error_kind::invalid_settings, "cannot read " + path,
-                 "check the path and its permissions"};
+  const result<std::string> text = ReadTextFile(path);
+  if (Failed(text)) {
+    return ErrorOf(text);
   }
-  return ParseNodeFile(text.str(), path);
+  return ParseNodeFile(ValueOf(text), path);
 }
 
 // Runs until a signal to stop has been handled. Settings do not change while a
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -1,11 +1,10 @@
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_app/signal_waiter.h"
 #include "gentian_app/subcommand.h"
+#include "gentian_app/text_file.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/gentian_daemon.h"
 #include "gentian_log/gentian_log.h"
@@ -56,14 +55,11 @@
 }
 
 int ReadAndRun(const std::string& file) {
-  std::ifstream in(file);
-  std::ostringstream text;
-  text << in.rdbuf();
-  if (!in) {
-    return Fail(error{error_kind::invalid_settings, "cannot read " + file,
-                      "check the path and its permissions"});
+  const result<std::string> text = ReadTextFile(file);
+  if (Failed(text)) {
+    return Fail(ErrorOf(text));
   }
-  const auto parsed = ParseDaemonFile(text.str(), file);
+  const auto parsed = ParseDaemonFile(ValueOf(text), file);
   if (const auto* problems =
           std::get_if<std::vector<settings_problem>>(&parsed)) {
     for (const settings_problem& problem : *problems) {
--- a/source/gentian_gateway/turn_scheduler.cc
+++ b/source/gentian_gateway/turn_scheduler.cc
@@ -62,12 +62,6 @@
                                    static_cast<double>(members_));
 }
 
-bool turn_scheduler::HasRoom(const std::string& service) const {
-  const auto running = running_by_service_.find(service);
-  return running == running_by_service_.end() ||
-         static_cast<double>(running->second) < LimitOf(service);
-}
-
 void turn_scheduler::Add(const waiting_turn& turn) {
   PoolOf(turn.service);
   waiting_.push_back(turn);
@@ -85,10 +79,20 @@
             [&rank](const waiting_turn& a, const waiting_turn& b) {
               return rank(a) < rank(b);
             });
+  // The limit of a service walks over its targets; it is the same for all of
+  // its turns.
+  std::map<std::string, double> limits;
+  const auto has_room = [&](const std::string& service) {
+    const auto [place, is_new] = limits.try_emplace(service, 0.0);
+    if (is_new) {
+      place->second = LimitOf(service);
+    }
+    return static_cast<double>(running_by_service_[service]) < place->second;
+  };
   std::vector<turn_decision> decisions;
   std::vector<waiting_turn> kept;
   for (waiting_turn& turn : waiting_) {
-    if (HasRoom(turn.service)) {
+    if (has_room(turn.service)) {
       const std::string target = Place(turn, now);
       running_[turn.ticket] = {turn.service, target, now, turn.deadline};
       ++running_by_service_[turn.service];
--- a/source/gentian_gateway/turn_scheduler.h
+++ b/source/gentian_gateway/turn_scheduler.h
@@ -102,7 +102,6 @@
   };
 
   pool& PoolOf(const std::string& service);
-  bool HasRoom(const std::string& service) const;
   std::string Place(const waiting_turn& turn, steady_time now);
   double LoadOf(const known_target& target, steady_time now) const;
   void DropOverdue(steady_time now);
--- a/source/gentian_gateway_daemon/allowance_service.cc
+++ b/source/gentian_gateway_daemon/allowance_service.cc
@@ -19,9 +19,6 @@
 // second and more.
 constexpr milliseconds kPeerDeadline{200};
 constexpr milliseconds kPeerConnectLimit{100};
-// A holder that did not answer is not asked for this time; the members' list
-// drops it if it is gone.
-constexpr milliseconds kUnreachableTime{2'000};
 // Holders that one request asks. A second one finds what is left of a part
 // that the first has not; more would cost more than they find.
 constexpr std::size_t kMaxAsked = 2;
@@ -33,19 +30,21 @@
 allowance_service::allowance_service(http_client& peers,
                                      const gateway_settings& settings,
                                      gateway_state& state)
-    : peers_(peers), state_(state), self_(MemberKey(settings.host)) {}
+    : peers_(peers, {kPeerDeadline, kPeerConnectLimit}),
+      state_(state),
+      self_(MemberKey(settings.host)) {}
 
 allowance_verdict allowance_service::TakeHere(const gateway_team& team) {
-  const steady_time now = BootTimeNow();
-  if (!state_.holders.MayGrant(team.name, now)) {
-    return {outcome::refused, kNotYetWait, ""};
-  }
   const auto wait = state_.allowances.Take(
-      team, state_.holders.HoldersOf(team.name).size(), now);
+      team, state_.holders.HoldersOf(team.name).size(), BootTimeNow());
   return wait ? allowance_verdict{outcome::refused, *wait, ""}
               : allowance_verdict{outcome::granted, milliseconds(0), self_};
 }
 
+bool allowance_service::MayGrant(const gateway_team& team) const {
+  return state_.holders.MayGrant(team.name, BootTimeNow());
+}
+
 void allowance_service::Take(const gateway_team& team,
                              const std::string& request_id,
                              verdict_handler handler) {
@@ -53,23 +52,21 @@
     handler({outcome::granted, milliseconds(0), ""});
     return;
   }
-  const steady_time now = BootTimeNow();
-  if (state_.holders.MayGrant(team.name, now)) {
+  if (MayGrant(team)) {
     handler(TakeHere(team));
     return;
   }
   const std::vector<std::string>& holders = state_.holders.HoldersOf(team.name);
   const auto subject = std::make_shared<asking>();
-  subject->team = team;
+  subject->team = team.name;
   subject->handler = std::move(handler);
   const std::size_t start =
       holders.empty() ? 0 : StableHash(request_id) % holders.size();
   for (std::size_t i = 0;
        i < holders.size() && subject->holders.size() < kMaxAsked; ++i) {
     const std::string& holder = holders[(start + i) % holders.size()];
-    const auto avoided = unreachable_.find(holder);
-    if (holder != self_ && !PeerAddressOf(holder).empty() &&
-        (avoided == unreachable_.end() || now >= avoided->second)) {
+    const std::string address = PeerAddressOf(holder);
+    if (holder != self_ && !address.empty() && !peers_.IsAvoided(address)) {
       subject->holders.push_back(holder);
     }
   }
@@ -82,28 +79,30 @@
     return;
   }
   const std::string holder = subject->holders[subject->next++];
-  peers_.Fetch(
-      PeerRequest(holder, kTakePath, subject->team.name),
+  const std::string address = PeerAddressOf(holder);
+  peers_.Post(
+      address, kTakePath, {{"team", subject->team}},
       [this, subject, holder](const http_response& response) {
         const json answer = json::parse(response.body, nullptr, false);
-        if (!answer.is_object() || !answer.contains("wait_ms")) {
+        if (!answer.is_object() || !answer.contains("wait_ms") ||
+            !answer["wait_ms"].is_number_integer()) {
           state_.counters.Add("allowance_answer_unreadable");
           AskNext(subject);
           return;
         }
-        const milliseconds wait(answer.value("wait_ms", milliseconds::rep{0}));
+        const milliseconds wait(answer["wait_ms"].get<milliseconds::rep>());
         Heard(subject, wait.count() == 0
                            ? allowance_verdict{outcome::granted, wait, holder}
                            : allowance_verdict{outcome::refused, wait, ""});
       },
-      [this, subject, holder](http_failure, const std::string&) {
+      [this, subject, holder, address](http_failure, const std::string&) {
         // The right may have been taken; it is lost to the team.
         state_.counters.Add("allowance_holder_lost");
         Log(log_level::warning, "allowance holder not reachable",
             {{"holder", holder},
-             {"team", subject->team.name},
-             {"not_asked_for_ms", kUnreachableTime.count()}});
-        unreachable_[holder] = BootTimeNow() + kUnreachableTime;
+             {"team", subject->team},
+             {"not_asked_for_ms", peer_client::kAvoidedFor.count()}});
+        peers_.Avoid(address);
         AskNext(subject);
       });
 }
@@ -129,11 +128,12 @@
         std::max<std::size_t>(1, state_.holders.HoldersOf(team.name).size()));
     return;
   }
-  if (PeerAddressOf(holder).empty()) {
+  const std::string address = PeerAddressOf(holder);
+  if (address.empty()) {
     return;
   }
-  peers_.Fetch(
-      PeerRequest(holder, kReturnPath, team.name), [](const http_response&) {},
+  peers_.Post(
+      address, kReturnPath, {{"team", team.name}}, [](const http_response&) {},
       [this](http_failure, const std::string&) {
         // The team has one request less until its part has refilled.
         state_.counters.Add("allowance_return_lost");
@@ -149,8 +149,9 @@
   const json body = json::parse(exchange->request().body, nullptr, false);
   const shared_configuration configuration = state_.configuration.current();
   const gateway_team* team =
-      body.is_object() && configuration
-          ? configuration->FindTeam(body.value("team", ""))
+      configuration && body.is_object() && body.contains("team") &&
+              body["team"].is_string()
+          ? configuration->FindTeam(body["team"].get<std::string>())
           : nullptr;
   if (team == nullptr) {
     exchange->Respond(JsonResponse(kBadRequest, {{"error", "unknown team"}}));
@@ -158,30 +159,19 @@
     Return(*team, self_);
     exchange->Respond(JsonResponse(kOk, json::object()));
   } else {
-    const allowance_verdict verdict = TakeHere(*team);
+    const allowance_verdict verdict =
+        MayGrant(*team) ? TakeHere(*team)
+                        : allowance_verdict{outcome::refused, kNotYetWait, ""};
     exchange->Respond(JsonResponse(kOk, {{"wait_ms", verdict.wait.count()}}));
   }
   return true;
 }
 
 std::string allowance_service::PeerAddressOf(const std::string& holder) const {
-  const auto found = state_.members.find(holder);
-  return found == state_.members.end() ? "" : found->second.peer_address;
-}
-
-http_client_request allowance_service::PeerRequest(
-    const std::string& holder,
-    const char* path,
-    const std::string& team) const {
-  http_client_request request;
-  request.address = PeerAddressOf(holder);
-  request.method = "POST";
-  request.target = path;
-  request.body = json{{"team", team}}.dump();
-  request.deadline = kPeerDeadline;
-  request.connect_limit = kPeerConnectLimit;
-  request.reuse_connection = true;
-  return request;
+  const auto found = state_.membership.members().find(holder);
+  return found == state_.membership.members().end()
+             ? ""
+             : found->second.peer_address;
 }
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/allowance_service.h
+++ b/source/gentian_gateway_daemon/allowance_service.h
@@ -2,13 +2,13 @@
 #define GENTIAN_GATEWAY_DAEMON_ALLOWANCE_SERVICE_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "gentian_gateway_daemon/gateway_settings.h"
 #include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/peer_client.h"
 #include "gentian_net/gentian_net.h"
 
 namespace gentian {
@@ -60,27 +60,24 @@
 
  private:
   struct asking {
-    gateway_team team;
+    std::string team;
     std::vector<std::string> holders;
     std::size_t next = 0;
     allowance_verdict verdict;
     verdict_handler handler;
   };
 
+  bool MayGrant(const gateway_team& team) const;
+  /** Precondition: this daemon may grant. */
   allowance_verdict TakeHere(const gateway_team& team);
   void AskNext(const std::shared_ptr<asking>& subject);
   void Heard(const std::shared_ptr<asking>& subject,
              const allowance_verdict& verdict);
-  http_client_request PeerRequest(const std::string& holder,
-                                  const char* path,
-                                  const std::string& team) const;
   std::string PeerAddressOf(const std::string& holder) const;
 
-  http_client& peers_;
+  peer_client peers_;
   gateway_state& state_;
   std::string self_;
-  /** Holders that did not answer, until when they are not asked. */
-  std::map<std::string, steady_time> unreachable_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -102,18 +102,21 @@
     Admit();
     return;
   }
-  environment_.allowances.Take(*team_, call_->request_id,
-                               [me = shared_from_this(), team = *team_](
-                                   const allowance_verdict& verdict) {
-                                 me->OnAllowance(team, verdict);
-                               });
+  // Keeps the configuration, of which the team is a part.
+  std::shared_ptr<const gateway_team> team(configuration_, team_);
+  environment_.allowances.Take(
+      *team_, call_->request_id,
+      [me = shared_from_this(),
+       team = std::move(team)](const allowance_verdict& verdict) {
+        me->OnAllowance(team, verdict);
+      });
 }
 
-void gateway_call::OnAllowance(const gateway_team& team,
+void gateway_call::OnAllowance(std::shared_ptr<const gateway_team> team,
                                const allowance_verdict& verdict) {
   using outcome = allowance_verdict::outcome;
   if (verdict.result == outcome::granted) {
-    charged_team_ = team;
+    charged_team_ = std::move(team);
     allowance_holder_ = verdict.holder;
   }
   if (phase_ == phase::ended) {
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -54,7 +54,8 @@
   // Admission.
   std::optional<refusal> Authorize();
   void TakeAllowance();
-  void OnAllowance(const gateway_team& team, const allowance_verdict& verdict);
+  void OnAllowance(std::shared_ptr<const gateway_team> team,
+                   const allowance_verdict& verdict);
   void Admit();
   void RequestTurn();
   void OnTurnVerdict(const turn_verdict& verdict, const std::string& owner);
@@ -100,7 +101,7 @@
 
   phase phase_ = phase::waiting;
   /** The team whose allowance was charged. */
-  std::optional<gateway_team> charged_team_;
+  std::shared_ptr<const gateway_team> charged_team_;
   /** Key of the daemon that granted the request. */
   std::string allowance_holder_;
   /** The turn while it waits for its verdict. */
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -42,40 +42,43 @@
 }
 
 void gateway_call::LogEnd(const std::string& outcome, steady_time now) const {
-  const gateway_state& state = environment_.state;
-  json line = ChoiceFields(now);
-  line.update(
-      {{"request", call_ ? call_->request_id : ""},
-       {"outcome", outcome},
-       {"status", answer_.status},
-       {"route", route_ == nullptr ? "" : route_->name},
-       {"service", service_},
-       {"team", team_ == nullptr ? "" : team_->name},
-       {"program", call_ ? call_->program : ""},
-       {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
-       {"most", call_ ? call_->max_output_tokens : -1},
-       {"allowance_holder", allowance_holder_},
-       {"owner", turn_owner_},
-       {"sends", sends_},
-       {"runs", runs_},
-       {"retry_reason", last_reason_},
-       {"retry_after_ms", retry_after_.value_or(kUnknown).count()},
-       {"events", events_sent_},
-       {"first_event_ms",
-        (first_event_ ? ToMilliseconds(*first_event_ - arrived_) : kUnknown)
-            .count()},
-       {"members", state.members.size()},
-       {"configuration", configuration_ ? configuration_->version() : 0},
-       {"configuration_age_ms",
-        state.configuration.Age(now).value_or(kUnknown).count()},
-       {"time_left_ms",
-        deadline_ == steady_time() ? -1 : TimeLeft(now).count()},
-       {"duration_ms", ToMilliseconds(now - arrived_).count()}});
+  const auto fields = [&] {
+    const gateway_state& state = environment_.state;
+    json line = ChoiceFields(now);
+    line.update(
+        {{"request", call_ ? call_->request_id : ""},
+         {"outcome", outcome},
+         {"status", answer_.status},
+         {"route", route_ == nullptr ? "" : route_->name},
+         {"service", service_},
+         {"team", team_ == nullptr ? "" : team_->name},
+         {"program", call_ ? call_->program : ""},
+         {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
+         {"most", call_ ? call_->max_output_tokens : -1},
+         {"allowance_holder", allowance_holder_},
+         {"owner", turn_owner_},
+         {"sends", sends_},
+         {"runs", runs_},
+         {"retry_reason", last_reason_},
+         {"retry_after_ms", retry_after_.value_or(kUnknown).count()},
+         {"events", events_sent_},
+         {"first_event_ms",
+          (first_event_ ? ToMilliseconds(*first_event_ - arrived_) : kUnknown)
+              .count()},
+         {"members", state.membership.members().size()},
+         {"configuration", configuration_ ? configuration_->version() : 0},
+         {"configuration_age_ms",
+          state.configuration.Age(now).value_or(kUnknown).count()},
+         {"time_left_ms",
+          deadline_ == steady_time() ? -1 : TimeLeft(now).count()},
+         {"duration_ms", ToMilliseconds(now - arrived_).count()}});
+    return line;
+  };
   if (outcome == kAnswered && last_reason_.empty()) {
     LogRoutine(call_->program.empty() ? call_->request_id : call_->program,
-               "request ended", line);
+               "request ended", fields);
   } else {
-    Log(log_level::info, "request ended", line);
+    Log(log_level::info, "request ended", fields());
   }
 }
 
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -149,7 +149,7 @@
     return;
   }
   std::vector<std::string> addresses;
-  for (const auto& [key, member] : state_.members) {
+  for (const auto& [key, member] : state_.membership.members()) {
     const bool self = member.host == settings_.host;
     if (!member.stopping && !(self && !state_.CanServe(BootTimeNow()))) {
       addresses.push_back(member.caller_address);
@@ -173,8 +173,8 @@
   }
   state_.metrics.SetGauge("open_requests",
                           static_cast<double>(state_.open_requests));
-  state_.metrics.SetGauge("members",
-                          static_cast<double>(state_.members.size()));
+  state_.metrics.SetGauge(
+      "members", static_cast<double>(state_.membership.members().size()));
   const log_losses losses = LogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
                           static_cast<double>(losses.sampled));
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -1,9 +1,6 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
 
-#include <map>
-#include <string>
-
 #include "gentian_daemon/daemon_metrics.h"
 #include "gentian_gateway/gentian_gateway.h"
 #include "gentian_gateway_daemon/gateway_settings.h"
@@ -13,7 +10,8 @@
 /** What a gateway daemon believes. Used on the I/O thread only. */
 struct gateway_state {
   explicit gateway_state(const gateway_settings& settings)
-      : configuration(settings.withdrawal_bound) {}
+      : configuration(settings.withdrawal_bound),
+        membership(MemberKey(settings.host)) {}
 
   /** True if requests that need a key can be served. */
   bool CanServe(steady_time now) const {
@@ -24,10 +22,7 @@
   target_table targets;
   allowance_meter allowances;
   allowance_holders holders;
-  /** Registered daemons by key, this one included. A record that vanished is
-      kept for some seconds: all of them may vanish while the key-value service
-      is away, and are written again. */
-  std::map<std::string, member_record> members;
+  gateway_members membership;
   /** When the list of members last changed. */
   steady_time members_changed_at;
   /** The last call to the key-value service was answered. */
--- /dev/null
+++ b/source/gentian_gateway_daemon/peer_client.cc
@@ -0,0 +1,34 @@
+#include "gentian_gateway_daemon/peer_client.h"
+
+#include <utility>
+
+namespace gentian {
+
+std::shared_ptr<http_call> peer_client::Post(
+    const std::string& address,
+    const char* path,
+    const json& body,
+    std::function<void(http_response)> on_answer,
+    std::function<void(http_failure, const std::string&)> on_failure) {
+  http_client_request request;
+  request.address = address;
+  request.method = "POST";
+  request.target = path;
+  request.body = body.dump();
+  request.deadline = times_.deadline;
+  request.connect_limit = times_.connect_limit;
+  request.reuse_connection = true;
+  return client_.Fetch(std::move(request), std::move(on_answer),
+                       std::move(on_failure));
+}
+
+void peer_client::Avoid(const std::string& address) {
+  avoided_until_[address] = BootTimeNow() + kAvoidedFor;
+}
+
+bool peer_client::IsAvoided(const std::string& address) const {
+  const auto found = avoided_until_.find(address);
+  return found != avoided_until_.end() && BootTimeNow() < found->second;
+}
+
+}  // namespace gentian
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -1,6 +1,7 @@
 #include "gentian_gateway_daemon/state_reader.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "gentian_log/gentian_log.h"
@@ -45,7 +46,6 @@
       settings_(settings),
       state_(state),
       on_configuration_(std::move(on_configuration)),
-      known_members_(MemberKey(settings.host)),
       listings_{{{"configuration", protocol.ConfigurationPrefix(),
                   kConfigurationInterval, &state_reader::ApplyConfiguration},
                  {"targets", protocol.TargetsPrefix(), kTargetsInterval,
@@ -163,22 +163,26 @@
       state_.counters.Add("member_entry_unreadable");
     }
   }
+  gateway_members& membership = state_.membership;
   const std::size_t listed_count = listed.size();
-  if (known_members_.Update(std::move(listed), asked_at)) {
+  const std::size_t before = membership.members().size();
+  const std::vector<std::string> could_grant = membership.MayGrant();
+  if (membership.Update(std::move(listed), asked_at)) {
     state_.members_changed_at = asked_at;
     Log(log_level::info, "members changed",
-        {{"count", known_members_.members().size()},
+        {{"count", membership.members().size()},
          {"listed", listed_count},
-         {"before", state_.members.size()}});
+         {"before", before}});
+  }
+  if (membership.MayGrant() != could_grant) {
+    UpdateHolders();
   }
-  state_.members = known_members_.members();
-  UpdateHolders();
 }
 
 void state_reader::UpdateHolders() {
   const shared_configuration configuration = state_.configuration.current();
   if (configuration) {
-    state_.holders.Update(known_members_.MayGrant(),
+    state_.holders.Update(state_.membership.MayGrant(),
                           configuration->content().teams,
                           MemberKey(settings_.host), BootTimeNow());
   }
@@ -202,14 +206,17 @@
   pool_.After(kMaxRetry, [this] { GrantLease(); });
 }
 
-void state_reader::WriteRecord() {
+void state_reader::StoreRecord(key_value_store::answer_handler on_answer) {
   const member_record own{settings_.host, settings_.failure_domain,
                           settings_.caller_address, settings_.peer_address,
                           state_.stopping};
   store_.Call(kv_compare_and_swap{MemberKey(settings_.host), record_version_,
                                   EncodeMember(own), lease_},
-              kCallDeadline,
-              [this](const kv_answer& answer) { OnRecordWritten(answer); });
+              kCallDeadline, std::move(on_answer));
+}
+
+void state_reader::WriteRecord() {
+  StoreRecord([this](const kv_answer& answer) { OnRecordWritten(answer); });
 }
 
 void state_reader::OnRecordWritten(const kv_answer& answer) {
@@ -250,19 +257,15 @@
 }
 
 void state_reader::AnnounceStop() {
-  const member_record own{settings_.host, settings_.failure_domain,
-                          settings_.caller_address, settings_.peer_address,
-                          true};
+  assert(state_.stopping);
   if (lease_ == 0) {
     return;
   }
-  store_.Call(kv_compare_and_swap{MemberKey(settings_.host), record_version_,
-                                  EncodeMember(own), lease_},
-              kCallDeadline, [this](const kv_answer& answer) {
-                if (answer.outcome == kv_answer::status::ok) {
-                  record_version_ = answer.revision;
-                }
-              });
+  StoreRecord([this](const kv_answer& answer) {
+    if (answer.outcome == kv_answer::status::ok) {
+      record_version_ = answer.revision;
+    }
+  });
 }
 
 void state_reader::Deregister() {
@@ -277,8 +280,9 @@
 }
 
 bool state_reader::IsFirstMember() const {
-  return !state_.members.empty() &&
-         state_.members.begin()->first == MemberKey(settings_.host);
+  const auto& members = state_.membership.members();
+  return !members.empty() &&
+         members.begin()->first == MemberKey(settings_.host);
 }
 
 void state_reader::AnswerDrainRequests(const kv_answer& answer) {
@@ -287,7 +291,7 @@
   }
   for (const kv_entry& entry : answer.entries) {
     const auto request = protocol_.DecodeDrainRequest(entry);
-    if (!request || !drains_.try_emplace(request->status_key, false).second) {
+    if (!request || !drains_.insert(request->status_key).second) {
       continue;
     }
     Log(log_level::info, "host is to be emptied",
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -2,7 +2,8 @@
 #define GENTIAN_GATEWAY_DAEMON_STATE_READER_H_
 
 #include <array>
-#include <map>
+#include <functional>
+#include <set>
 #include <string>
 
 #include "gentian_adapters/gentian_adapters.h"
@@ -26,7 +27,8 @@
 
   void Start();
 
-  /** Tells the others that this daemon takes no new callers. */
+  /** Tells the others that this daemon takes no new callers. Precondition: the
+      state says that it is stopping. */
   void AnnounceStop();
 
   /** Removes the registration. */
@@ -53,9 +55,11 @@
   void ApplyTargets(const kv_answer& answer, steady_time asked_at);
   void ApplyMembers(const kv_answer& answer, steady_time asked_at);
 
-  // Registration: grant a lease, write the record, renew the lease.
   void UpdateHolders();
+
+  // Registration: grant a lease, write the record, renew the lease.
   void GrantLease();
+  void StoreRecord(key_value_store::answer_handler on_answer);
   void WriteRecord();
   void OnRecordWritten(const kv_answer& answer);
   void RenewLease();
@@ -74,12 +78,12 @@
   const gateway_settings& settings_;
   gateway_state& state_;
   std::function<void()> on_configuration_;
-  gateway_members known_members_;
   std::array<listing, 3> listings_;
   std::uint64_t configuration_version_ = 0;
   std::uint64_t lease_ = 0;
   std::uint64_t record_version_ = 0;
-  std::map<std::string, bool> drains_;
+  /** Keys of the drain requests that are being answered or are done. */
+  std::set<std::string> drains_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -11,9 +11,6 @@
 using outcome = turn_verdict::outcome;
 
 constexpr milliseconds kPeerConnectLimit{150};
-// An owner that did not answer is not asked for this time; the members' list
-// drops it if it is gone.
-constexpr milliseconds kUnreachableTime{2'000};
 // Time between two tries to read a budget while the key-value service is away.
 constexpr milliseconds kOutageRetry{150};
 
@@ -27,7 +24,7 @@
                            const std::string& writer)
     : pool_(pool),
       store_(store),
-      peers_(peers),
+      peers_(peers, {kPeerDeadline, kPeerConnectLimit}),
       settings_(settings),
       state_(state),
       ledger_(writer),
@@ -72,25 +69,10 @@
 
 const member_record* turn_service::ReachableOwner(
     const std::string& program) const {
-  const steady_time now = BootTimeNow();
-  return OwnerOf(program, state_.members, [&](const member_record& member) {
-    const auto found = unreachable_.find(member.peer_address);
-    return found == unreachable_.end() || now >= found->second;
-  });
-}
-
-http_client_request turn_service::PeerRequest(const std::string& owner,
-                                              const char* path,
-                                              const json& body) const {
-  http_client_request request;
-  request.address = owner;
-  request.method = "POST";
-  request.target = path;
-  request.body = body.dump();
-  request.deadline = kPeerDeadline;
-  request.connect_limit = kPeerConnectLimit;
-  request.reuse_connection = true;
-  return request;
+  return OwnerOf(program, state_.membership.members(),
+                 [this](const member_record& member) {
+                   return !peers_.IsAvoided(member.peer_address);
+                 });
 }
 
 void turn_service::AskOwner(const std::string& owner,
@@ -98,8 +80,8 @@
                             turn_ticket known) {
   asked_turn& asked = asked_.at(number);
   const json body = known == 0 ? json(asked.request) : json{{"ticket", known}};
-  asked.call = peers_.Fetch(
-      PeerRequest(owner, kAskPath, body),
+  asked.call = peers_.Post(
+      owner, kAskPath, body,
       [this, owner, number](const http_response& response) {
         OnOwnerAnswer(owner, number, response);
       },
@@ -111,8 +93,8 @@
               {{"request", request.request_id},
                {"program", request.program},
                {"owner", owner},
-               {"not_asked_for_ms", kUnreachableTime.count()}});
-          unreachable_[owner] = BootTimeNow() + kUnreachableTime;
+               {"not_asked_for_ms", peer_client::kAvoidedFor.count()}});
+          peers_.Avoid(owner);
           Ask(number);
         }
       });
@@ -197,8 +179,8 @@
     EndOwned(end);
     return;
   }
-  peers_.Fetch(
-      PeerRequest(owner, kEndPath, json(end)), [](const http_response&) {},
+  peers_.Post(
+      owner, kEndPath, end, [](const http_response&) {},
       [this](http_failure, const std::string&) {
         // The tokens stay claimed and unused.
         state_.counters.Add("turn_end_lost");
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -9,6 +9,7 @@
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_gateway_daemon/gateway_settings.h"
 #include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/peer_client.h"
 #include "gentian_gateway_daemon/turn_request.h"
 
 namespace gentian {
@@ -101,14 +102,11 @@
   void Answer(std::uint64_t number,
               const turn_verdict& verdict,
               const std::string& owner);
-  http_client_request PeerRequest(const std::string& owner,
-                                  const char* path,
-                                  const json& body) const;
 
   // Being the owner.
   turn_ticket Own(const turn_request& request);
   bool IsOwner(const std::string& program) const;
-  bool IsSettledOwner(const std::string& program) const;
+  bool IsSettled() const;
   void Await(turn_ticket ticket,
              std::function<void(const turn_verdict&)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
@@ -128,7 +126,7 @@
 
   io_pool& pool_;
   key_value_store& store_;
-  http_client& peers_;
+  peer_client peers_;
   const gateway_settings& settings_;
   gateway_state& state_;
   budget_ledger ledger_;
@@ -139,8 +137,6 @@
   std::uint64_t last_number_ = 0;
   std::map<turn_ticket, owned_turn> owned_;
   std::map<std::uint64_t, asked_turn> asked_;
-  /** Owners that did not answer, until when they are not asked. */
-  std::map<std::string, steady_time> unreachable_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -61,24 +61,24 @@
   own.finish_by = now + request.finish_within;
   own.give_up_at = now + request.wait_limit;
   ArmTimer();
-  Execute(ledger_.Reserve(
-      {request.program, request.budget, request.most, ticket,
-       IsSettledOwner(request.program), IsOwner(request.program)},
-      now));
+  const bool is_owner = IsOwner(request.program);
+  Execute(ledger_.Reserve({request.program, request.budget, request.most,
+                           ticket, is_owner && IsSettled(), is_owner},
+                          now));
   return ticket;
 }
 
 bool turn_service::IsOwner(const std::string& program) const {
-  const member_record* owner = OwnerOf(
-      program, state_.members, [](const member_record&) { return true; });
+  const member_record* owner =
+      OwnerOf(program, state_.membership.members(),
+              [](const member_record&) { return true; });
   return owner != nullptr && owner->host == settings_.host;
 }
 
-// True if all daemons name this one as the program's owner and have done so
-// since before the program's current turns.
-bool turn_service::IsSettledOwner(const std::string& program) const {
-  return IsOwner(program) &&
-         BootTimeNow() - state_.members_changed_at > kSettledAfter;
+// True if all daemons name the same owners and have done so since before the
+// programs' current turns.
+bool turn_service::IsSettled() const {
+  return BootTimeNow() - state_.members_changed_at > kSettledAfter;
 }
 
 void turn_service::Await(turn_ticket ticket,
@@ -97,27 +97,29 @@
                               const turn_verdict& verdict) const {
   const turn_request& request = own.request;
   const steady_time now = BootTimeNow();
-  const json line = {
-      {"request", request.request_id},
-      {"program", request.program},
-      {"service", request.service},
-      {"outcome", NameOf(verdict.result)},
-      {"target", verdict.target},
-      {"waited_ms", ToMilliseconds(now - own.asked_at).count()},
-      {"wait_limit_ms", request.wait_limit.count()},
-      {"finish_in_ms", ToMilliseconds(own.finish_by - now).count()},
-      {"budget", request.budget},
-      {"used", ledger_.UsedOf(request.program)},
-      {"most", request.most},
-      {"turns_waiting", scheduler_.waiting()},
-      {"turns_running", scheduler_.running()},
-      {"service_limit", std::lround(scheduler_.LimitOf(request.service))},
-      {"members", state_.members.size()},
-      {"store_reached", state_.store_reached}};
+  const auto fields = [&] {
+    return json{
+        {"request", request.request_id},
+        {"program", request.program},
+        {"service", request.service},
+        {"outcome", NameOf(verdict.result)},
+        {"target", verdict.target},
+        {"waited_ms", ToMilliseconds(now - own.asked_at).count()},
+        {"wait_limit_ms", request.wait_limit.count()},
+        {"finish_in_ms", ToMilliseconds(own.finish_by - now).count()},
+        {"budget", request.budget},
+        {"used", ledger_.UsedOf(request.program)},
+        {"most", request.most},
+        {"turns_waiting", scheduler_.waiting()},
+        {"turns_running", scheduler_.running()},
+        {"service_limit", std::lround(scheduler_.LimitOf(request.service))},
+        {"members", state_.membership.members().size()},
+        {"store_reached", state_.store_reached}};
+  };
   if (verdict.result == outcome::granted) {
-    LogRoutine(request.program, "turn decided", line);
+    LogRoutine(request.program, "turn decided", fields);
   } else {
-    Log(log_level::info, "turn decided", line);
+    Log(log_level::info, "turn decided", fields());
   }
 }
 
@@ -157,7 +159,7 @@
 }
 
 void turn_service::Advance() {
-  scheduler_.SetMembers(state_.members.size());
+  scheduler_.SetMembers(state_.membership.members().size());
   for (const turn_decision& decision : scheduler_.Advance(BootTimeNow())) {
     const auto found = owned_.find(decision.ticket);
     if (found == owned_.end()) {
--- a/source/gentian_log/log.cc
+++ b/source/gentian_log/log.cc
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 #include "gentian_log/json_layout.h"
@@ -95,25 +96,36 @@
   return content.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+// The caller holds the mutex.
+log_losses LossesOf(const log_state& state) {
+  return {state.sampler.left_out(),
+          state.writer == nullptr ? 0 : state.writer->dropped()};
+}
+
+// Losses that have not been reported, if a report is due.
+std::optional<log_losses> TakeLossesToReport() {
+  log_state& state = State();
+  const std::lock_guard<std::mutex> lock(state.mutex);
+  const log_losses losses = LossesOf(state);
+  const steady_time now = BootTimeNow();
+  const bool same = losses.sampled == state.reported.sampled &&
+                    losses.dropped == state.reported.dropped;
+  if (same || now - state.reported_at < kLossReportInterval) {
+    return std::nullopt;
+  }
+  state.reported = losses;
+  state.reported_at = now;
+  return losses;
+}
+
 // Totals, so that a report that is itself dropped is made up for by the next.
 void ReportLosses() {
-  log_state& state = State();
-  const log_losses losses = LogLosses();
-  {
-    const std::lock_guard<std::mutex> lock(state.mutex);
-    const steady_time now = BootTimeNow();
-    const bool same = losses.sampled == state.reported.sampled &&
-                      losses.dropped == state.reported.dropped;
-    if (same || now - state.reported_at < kLossReportInterval) {
-      return;
-    }
-    state.reported = losses;
-    state.reported_at = now;
+  if (const auto losses = TakeLossesToReport()) {
+    log4cplus::Logger::getInstance(kLogger).log(
+        log4cplus::WARN_LOG_LEVEL,
+        TextOf("log lines left out since the start",
+               {{"sampled", losses->sampled}, {"dropped", losses->dropped}}));
   }
-  log4cplus::Logger::getInstance(kLogger).log(
-      log4cplus::WARN_LOG_LEVEL,
-      TextOf("log lines left out since the start",
-             {{"sampled", losses.sampled}, {"dropped", losses.dropped}}));
 }
 
 }  // namespace
@@ -171,7 +183,7 @@
 
 void LogRoutine(const std::string& subject,
                 const std::string& message,
-                const json& fields) {
+                const std::function<json()>& fields) {
   if (!log_started) {
     return;
   }
@@ -187,7 +199,7 @@
     keep = state.sampler.Keep(subject, BootTimeNow());
   }
   if (keep) {
-    logger.log(log4cplus::INFO_LOG_LEVEL, TextOf(message, fields));
+    logger.log(log4cplus::INFO_LOG_LEVEL, TextOf(message, fields()));
   }
   ReportLosses();
 }
@@ -195,8 +207,7 @@
 log_losses LogLosses() {
   log_state& state = State();
   const std::lock_guard<std::mutex> lock(state.mutex);
-  return {state.sampler.left_out(),
-          state.writer == nullptr ? 0 : state.writer->dropped()};
+  return LossesOf(state);
 }
 
 }  // namespace gentian
--- a/source/gentian_log/log.h
+++ b/source/gentian_log/log.h
@@ -2,6 +2,7 @@
 #define GENTIAN_LOG_LOG_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "gentian_core/gentian_core.h"
@@ -42,11 +43,12 @@
 
     @param subject  the program or request; all lines of one subject are kept or
                     left out together
+    @param fields   runs only if the line is written
     @see line_sampler
 */
 void LogRoutine(const std::string& subject,
                 const std::string& message,
-                const json& fields);
+                const std::function<json()>& fields);
 
 /** What was not written. */
 log_losses LogLosses();
--- a/source/gentian_log/request_history.cc
+++ b/source/gentian_log/request_history.cc
@@ -84,8 +84,7 @@
 }
 
 bool SaysNothing(const json& value) {
-  return value.is_null() || (value.is_string() && value.empty()) ||
-         value == json("") || value == json(-1);
+  return value.is_null() || value == json("") || value == json(-1);
 }
 
 std::string TextIn(const json& fields, const char* name) {
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -39,6 +39,7 @@
              std::function<void()> on_closed)
       : stream_(std::move(stream)),
         environment_(std::move(environment)),
+        limits_(std::atomic_load(&environment_->limits)),
         on_closed_(std::move(on_closed)),
         receive_timer_(stream_->executor()),
         send_timer_(stream_->executor()),
@@ -163,9 +164,10 @@
 
   bool IsClosing() const { return draining_ || environment_->closing; }
 
-  http_server_limits limits() const {
-    return *std::atomic_load(&environment_->limits);
-  }
+  const http_server_limits& limits() const { return *limits_; }
+
+  // Limits that change take effect with the next request or idle time.
+  void TakeLimits() { limits_ = std::atomic_load(&environment_->limits); }
 
   template <typename Step>
   void Post(Step step) {
@@ -221,6 +223,7 @@
       return;
     }
     if (!parser_ && !input_.empty()) {
+      TakeLimits();
       parser_.emplace();
       parser_->eager(true);
       parser_->header_limit(
@@ -289,6 +292,7 @@
       Read();
       return;
     }
+    TakeLimits();
     ArmReceiveTimer(limits().idle_deadline);
     Parse();
   }
@@ -361,6 +365,7 @@
 
   std::shared_ptr<byte_stream> stream_;
   std::shared_ptr<const connection_environment> environment_;
+  std::shared_ptr<const http_server_limits> limits_;
   std::function<void()> on_closed_;
   asio::steady_timer receive_timer_;
   asio::steady_timer send_timer_;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
 
 using namespace gentian;
@@ -173,3 +174,12 @@
     cr_assert(!ErrorOf(failed).remedy.empty());
   }
 }
+
+// Guards against a reason of a refusal that `gentianrun explain` does not know.
+Test(refusal, every_reason_has_a_meaning) {
+  const int last = static_cast<int>(refusal_reason::target_failed);
+  for (int i = 0; i <= last; ++i) {
+    const char* name = NameOf(static_cast<refusal_reason>(i));
+    cr_assert(!request_history::MeaningOf(name).empty(), "%s", name);
+  }
+}
