End the process at once after a planned stop

Markers in a trial build showed that RunGateway, the pool and StopLog had ended within 110 ms; what remained were static destructors, which join the thread pool of the logging library. Ruled out: open connections, the I/O pool, the log's own writer thread. Change: main flushes standard output and ends with quick_exit, which runs no static destructors.

--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -8,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<gentian::subcommand, 6> kSubcommands = {{
+constexpr std::array<gentian::subcommand, 7> kSubcommands = {{
     {"check", "check settings files without starting anything",
      gentian::RunCheck},
     {"admin", "show and change the settings of a fleet", gentian::RunAdmin},
@@ -16,6 +17,8 @@
      gentian::RunServe},
     {"gateway", "run a daemon on the users' platform",
      gentian::RunGatewayCommand},
+    {"turn-store", "keep turns on a host's disk on the users' platform",
+     gentian::RunTurnStoreCommand},
     {"explain", "tell from logs what became of a request", gentian::RunExplain},
     {"dev", "run one daemon with fakes of all outside systems",
      gentian::RunDev},
@@ -48,7 +51,10 @@
     if (name == next.name) {
       const int status = next.run(argc - 1, argv + 1);
       gentian::StopLog();
-      return status;
+      std::cout.flush();
+      // The logging library's static destructors wait for its idle threads,
+      // which can take longer than the grace time of a planned stop.
+      std::quick_exit(status);
     }
   }
   std::cerr << "gentianrun: unknown subcommand '" << name
