--- a/source/gentian_adapters/etcd_key_value_store.cc
+++ b/source/gentian_adapters/etcd_key_value_store.cc
@@ -144,7 +144,8 @@
                                  answer_handler handler) {
   Post("/v3/kv/range",
        {{"key", EncodeBase64(operation.prefix)},
-        {"range_end", EncodeBase64(EndOfPrefix(operation.prefix))}},
+        {"range_end", EncodeBase64(EndOfPrefix(operation.prefix))},
+        {"serializable", operation.may_be_stale}},
        deadline, std::move(handler), ReadRange);
 }
 
--- /dev/null
+++ b/source/gentian_app/platform_process.cc
@@ -0,0 +1,79 @@
+#include "gentian_app/platform_process.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <future>
+#include <thread>
+
+#include "gentian_log/gentian_log.h"
+#include "platform/platform.h"
+
+namespace gentian {
+
+namespace {
+
+// Time before a process with unusable settings ends.
+constexpr std::chrono::seconds kPauseAfterError{2};
+
+}  // namespace
+
+std::optional<int> detail::ParsePlatformOptions(const platform_command& command,
+                                                int argc,
+                                                char** argv,
+                                                platform_options& parsed) {
+  const std::string name = std::string("gentianrun ") + command.name;
+  cxxopts::Options options(name, command.summary);
+  options.add_options()("settings", "the settings file that the platform wrote",
+                        cxxopts::value<std::string>())(
+      "check", "check the settings file and end")("h,help", "Show this help");
+  try {
+    const auto given = options.parse(argc, argv);
+    if (given.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    parsed.settings_path = given.count("settings") > 0
+                               ? given["settings"].as<std::string>()
+                               : NodeFilePath();
+    parsed.check = given.count("check") > 0;
+    return std::nullopt;
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << name << ": " << failure.what() << "; see " << name
+              << " --help\n";
+    return 2;
+  }
+}
+
+int FailToRun(const platform_command& command, const error& reason) {
+  std::cerr << "gentianrun " << command.name << ": " << reason.message << "; "
+            << reason.remedy << "\n";
+  std::this_thread::sleep_for(kPauseAfterError);
+  return 1;
+}
+
+void RunUntilStopped(io_pool& pool,
+                     const std::function<void(std::function<void()>)>& stop) {
+  std::promise<void> stopped;
+  boost::asio::signal_set signals(pool.context(), SIGTERM, SIGINT, SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_signal =
+      [&](boost::system::error_code failure, int signal) {
+        if (failure) {
+          return;
+        }
+        if (signal == SIGHUP) {
+          // Settings don't change while a process runs.
+          Log(log_level::info, "settings kept",
+              {{"reason", "addresses are fixed while the process runs"}});
+        } else {
+          stop([&stopped] { stopped.set_value(); });
+        }
+        signals.async_wait(on_signal);
+      };
+  signals.async_wait(on_signal);
+  stopped.get_future().wait();
+  pool.Stop();
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_app/platform_process.h
@@ -0,0 +1,83 @@
+#ifndef GENTIAN_APP_PLATFORM_PROCESS_H_
+#define GENTIAN_APP_PLATFORM_PROCESS_H_
+
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "gentian_app/text_file.h"
+#include "gentian_net/gentian_net.h"
+
+namespace gentian {
+
+/** A subcommand that runs as the platform's settings file says. */
+struct platform_command {
+  /** As in `gentianrun gateway`. */
+  const char* name;
+  const char* summary;
+};
+
+namespace detail {
+
+/** The command line of a platform_command. */
+struct platform_options {
+  std::string settings_path;
+  /** Only check the settings. */
+  bool check = false;
+};
+
+/** Parses the command line, or answers it.
+
+    @returns  the exit status if there is nothing more to do */
+std::optional<int> ParsePlatformOptions(const platform_command& command,
+                                        int argc,
+                                        char** argv,
+                                        platform_options& options);
+
+}  // namespace detail
+
+/** Reports an error that keeps the process from running, and waits, so that a
+    supervisor doesn't start it again several times a second.
+
+    @returns  the exit status */
+int FailToRun(const platform_command& command, const error& reason);
+
+/** Runs until a signal to stop has been handled, then stops the pool.
+
+    @param stop  stops the daemon and calls its argument once that is done */
+void RunUntilStopped(io_pool& pool,
+                     const std::function<void(std::function<void()>)>& stop);
+
+/** Reads the settings that the platform wrote, and runs with them.
+
+    @param parse  parses the text of the file with the given path
+    @param run    returns the exit status */
+template <typename Settings>
+int RunPlatformCommand(const platform_command& command,
+                       int argc,
+                       char** argv,
+                       result<Settings> (*parse)(const std::string& text,
+                                                 const std::string& path),
+                       int (*run)(const Settings& settings)) {
+  detail::platform_options options;
+  if (const std::optional<int> status =
+          detail::ParsePlatformOptions(command, argc, argv, options)) {
+    return *status;
+  }
+  const result<std::string> text = ReadTextFile(options.settings_path);
+  const result<Settings> settings =
+      Failed(text) ? result<Settings>(ErrorOf(text))
+                   : parse(ValueOf(text), options.settings_path);
+  if (options.check) {
+    std::cout << (Failed(settings) ? ErrorOf(settings).message : "valid")
+              << "\n";
+    return Failed(settings) ? 1 : 0;
+  }
+  return Failed(settings) ? FailToRun(command, ErrorOf(settings))
+                          : run(ValueOf(settings));
+}
+
+}  // namespace gentian
+
+#endif  // GENTIAN_APP_PLATFORM_PROCESS_H_
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -26,6 +26,9 @@
 /** Runs a daemon on the users' platform. */
 int RunGatewayCommand(int argc, char** argv);
 
+/** Runs the turn store of a host with a disk on the users' platform. */
+int RunTurnStoreCommand(int argc, char** argv);
+
 /** Runs a daemon with fakes of all outside systems in one process. */
 int RunDev(int argc, char** argv);
 
--- a/source/gentian_decisions/kv_operation.h
+++ b/source/gentian_decisions/kv_operation.h
@@ -30,6 +30,8 @@
 /** Reads all keys with a prefix. */
 struct kv_list {
   std::string prefix;
+  /** The listing may be some seconds old, and costs the service less. */
+  bool may_be_stale = false;
 };
 
 /** Writes a key if its version is the expected one; 0 creates it. */
--- a/source/gentian_gateway/gateway_route.h
+++ b/source/gentian_gateway/gateway_route.h
@@ -36,9 +36,14 @@
   bool resumable = false;
   /** No key is needed. */
   bool open_to_all = false;
-  /** Requests carry prompts; a target that has cached the prompt's prefix
-      answers at lower cost. */
-  bool has_prompts = false;
+  /** A target that has handled the same object or program lately, and has its
+      data or its prompt's prefix cached, answers at lower cost. */
+  bool has_affinity = false;
+  /** Requests carry only the input of a turn; the system keeps the turns and
+      puts the history before the input. */
+  bool keeps_turns = false;
+  /** Time for which a turn and its chain are kept. */
+  milliseconds turn_retention{60'000};
   /** Timeout that the operator sets for a caller's request. */
   milliseconds timeout{30'000};
   /** Time within which a request should be answered. */
--- a/source/gentian_gateway/member_record.h
+++ b/source/gentian_gateway/member_record.h
@@ -18,7 +18,10 @@
   bool stopping = false;
 };
 
-/** Key prefix of all records. */
+/** Key prefix of the records of gateways and of turn stores, so that one
+    listing finds both. */
+constexpr const char* kRegistryPrefix = "gentianrun/members";
+/** Key prefix of all records of gateways. */
 constexpr const char* kMembersPrefix = "gentianrun/members/";
 
 /** The key of a daemon's record. */
--- a/source/gentian_gateway_daemon/caller_call.h
+++ b/source/gentian_gateway_daemon/caller_call.h
@@ -27,6 +27,11 @@
   std::int64_t max_output_tokens = 0;
   /** Time until the whole program should be finished. */
   std::optional<milliseconds> finish_within;
+  /** Request ID of the turn that this one continues from; empty if there is
+      none. */
+  std::string previous_turn;
+  /** Names the object that the request concerns; empty if it names none. */
+  std::string object;
   /** Identifier of the last event that the caller got of a resumed stream. */
   std::string last_event_id;
 };
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds kAllowanceRetryAfter{300};
 constexpr milliseconds kBudgetRetryAfter{700};
 constexpr milliseconds kOverloadRetryAfter{400};
+// Longer than a turn store takes to restart or to be replaced by another copy.
+constexpr milliseconds kHistoryRetryAfter{300};
 // For a program that sets no finish time.
 constexpr milliseconds kDefaultFinishWithin{60'000};
 // A queued turn is refused after these shares of the caller's remaining time
@@ -137,7 +139,24 @@
   }
 }
 
+std::string gateway_call::TeamName() const {
+  return team_ == nullptr ? std::string() : team_->name;
+}
+
+bool gateway_call::NeedsHistory() const {
+  return route_->keeps_turns && !call_->previous_turn.empty();
+}
+
+bool gateway_call::HasRightHistory() const {
+  return NeedsHistory() ? continued_ && continued_->team == TeamName()
+                        : !continued_;
+}
+
 void gateway_call::Admit() {
+  if (NeedsHistory() && !continued_) {
+    LoadHistory();
+    return;
+  }
   if (call_->token_budget && !call_->program.empty()) {
     RequestTurn();
   } else {
@@ -145,6 +164,34 @@
   }
 }
 
+void gateway_call::LoadHistory() {
+  environment_.histories.Load(
+      {TeamName(), call_->previous_turn}, call_->program,
+      exchange_->request().body,
+      [me = shared_from_this()](loaded_history history) {
+        me->OnHistory(std::move(history));
+      });
+}
+
+void gateway_call::OnHistory(loaded_history history) {
+  if (phase_ == phase::ended) {
+    return;
+  }
+  switch (history.result) {
+    case loaded_history::outcome::found:
+      continued_ = {TeamName(), std::move(history.conversation),
+                    std::move(history.prompt)};
+      Admit();
+      return;
+    case loaded_history::outcome::absent:
+      Refuse({refusal_reason::unknown_turn, std::nullopt});
+      return;
+    case loaded_history::outcome::uncertain:
+      Refuse({refusal_reason::history_unavailable, kHistoryRetryAfter});
+      return;
+  }
+}
+
 void gateway_call::RequestTurn() {
   std::int64_t most = std::max<std::int64_t>(call_->max_output_tokens, 1);
   if (tokens_per_event_ > 0) {
@@ -262,7 +309,7 @@
   }
   environment_.state.counters.Add(std::string("refused.") +
                                   NameOf(answer.reason));
-  if (phase_ == phase::streaming) {
+  if (phase_ == phase::streaming || phase_ == phase::saving) {
     // The partial stream must not look complete.
     exchange_->Abort();
   } else {
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -9,6 +9,7 @@
 #include "gentian_gateway_daemon/allowance_service.h"
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/history_service.h"
 #include "gentian_gateway_daemon/turn_service.h"
 
 namespace gentian {
@@ -20,6 +21,7 @@
   gateway_state& state;
   allowance_service& allowances;
   turn_service& turns;
+  history_service& histories;
   http_client& targets;
 };
 
@@ -34,8 +36,23 @@
   void Start();
 
  private:
+  /** The loaded history of the turn that the request continues from. */
+  struct continuation {
+    std::string team;
+    std::string conversation;
+    /** The whole prompt: the history and the new input. */
+    std::shared_ptr<const std::string> prompt;
+  };
+
   /** State of the response to the caller. */
-  enum class phase { waiting, at_target, streaming, ended };
+  enum class phase {
+    waiting,
+    at_target,
+    streaming,
+    /** The whole answer has been sent, except its end. */
+    saving,
+    ended,
+  };
 
   /** State of the target when it was chosen, for logs. */
   struct target_choice {
@@ -57,6 +74,8 @@
   void OnAllowance(std::shared_ptr<const gateway_team> team,
                    const allowance_verdict& verdict);
   void Admit();
+  void LoadHistory();
+  void OnHistory(loaded_history history);
   void RequestTurn();
   void OnTurnVerdict(const turn_verdict& verdict, const std::string& owner);
 
@@ -68,6 +87,8 @@
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnStreamEnd();
+  void SaveTurn();
+  void EndAnswer();
   void OnWholeAnswer();
   void OnFailure(http_failure failure, const std::string& message);
   void EndAttempt();
@@ -75,6 +96,12 @@
   void RetryAfterPossibleRun(const char* reason);
   bool MayRunAgain() const;
 
+  bool NeedsHistory() const;
+  /** True if the history that was loaded is the one that the configuration
+      calls for now. */
+  bool HasRightHistory() const;
+  std::string TeamName() const;
+
   // Ends.
   void OnDisconnect();
   void Refuse(refusal answer);
@@ -112,6 +139,10 @@
   /** The target that was chosen for the turn's program. */
   std::string preferred_target_;
 
+  std::optional<continuation> continued_;
+  /** The data of the events sent so far, on routes that keep turns. */
+  std::string event_data_;
+
   std::shared_ptr<http_call> attempt_;
   std::uint64_t attempt_serial_ = 0;
   std::string target_;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -18,6 +18,8 @@
 // it, further attempts go to the last of them.
 constexpr int kMaxRuns = 3;
 constexpr milliseconds kFullRetryAfter{150};
+// For routes without a limit on the pause between events.
+constexpr milliseconds kSaveLimit{2'000};
 constexpr int kFirstFailureStatus = 300;
 
 // Whether callers read a status as a promise that the request has not run. A
@@ -47,8 +49,9 @@
   }
   target_requirements demand;
   demand.service = service_;
-  if (route_->has_prompts) {
-    demand.affinity_key = call_->program;
+  if (route_->has_affinity) {
+    demand.affinity_key =
+        call_->object.empty() ? call_->program : call_->object;
   }
   demand.failure_domain = environment_.settings.failure_domain;
   demand.excluded = excluded_;
@@ -70,6 +73,13 @@
                      : *refused);
     return;
   }
+  if (!HasRightHistory()) {
+    // A new configuration changed the route's turns or the key's team.
+    Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
+                     : refusal{refusal_reason::history_unavailable,
+                               kNoTargetRetryAfter});
+    return;
+  }
   const known_target* target = sends_ < kMaxSends ? ChooseTarget(now) : nullptr;
   if (target == nullptr) {
     if (runs_ > 0) {
@@ -100,7 +110,7 @@
   const http_request& original = exchange_->request();
   target_call details;
   details.target_id = target_;
-  details.team = team_ == nullptr ? "" : team_->name;
+  details.team = TeamName();
   details.time_left = time_left;
   details.last_event_id =
       events_.last_id().empty() ? call_->last_event_id : events_.last_id();
@@ -109,7 +119,11 @@
   request.method = original.method;
   request.target = original.target;
   request.headers = environment_.protocol.TargetHeaders(original, details);
-  request.body = original.body;
+  if (continued_) {
+    request.shared_body = continued_->prompt;
+  } else {
+    request.body = original.body;
+  }
   request.deadline = time_left;
   request.connect_limit = std::min(kConnectTimeout, time_left);
   request.reuse_connection = true;
@@ -187,6 +201,9 @@
     first_event_ = BootTimeNow();
     exchange_->StartChunks(answer_headers_);
   }
+  if (route_->keeps_turns) {
+    AppendEventData(part.bytes, event_data_);
+  }
   events_sent_ += part.events;
   last_event_ = BootTimeNow();
   exchange_->SendChunk(std::move(part.bytes));
@@ -212,10 +229,46 @@
   if (!events_.partial_event().empty()) {
     exchange_->SendChunk(events_.partial_event());
   }
+  if (route_->keeps_turns && !call_->request_id.empty()) {
+    SaveTurn();
+  } else {
+    EndAnswer();
+  }
+}
+
+void gateway_call::EndAnswer() {
   exchange_->EndStream();
   Finish(kAnswered);
 }
 
+void gateway_call::SaveTurn() {
+  phase_ = phase::saving;
+  kept_turn turn;
+  turn.key = {TeamName(), call_->request_id};
+  turn.previous = continued_ ? call_->previous_turn : "";
+  turn.conversation = continued_               ? continued_->conversation
+                      : call_->program.empty() ? call_->request_id
+                                               : call_->program;
+  turn.retention = route_->turn_retention;
+  turn.history = exchange_->request().body + event_data_;
+  // Callers close a stream that pauses for longer.
+  const milliseconds patience =
+      route_->max_event_gap.count() > 0 ? route_->max_event_gap : kSaveLimit;
+  environment_.histories.Save(
+      turn, std::min(TimeLeft(BootTimeNow()), patience),
+      [me = shared_from_this()](bool durable) {
+        if (me->phase_ == phase::ended) {
+          return;
+        }
+        if (durable) {
+          me->EndAnswer();
+        } else {
+          // The caller must not take the turn for one that it can continue.
+          me->Refuse({refusal_reason::turn_not_kept, std::nullopt});
+        }
+      });
+}
+
 void gateway_call::OnWholeAnswer() {
   if (answer_.wrong_target) {
     environment_.state.targets.ReportReplaced(target_);
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -47,6 +47,7 @@
   http_client peer_client_;
   allowance_service allowances_;
   turn_service turns_;
+  history_service histories_;
   state_reader reader_;
   gateway_environment environment_;
   http_server callers_;
--- a/source/gentian_gateway_daemon/gateway_protocol.h
+++ b/source/gentian_gateway_daemon/gateway_protocol.h
@@ -52,8 +52,9 @@
       const kv_entry& entry) const = 0;
   virtual bool IsConfiguration(const kv_entry& entry) const = 0;
 
-  /** Decodes a drain request; nothing if the entry of ConfigurationPrefix is
-      not one. */
+  /** Key prefix of the operator's drain requests. */
+  virtual std::string DrainRequestsPrefix() const = 0;
+  /** Decodes a drain request; nothing if the entry is not one. */
   virtual std::optional<host_drain_request> DecodeDrainRequest(
       const kv_entry& entry) const = 0;
   /** Encodes the progress of a drain request. */
--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 
 #include "gentian_core/gentian_core.h"
@@ -18,6 +19,8 @@
   /** For other daemons, and for metrics. */
   std::string peer_address;
   std::string key_value_address;
+  /** Hosts with disks that may be lost at the same time. */
+  std::size_t tolerated_losses = 1;
   /** Maximum time for which a withdrawn key is still accepted. */
   milliseconds withdrawal_bound{5'000};
   /** Time between the stop request and the forced end. */
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -4,6 +4,7 @@
 #include "gentian_daemon/daemon_metrics.h"
 #include "gentian_gateway/gentian_gateway.h"
 #include "gentian_gateway_daemon/gateway_settings.h"
+#include "gentian_turns/gentian_turns.h"
 
 namespace gentian {
 
@@ -23,6 +24,7 @@
   allowance_meter allowances;
   allowance_holders holders;
   gateway_members membership;
+  turn_store_directory turn_stores;
   /** When the list of members last changed. */
   steady_time members_changed_at;
   /** True if the key-value service answered the last listing. */
--- /dev/null
+++ b/source/gentian_gateway_daemon/history_paths.h
@@ -0,0 +1,21 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_HISTORY_PATHS_H_
+#define GENTIAN_GATEWAY_DAEMON_HISTORY_PATHS_H_
+
+namespace gentian {
+
+// Interface of a turn store for gateways and other stores. Bodies are CBOR.
+
+/** Stores a kept_turn. 200: durable; 409: another turn has the key; 503: this
+    store doesn't take it. */
+constexpr const char* kStoreTurnPath = "/history/store";
+/** Reads the chain of one turn_key. 200 with a chain_part; 404: the turn is not
+    stored here; 503: it may be, or may have been. */
+constexpr const char* kReadChainPath = "/history/chain";
+/** Answers a journal_request with a journal_page. */
+constexpr const char* kReadJournalPath = "/history/journal";
+/** Answers a list of keys with the turns that are stored here. */
+constexpr const char* kReadTurnsPath = "/history/turns";
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_HISTORY_PATHS_H_
--- /dev/null
+++ b/source/gentian_gateway_daemon/lease_registration.h
@@ -0,0 +1,53 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_LEASE_REGISTRATION_H_
+#define GENTIAN_GATEWAY_DAEMON_LEASE_REGISTRATION_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "gentian_adapters/gentian_adapters.h"
+
+namespace gentian {
+
+/** Keeps a record of this process in the key-value service under a lease, so
+    that the record disappears soon after the process has failed. Used on the
+    I/O thread only.
+*/
+class lease_registration {
+ public:
+  /** @param key       key of the record
+      @param record    returns the record's current content
+      @param counters  counts failed registrations */
+  lease_registration(io_pool& pool,
+                     key_value_store& store,
+                     std::string key,
+                     std::function<std::string()> record,
+                     counter_set& counters);
+
+  void Start();
+
+  /** Writes the record again after its content has changed. */
+  void Update();
+
+  /** Removes the record. */
+  void End();
+
+ private:
+  void GrantLease();
+  void RetryRegistration();
+  void Write(std::function<void()> on_written);
+  void RenewLease();
+
+  io_pool& pool_;
+  key_value_store& store_;
+  std::string key_;
+  std::function<std::string()> record_;
+  counter_set& counters_;
+  std::uint64_t lease_ = 0;
+  std::uint64_t version_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_LEASE_REGISTRATION_H_
--- a/source/gentian_gateway_daemon/peer_client.cc
+++ b/source/gentian_gateway_daemon/peer_client.cc
@@ -7,14 +7,14 @@
 std::shared_ptr<http_call> peer_client::Post(
     const std::string& address,
     const char* path,
-    const json& body,
+    std::string body,
     std::function<void(http_response)> on_answer,
     std::function<void(http_failure, const std::string&)> on_failure) {
   http_client_request request;
   request.address = address;
   request.method = "POST";
   request.target = path;
-  request.body = body.dump();
+  request.body = std::move(body);
   request.deadline = timeouts_.request;
   request.connect_limit = timeouts_.connect;
   request.reuse_connection = true;
@@ -22,6 +22,16 @@
                        std::move(on_failure));
 }
 
+std::shared_ptr<http_call> peer_client::Post(
+    const std::string& address,
+    const char* path,
+    const json& body,
+    std::function<void(http_response)> on_answer,
+    std::function<void(http_failure, const std::string&)> on_failure) {
+  return Post(address, path, body.dump(), std::move(on_answer),
+              std::move(on_failure));
+}
+
 void peer_client::Avoid(const std::string& address) {
   avoided_until_[address] = BootTimeNow() + kAvoidDuration;
 }
--- a/source/gentian_gateway_daemon/peer_client.h
+++ b/source/gentian_gateway_daemon/peer_client.h
@@ -26,10 +26,18 @@
   peer_client(http_client& client, timeouts times)
       : client_(client), timeouts_(times) {}
 
-  /** Posts a JSON body.
+  /** Posts a body.
 
       @param address  `ip:port`
       @returns        handle to cancel the request */
+  std::shared_ptr<http_call> Post(
+      const std::string& address,
+      const char* path,
+      std::string body,
+      std::function<void(http_response)> on_answer,
+      std::function<void(http_failure, const std::string&)> on_failure);
+
+  /** Posts a JSON body. */
   std::shared_ptr<http_call> Post(
       const std::string& address,
       const char* path,
--- a/source/gentian_gateway_daemon/refusal.cc
+++ b/source/gentian_gateway_daemon/refusal.cc
@@ -13,7 +13,7 @@
 };
 
 // Statuses 429 and 503 promise that the request has not run and never will.
-constexpr std::array<reason_row, 15> kReasons = {{
+constexpr std::array<reason_row, 18> kReasons = {{
     {refusal_reason::malformed, "malformed", 400},
     {refusal_reason::too_large, "too_large", 413},
     {refusal_reason::unknown_key, "unknown_key", 401},
@@ -23,12 +23,15 @@
     {refusal_reason::budget_spent, "budget_spent", 402},
     {refusal_reason::stale_configuration, "stale_configuration", 503},
     {refusal_reason::budget_unavailable, "budget_unavailable", 503},
+    {refusal_reason::unknown_turn, "unknown_turn", 404},
+    {refusal_reason::history_unavailable, "history_unavailable", 503},
     {refusal_reason::overloaded, "overloaded", 503},
     {refusal_reason::no_target, "no_target", 503},
     {refusal_reason::targets_full, "targets_full", 503},
     {refusal_reason::too_late, "too_late", 503},
     {refusal_reason::target_timeout, "target_timeout", 504},
     {refusal_reason::target_failed, "target_failed", 502},
+    {refusal_reason::turn_not_kept, "turn_not_kept", 502},
 }};
 
 const reason_row& RowOf(refusal_reason reason) {
--- a/source/gentian_gateway_daemon/refusal.h
+++ b/source/gentian_gateway_daemon/refusal.h
@@ -19,6 +19,10 @@
   /** The daemon has no configuration, or it is too old. */
   stale_configuration,
   budget_unavailable,
+  /** The turn that the request continues from doesn't exist. */
+  unknown_turn,
+  /** A turn store that may hold the history did not answer. */
+  history_unavailable,
   /** The turn waited too long because the engines were busy with more urgent
       turns. */
   overloaded,
@@ -29,6 +33,8 @@
   /** From here on the request may have run. */
   target_timeout,
   target_failed,
+  /** The turn has run, but too few turn stores hold it. */
+  turn_not_kept,
 };
 
 /** The stable name of a reason, for counters and logs. */
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <utility>
 
+#include "gentian_gateway_daemon/turn_store_listing.h"
 #include "gentian_log/gentian_log.h"
 
 namespace gentian {
@@ -21,10 +22,6 @@
 constexpr milliseconds kMinRetryDelay{100};
 constexpr milliseconds kMaxRetryDelay{400};
 constexpr int kMaxDoublings = 2;
-// About as long as a daemon serves without a confirmed configuration. After
-// that, the directory must no longer list it.
-constexpr milliseconds kLeaseTtl{4'500};
-constexpr milliseconds kRenewInterval{1'200};
 
 duration RetryDelay(int failures) {
   return std::min<duration>(
@@ -50,14 +47,24 @@
                   kConfigurationInterval, &state_reader::ApplyConfiguration},
                  {"targets", protocol.TargetsPrefix(), kTargetsInterval,
                   &state_reader::ApplyTargets},
-                 {"members", kMembersPrefix, kMembersInterval,
-                  &state_reader::ApplyMembers}}} {}
+                 {"members", kRegistryPrefix, kMembersInterval,
+                  &state_reader::ApplyRegistry}}},
+      registration_(
+          pool,
+          store,
+          MemberKey(settings.host),
+          [this] {
+            return EncodeMember({settings_.host, settings_.failure_domain,
+                                 settings_.caller_address,
+                                 settings_.peer_address, state_.stopping});
+          },
+          state.counters) {}
 
 void state_reader::Start() {
   for (listing& subject : listings_) {
     Poll(subject);
   }
-  GrantLease();
+  registration_.Start();
 }
 
 void state_reader::Poll(listing& subject) {
@@ -108,7 +115,6 @@
 
 void state_reader::ApplyConfiguration(const kv_answer& answer,
                                       steady_time asked_at) {
-  AnswerDrainRequests(answer);
   for (const kv_entry& entry : answer.entries) {
     if (!protocol_.IsConfiguration(entry)) {
       continue;
@@ -156,15 +162,30 @@
   }
 }
 
-void state_reader::ApplyMembers(const kv_answer& answer, steady_time asked_at) {
-  std::map<std::string, member_record> listed;
+void state_reader::ApplyRegistry(const kv_answer& answer,
+                                 steady_time asked_at) {
+  std::map<std::string, member_record> members;
   for (const kv_entry& entry : answer.entries) {
+    if (entry.key.rfind(kMembersPrefix, 0) != 0) {
+      continue;
+    }
     if (auto member = DecodeMember(entry.value)) {
-      listed[entry.key] = std::move(*member);
+      members[entry.key] = std::move(*member);
     } else {
       state_.counters.Add("member_entry_unreadable");
     }
   }
+  ApplyMembers(std::move(members), asked_at);
+  const bool placed = ApplyTurnStores(answer, state_.turn_stores);
+  if (placed) {
+    Log(log_level::info, "turn stores changed",
+        {{"accepting", state_.turn_stores.accepting().size()},
+         {"known", state_.turn_stores.known().size()}});
+  }
+}
+
+void state_reader::ApplyMembers(std::map<std::string, member_record> listed,
+                                steady_time asked_at) {
   gateway_members& membership = state_.membership;
   const std::size_t listed_count = listed.size();
   const std::size_t before = membership.members().size();
@@ -190,142 +211,13 @@
   }
 }
 
-void state_reader::GrantLease() {
-  store_.Call(kv_grant_lease{kLeaseTtl}, kCallTimeout,
-              [this](const kv_answer& answer) {
-                if (answer.outcome != kv_answer::status::ok) {
-                  RetryRegistration();
-                  return;
-                }
-                lease_ = answer.lease;
-                WriteRecord();
-              });
-}
-
-void state_reader::RetryRegistration() {
-  lease_ = 0;
-  state_.counters.Add("registration_failed");
-  pool_.After(kMaxRetryDelay, [this] { GrantLease(); });
-}
-
-void state_reader::StoreRecord(key_value_store::answer_handler on_answer) {
-  const member_record own{settings_.host, settings_.failure_domain,
-                          settings_.caller_address, settings_.peer_address,
-                          state_.stopping};
-  store_.Call(kv_compare_and_swap{MemberKey(settings_.host), record_version_,
-                                  EncodeMember(own), lease_},
-              kCallTimeout, std::move(on_answer));
-}
-
-void state_reader::WriteRecord() {
-  StoreRecord([this](const kv_answer& answer) { OnRecordWritten(answer); });
-}
-
-void state_reader::OnRecordWritten(const kv_answer& answer) {
-  switch (answer.outcome) {
-    case kv_answer::status::ok:
-      record_version_ = answer.revision;
-      Log(log_level::info, "registered",
-          {{"lease", lease_}, {"stopping", state_.stopping}});
-      pool_.After(kRenewInterval, [this] { RenewLease(); });
-      return;
-    case kv_answer::status::conflict:
-      // The record is from an earlier start, or no longer exists.
-      record_version_ =
-          answer.entries.empty() ? 0 : answer.entries.front().version;
-      WriteRecord();
-      return;
-    default:
-      RetryRegistration();
-      return;
-  }
-}
-
-void state_reader::RenewLease() {
-  if (lease_ == 0) {
-    return;
-  }
-  store_.Call(kv_renew_lease{lease_}, kCallTimeout,
-              [this](const kv_answer& answer) {
-                if (answer.outcome == kv_answer::status::lease_expired) {
-                  Log(log_level::warning, "lease expired", {{"lease", lease_}});
-                  GrantLease();
-                  return;
-                }
-                const bool renewed = answer.outcome == kv_answer::status::ok;
-                pool_.After(renewed ? kRenewInterval : kMaxRetryDelay,
-                            [this] { RenewLease(); });
-              });
-}
-
 void state_reader::AnnounceStop() {
   assert(state_.stopping);
-  if (lease_ == 0) {
-    return;
-  }
-  StoreRecord([this](const kv_answer& answer) {
-    if (answer.outcome == kv_answer::status::ok) {
-      record_version_ = answer.revision;
-    }
-  });
+  registration_.Update();
 }
 
 void state_reader::Deregister() {
-  if (lease_ == 0) {
-    return;
-  }
-  lease_ = 0;
-  store_.Call(kv_delete{MemberKey(settings_.host), record_version_},
-              kCallTimeout, [](const kv_answer&) {
-                // If the call fails, the record expires with its lease.
-              });
-}
-
-bool state_reader::IsFirstMember() const {
-  const auto& members = state_.membership.members();
-  return !members.empty() &&
-         members.begin()->first == MemberKey(settings_.host);
-}
-
-void state_reader::AnswerDrainRequests(const kv_answer& answer) {
-  if (!IsFirstMember()) {
-    return;
-  }
-  for (const kv_entry& entry : answer.entries) {
-    const auto request = protocol_.DecodeDrainRequest(entry);
-    if (!request || !drains_.insert(request->status_key).second) {
-      continue;
-    }
-    Log(log_level::info, "drain of a host requested",
-        {{"drained_host", request->host}});
-    WriteDrainStatus(request->status_key, 0, false);
-  }
-}
-
-void state_reader::WriteDrainStatus(const std::string& key,
-                                    std::uint64_t version,
-                                    bool completed) {
-  store_.Call(
-      kv_compare_and_swap{key, version, protocol_.DrainStatus(completed)},
-      kCallTimeout, [this, key, completed](const kv_answer& answer) {
-        if (answer.outcome == kv_answer::status::ok) {
-          if (!completed) {
-            // Hosts with disks hold no data that has to be moved.
-            WriteDrainStatus(key, answer.revision, true);
-          }
-        } else if (answer.outcome == kv_answer::status::conflict) {
-          const std::uint64_t stored =
-              answer.entries.empty() ? 0 : answer.entries.front().version;
-          const bool same =
-              !answer.entries.empty() &&
-              answer.entries.front().value == protocol_.DrainStatus(true);
-          if (!same) {
-            WriteDrainStatus(key, stored, stored != 0);
-          }
-        } else {
-          drains_.erase(key);
-        }
-      });
+  registration_.End();
 }
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -3,12 +3,13 @@
 
 #include <array>
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/lease_registration.h"
 
 namespace gentian {
 
@@ -54,25 +55,12 @@
 
   void ApplyConfiguration(const kv_answer& answer, steady_time asked_at);
   void ApplyTargets(const kv_answer& answer, steady_time asked_at);
-  void ApplyMembers(const kv_answer& answer, steady_time asked_at);
+  void ApplyRegistry(const kv_answer& answer, steady_time asked_at);
+  void ApplyMembers(std::map<std::string, member_record> listed,
+                    steady_time asked_at);
 
   void UpdateHolders();
 
-  // Registration: grant a lease, write the record, renew the lease.
-  void GrantLease();
-  void StoreRecord(key_value_store::answer_handler on_answer);
-  void WriteRecord();
-  void OnRecordWritten(const kv_answer& answer);
-  void RenewLease();
-  void RetryRegistration();
-
-  // Answers drain requests of hosts, which hold no data to move.
-  void AnswerDrainRequests(const kv_answer& answer);
-  bool IsFirstMember() const;
-  void WriteDrainStatus(const std::string& key,
-                        std::uint64_t version,
-                        bool completed);
-
   io_pool& pool_;
   key_value_store& store_;
   const gateway_protocol& protocol_;
@@ -81,10 +69,7 @@
   std::function<void()> on_configuration_;
   std::array<listing, 3> listings_;
   std::uint64_t configuration_version_ = 0;
-  std::uint64_t lease_ = 0;
-  std::uint64_t record_version_ = 0;
-  /** Status keys of drain requests that are in progress or completed. */
-  std::set<std::string> drains_;
+  lease_registration registration_;
 };
 
 }  // namespace gentian
--- a/source/gentian_log/request_history.cc
+++ b/source/gentian_log/request_history.cc
@@ -27,7 +27,7 @@
   const char* meaning;
 };
 
-constexpr std::array<meaning_row, 17> kMeanings = {{
+constexpr std::array<meaning_row, 20> kMeanings = {{
     {"answered", "The target's response was forwarded to the caller."},
     {"caller_gone",
      "The caller closed its connection before the response was complete."},
@@ -50,6 +50,12 @@
     {"budget_unavailable",
      "Not run. The program's budget could not be read or written; look for a "
      "lost connection to the key-value service on the owner."},
+    {"unknown_turn",
+     "Not run. Every turn store said that the team has no turn with the ID of "
+     "the previous turn."},
+    {"history_unavailable",
+     "Not run. A turn store that may hold the previous turn did not answer; "
+     "look for lost turn stores."},
     {"overloaded",
      "Not run. The turn was queued at its owner until its wait limit passed; "
      "look at the load that targets reported."},
@@ -62,6 +68,9 @@
     {"target_failed",
      "May have run. A target failed before its response was complete; look at "
      "other requests to the same target."},
+    {"turn_not_kept",
+     "Run, and its events were sent, but too few turn stores confirmed the "
+     "turn, so the answer was broken off; look for lost turn stores."},
     {"target_timeout",
      "May have run. No complete response arrived before the caller's "
      "deadline."},
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -38,9 +38,16 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
+// Larger bodies are written without a copy, after the header.
+constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
+const std::string& BodyOf(const http_client_request& request) {
+  return request.shared_body ? *request.shared_body : request.body;
+}
+
+// The header of a request, and its body unless that is written by itself.
 std::string RequestText(const http_client_request& request) {
-  http::request<http::string_body> message;
+  http::request<http::empty_body> message;
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
@@ -53,10 +60,17 @@
     }
   }
   message.keep_alive(request.reuse_connection);
-  message.body() = request.body;
-  message.prepare_payload();
+  const std::string& body = BodyOf(request);
+  if (body.empty()) {
+    message.prepare_payload();
+  } else {
+    message.content_length(body.size());
+  }
   std::ostringstream text;
   text << message;
+  if (body.size() <= kMaxJoinedBody) {
+    text << body;
+  }
   return text.str();
 }
 
@@ -175,13 +189,23 @@
     ArmSilenceTimer();
     stream_->Write(asio::buffer(text_), [me = this->shared_from_this()](
                                             error_code failure, std::size_t) {
-      // A server may answer and close before it has read everything, so a
-      // failed write is reported by the read.
-      me->written_ = !failure;
+      const std::string& body = BodyOf(me->request_);
+      if (failure || me->ended_ || body.size() <= kMaxJoinedBody) {
+        me->OnWritten(failure);
+        return;
+      }
+      me->stream_->Write(asio::buffer(body),
+                         [me](error_code body_failure, std::size_t) {
+                           me->OnWritten(body_failure);
+                         });
     });
     Read();
   }
 
+  // A server may answer and close before it has read everything, so a failed
+  // write is reported by the read.
+  void OnWritten(error_code failure) { written_ = !failure; }
+
   void ArmSilenceTimer() {
     if (request_.silence.count() == 0) {
       return;
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -33,6 +33,8 @@
   std::string target = "/";
   http_headers headers;
   std::string body;
+  /** Sent in place of `body` if set. Attempts at several servers share it. */
+  std::shared_ptr<const std::string> shared_body;
   milliseconds deadline{30'000};
   /** Longest time to connect, within the deadline; 0 for no such limit. */
   milliseconds connect_limit{0};
--- /dev/null
+++ b/source/gentian_turn_daemon/turn_store_interface.cc
@@ -0,0 +1,166 @@
+// Implements turn_store_daemon: the interface for gateways and other stores.
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "gentian_gateway_daemon/history_paths.h"
+#include "gentian_log/gentian_log.h"
+#include "gentian_turn_daemon/turn_store_daemon.h"
+
+namespace gentian {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kPageEntries = 500;
+constexpr const char* kMetricsPath = "/metrics";
+
+void Respond(http_exchange& exchange, int status, std::string body = "") {
+  http_response response;
+  response.status = status;
+  response.body = std::move(body);
+  exchange.Respond(std::move(response));
+}
+
+}  // namespace
+
+void turn_store_daemon::Answer(const exchange_pointer& exchange) {
+  static constexpr std::array<endpoint, 5> kEndpoints = {
+      {{kStoreTurnPath, &turn_store_daemon::StoreTurn},
+       {kReadChainPath, &turn_store_daemon::ReadChain},
+       {kReadJournalPath, &turn_store_daemon::ReadJournal},
+       {kReadTurnsPath, &turn_store_daemon::ReadTurns},
+       {kMetricsPath, &turn_store_daemon::ShowMetrics}}};
+  const std::string path = exchange->request().Path();
+  const auto found =
+      std::find_if(kEndpoints.begin(), kEndpoints.end(),
+                   [&path](const endpoint& next) { return path == next.path; });
+  if (found == kEndpoints.end()) {
+    Respond(*exchange, kNotFound);
+    return;
+  }
+  (this->*found->answer)(exchange);
+}
+
+void turn_store_daemon::StoreTurn(const exchange_pointer& exchange) {
+  result<kept_turn> turn = DecodeTurn(exchange->request().body);
+  if (Failed(turn)) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  if (!registered_ || stopping_ || !drain_status_key_.empty()) {
+    counters_.Add("turns_refused");
+    Respond(*exchange, kUnavailable);
+    return;
+  }
+  const steady_time started_at = BootTimeNow();
+  storage_->Store(
+      std::move(ValueOf(turn)),
+      [this, exchange, started_at](const result<store_outcome>& outcome) {
+        if (Failed(outcome)) {
+          counters_.Add("turns_refused");
+          Respond(*exchange, kUnavailable);
+          return;
+        }
+        const bool stored = ValueOf(outcome) == store_outcome::stored;
+        counters_.Add(stored ? "turns_stored" : "turns_conflicting");
+        metrics_.AddLatency("store", BootTimeNow() - started_at);
+        Respond(*exchange, stored ? kOk : kConflict);
+      });
+}
+
+void turn_store_daemon::ReadChain(const exchange_pointer& exchange) {
+  const result<std::vector<turn_key>> keys =
+      DecodeKeys(exchange->request().body);
+  if (Failed(keys) || ValueOf(keys).size() != 1) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  /** The part of a chain that is stored here, and whether the lack of it is
+      certain. */
+  struct answer {
+    std::optional<chain_part> part;
+    bool is_settled = false;
+  };
+  storage_->Run<answer>(
+      [key = ValueOf(keys).front()](turn_database& database) -> result<answer> {
+        result<std::optional<chain_part>> part = database.ReadChain(key);
+        if (Failed(part)) {
+          return ErrorOf(part);
+        }
+        return answer{std::move(ValueOf(part)), database.is_settled()};
+      },
+      [this, exchange](const result<answer>& outcome) {
+        if (Failed(outcome)) {
+          counters_.Add("reads_failed");
+          Respond(*exchange, kUnavailable);
+        } else if (ValueOf(outcome).part) {
+          counters_.Add("chains_read");
+          Respond(*exchange, kOk, EncodePart(*ValueOf(outcome).part));
+        } else {
+          Respond(*exchange,
+                  ValueOf(outcome).is_settled ? kNotFound : kUnavailable);
+        }
+      });
+}
+
+void turn_store_daemon::ReadJournal(const exchange_pointer& exchange) {
+  const result<journal_request> request =
+      DecodeJournalRequest(exchange->request().body);
+  if (Failed(request)) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  storage_->Run<journal_page>(
+      [request = ValueOf(request)](turn_database& database) {
+        const bool same = request.journal == database.journal();
+        return database.ReadJournal(same ? request.after : 0, kPageEntries);
+      },
+      [this, exchange,
+       request = ValueOf(request)](const result<journal_page>& page) {
+        if (Failed(page)) {
+          Respond(*exchange, kUnavailable);
+          return;
+        }
+        drain_.OnRead(request, ValueOf(page).journal);
+        Respond(*exchange, kOk, EncodeJournalPage(ValueOf(page)));
+      });
+}
+
+void turn_store_daemon::ReadTurns(const exchange_pointer& exchange) {
+  result<std::vector<turn_key>> keys = DecodeKeys(exchange->request().body);
+  if (Failed(keys)) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  storage_->Run<std::vector<kept_turn>>(
+      [keys = std::move(ValueOf(keys))](turn_database& database) {
+        return database.ReadTurns(keys);
+      },
+      [exchange](const result<std::vector<kept_turn>>& turns) {
+        if (Failed(turns)) {
+          Respond(*exchange, kUnavailable);
+        } else {
+          Respond(*exchange, kOk, EncodeTurns(ValueOf(turns)));
+        }
+      });
+}
+
+void turn_store_daemon::ShowMetrics(const exchange_pointer& exchange) {
+  metrics_.SetGauge("settled", settled_ ? 1 : 0);
+  metrics_.SetGauge("replication_lag_seconds", ToSeconds(replicator_->Lag()));
+  metrics_.SetGauge("stores_known",
+                    static_cast<double>(directory_.known().size()));
+  http_response page;
+  page.status = kOk;
+  page.body = metrics_.ToPrometheus(counters_);
+  page.headers.Add("Content-Type", "text/plain");
+  exchange->Respond(std::move(page));
+}
+
+}  // namespace gentian
--- /dev/null
+++ b/source/gentian_turn_daemon/turn_store_settings.h
@@ -0,0 +1,28 @@
+#ifndef GENTIAN_TURN_DAEMON_TURN_STORE_SETTINGS_H_
+#define GENTIAN_TURN_DAEMON_TURN_STORE_SETTINGS_H_
+
+#include <cstddef>
+#include <string>
+
+#include "gentian_core/gentian_core.h"
+
+namespace gentian {
+
+/** Settings of one turn store. */
+struct turn_store_settings {
+  std::string host;
+  std::string failure_domain;
+  /** For gateways, other turn stores and metrics, `ip:port`. */
+  std::string address;
+  std::string key_value_address;
+  /** Exists already; on the host's disk. */
+  std::string data_directory;
+  /** The whole system starts for the first time, with empty disks. */
+  bool first_start = false;
+  /** Hosts with disks that may be lost at the same time. */
+  std::size_t tolerated_losses = 1;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_TURN_DAEMON_TURN_STORE_SETTINGS_H_
--- /dev/null
+++ b/source/gentian_turn_storage/turn_storage.cc
@@ -0,0 +1,174 @@
+#include "gentian_turn_storage/turn_storage.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "gentian_log/gentian_log.h"
+
+namespace gentian {
+
+namespace {
+
+// Histories that wait for the disk. Hosts with disks have little memory.
+constexpr std::size_t kMaxQueuedBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+struct turn_storage::state {
+  struct queued_turn {
+    kept_turn turn;
+    store_handler on_stored;
+  };
+
+  std::unique_ptr<turn_database> database;
+  std::string directory;
+  /** The start of the running time that the database has not counted. */
+  steady_time counted_until = BootTimeNow();
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<queued_turn> turns;
+  std::deque<job> jobs;
+  std::size_t queued_bytes = 0;
+  bool stopping = false;
+  std::thread thread;
+};
+
+turn_storage::turn_storage(std::unique_ptr<turn_database> database,
+                           std::string directory,
+                           executor run_handlers)
+    : run_handlers_(std::move(run_handlers)),
+      state_(std::make_unique<state>()) {
+  state_->database = std::move(database);
+  state_->directory = std::move(directory);
+  state_->thread = std::thread([this] { Work(); });
+}
+
+turn_storage::~turn_storage() {
+  {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    state_->stopping = true;
+  }
+  state_->changed.notify_all();
+  state_->thread.join();
+}
+
+void turn_storage::Store(kept_turn turn, store_handler on_stored) {
+  {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    if (state_->queued_bytes < kMaxQueuedBytes) {
+      state_->queued_bytes += turn.history.size();
+      state_->turns.push_back({std::move(turn), std::move(on_stored)});
+      on_stored = nullptr;
+    }
+  }
+  if (on_stored) {
+    on_stored(error{error_kind::overloaded, "too many turns wait for the disk",
+                    "store the turn at another host"});
+    return;
+  }
+  state_->changed.notify_all();
+}
+
+void turn_storage::Enqueue(job next) {
+  {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    state_->jobs.push_back(std::move(next));
+  }
+  state_->changed.notify_all();
+}
+
+void turn_storage::RemoveExpired(
+    std::function<void(const result<int>&)> on_done) {
+  Run<int>(
+      [this](turn_database& database) {
+        return database.RemoveExpired(TakeRunningTime());
+      },
+      std::move(on_done));
+}
+
+duration turn_storage::TakeRunningTime() {
+  const steady_time now = BootTimeNow();
+  return now - std::exchange(state_->counted_until, now);
+}
+
+void turn_storage::Work() {
+  std::unique_lock<std::mutex> lock(state_->mutex);
+  while (true) {
+    state_->changed.wait(lock, [this] {
+      return state_->stopping || !state_->turns.empty() ||
+             !state_->jobs.empty();
+    });
+    if (state_->stopping) {
+      return;
+    }
+    std::deque<job> jobs = std::move(state_->jobs);
+    state_->jobs.clear();
+    lock.unlock();
+    Commit();
+    for (const job& next : jobs) {
+      if (const std::optional<error> failure = next(*state_->database)) {
+        Recover(*failure);
+      }
+    }
+    lock.lock();
+  }
+}
+
+void turn_storage::Commit() {
+  std::vector<state::queued_turn> batch;
+  {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    batch.swap(state_->turns);
+    state_->queued_bytes = 0;
+  }
+  if (batch.empty()) {
+    return;
+  }
+  std::vector<const kept_turn*> turns;
+  turns.reserve(batch.size());
+  for (const state::queued_turn& next : batch) {
+    turns.push_back(&next.turn);
+  }
+  const result<std::vector<store_outcome>> outcomes =
+      state_->database->Store(turns, TakeRunningTime());
+  for (std::size_t i = 0; i < batch.size(); ++i) {
+    const result<store_outcome> outcome =
+        Failed(outcomes) ? result<store_outcome>(ErrorOf(outcomes))
+                         : result<store_outcome>(ValueOf(outcomes)[i]);
+    run_handlers_([outcome, on_stored = std::move(batch[i].on_stored)] {
+      on_stored(outcome);
+    });
+  }
+  if (Failed(outcomes)) {
+    Recover(ErrorOf(outcomes));
+  }
+}
+
+// Replaces a damaged database by an empty one. Other hosts hold copies of what
+// it held.
+void turn_storage::Recover(const error& reason) {
+  Log(log_level::error, "turn database failed",
+      {{"reason", reason.message}, {"remedy", reason.remedy}});
+  if (reason.kind != error_kind::internal) {
+    return;
+  }
+  state_->database.reset();
+  turn_database::Discard(state_->directory);
+  result<std::unique_ptr<turn_database>> opened =
+      turn_database::Open(state_->directory, false);
+  if (Failed(opened)) {
+    Log(log_level::error, "turn database cannot be replaced",
+        {{"reason", ErrorOf(opened).message},
+         {"remedy", ErrorOf(opened).remedy}});
+    // The supervisor starts the process again.
+    std::terminate();
+  }
+  state_->database = std::move(ValueOf(opened));
+  Log(log_level::warning, "turn database replaced by an empty one");
+}
+
+}  // namespace gentian
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -49,6 +49,33 @@
   cr_assert(call->max_output_tokens == 589);
 }
 
+// Guards against a turn that starts a chain of its own because the turn that it
+// continues from was not read.
+Test(platform_protocol, reads_what_a_request_continues_from) {
+  http_request request = CallerRequest();
+  request.headers.Add("Previous-Turn", "77d2");
+  request.headers.Add("Cookie", "other=1; Affinity-Key=17; x=2");
+  const auto call = platform_protocol().DecodeCall(request);
+  cr_assert(call.has_value());
+  cr_assert(call->previous_turn == "77d2");
+  cr_assert(call->object == "17");
+  cr_assert(platform_protocol().DecodeCall(CallerRequest())->object.empty());
+}
+
+// Guards against an identifier that can't be written as JSON, which would end
+// the process.
+Test(platform_protocol, rejects_identifiers_that_are_not_text) {
+  for (const char* name :
+       {"Request-Id", "Program-Id", "Previous-Turn", "Last-Event-Id"}) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/x/";
+    request.headers.Add("Host", "h");
+    request.headers.Add(name, "a\xff");
+    cr_assert(!platform_protocol().DecodeCall(request), "%s", name);
+  }
+}
+
 // Guards against forwarding a caller's key, or a reserved header field that the
 // caller forged, to a target.
 Test(platform_protocol, sets_the_systems_fields_itself) {
@@ -122,6 +149,7 @@
       R"("kind":"streaming","timeout_ms":4000,"target_latency_ms":250,)"
       R"("priority":1,"split":[{"service":"a","weight":90},)"
       R"({"service":"b","weight":10}],"attempts":1,"public":false,)"
+      R"("retain_kv":true,"retain_s":12.5,)"
       R"("sticky":true,"resumable":true,"gap_aim_ms":300}],)"
       R"("services":[{"name":"a","max_conns":230,"engine":)"
       R"({"tokens_per_event":19}}],"limits":{"max_body_bytes":99},)"
@@ -137,6 +165,8 @@
   cr_assert(route->max_targets == 1);
   cr_assert(route->services.size() == 2);
   cr_assert(route->max_event_gap == milliseconds(2'400));
+  cr_assert(route->keeps_turns && route->has_affinity);
+  cr_assert(route->turn_retention == milliseconds(12'500));
   cr_assert(configuration.FindTeamByKey("k")->rate == 171);
   cr_assert(configuration.FindService("a")->tokens_per_event == 19);
   cr_assert(configuration.content().max_body_bytes == 99);
@@ -177,9 +207,29 @@
   }
 }
 
+// Guards against a store that keeps fewer copies than losses require, or starts
+// on a machine without a disk.
+Test(node_file, reads_the_settings_of_a_turn_store) {
+  const std::string common =
+      R"({"node_name":"n","zone":"z","ip":"10.0.0.1","inner_ports":[7780,7795],)"
+      R"("platform":{"address":"10.0.0.9:1"},"tolerate":{"machines":2})";
+  const auto settings = ParseTurnStoreFile(
+      common + R"(,"data_dir":"/data/x","first_start":true})", "file");
+  cr_assert(!Failed(settings));
+  cr_assert(ValueOf(settings).host == "n");
+  cr_assert(ValueOf(settings).address == "10.0.0.1:7780");
+  cr_assert(ValueOf(settings).data_directory == "/data/x");
+  cr_assert(ValueOf(settings).first_start);
+  cr_assert(ValueOf(settings).tolerated_losses == 2);
+  const auto diskless =
+      ParseTurnStoreFile(common + R"(,"data_dir":null})", "file");
+  cr_assert(Failed(diskless));
+  cr_assert(ErrorOf(diskless).message.find("data_dir") != std::string::npos);
+}
+
 // Guards against a refusal reason that `gentianrun explain` can't explain.
 Test(refusal, every_reason_has_a_meaning) {
-  const int last = static_cast<int>(refusal_reason::target_failed);
+  const int last = static_cast<int>(refusal_reason::turn_not_kept);
   for (int i = 0; i <= last; ++i) {
     const char* name = NameOf(static_cast<refusal_reason>(i));
     cr_assert(!request_history::MeaningOf(name).empty(), "%s", name);
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -9,114 +9,18 @@
 #include "gentian_gateway_daemon/gentian_gateway_daemon.h"
 #include "gentian_gateway_daemon/turn_request.h"
 #include "gentian_log/gentian_log.h"
-#include "platform/platform.h"
-#include "platform/platform_fakes.h"
+#include "platform/gateway_fixture.h"
 #include "support/raw_connection.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
-using gentian::testing::fake_metadata_store;
 using gentian::testing::fake_target;
 using gentian::testing::Fetch;
+using gentian::testing::gateway_fixture;
 using gentian::testing::http_outcome;
 using gentian::testing::raw_connection;
 using gentian::testing::WaitFor;
 
-namespace {
-
-// A loopback address derived from the process id. Tests run in parallel, each
-// in its own process, and would otherwise collide on the ports.
-std::string ProcessAddress(int port) {
-  constexpr int kByte = 256;
-  const int process = getpid();
-  return "127." + std::to_string(process / kByte % kByte) + "." +
-         std::to_string(process % kByte) + ".1:" + std::to_string(port);
-}
-
-// A gateway daemon with one target for the service "s" and one team that has
-// the key "k".
-class gateway_fixture {
- public:
-  explicit gateway_fixture(fake_target::request_handler handler)
-      : target(pool, std::move(handler)), store(pool) {
-    Configure(R"(["k"])");
-    store.Put("servers/i-1", R"({"service":"s","address":")" +
-                                 target.address() +
-                                 R"(","zone":"z","slots":4,"state":"ready",)"
-                                 R"("seq":1,"born":1})");
-    gateway_settings settings;
-    settings.host = "host";
-    settings.failure_domain = "z";
-    settings.caller_address = caller_address;
-    settings.directory_address = directory_address;
-    settings.readiness_address = readiness_address;
-    settings.peer_address = peer_address;
-    settings.withdrawal_bound = milliseconds(2'000);
-    daemon = std::make_unique<gateway_daemon>(daemon_pool, store, protocol,
-                                              settings, "start-1");
-    cr_assert(!Failed(daemon->Start()));
-    cr_assert(WaitFor(
-        [this] { return Status(readiness_address, "/readiness") == 200; }));
-  }
-
-  ~gateway_fixture() {
-    daemon_pool.Stop();
-    pool.Stop();
-  }
-
-  void Configure(const std::string& keys) {
-    store.Put(
-        "op/config",
-        R"({"version":)" + std::to_string(++version) +
-            R"(,"routes":[{"name":"once","host":"h","prefix":"/once/",)"
-            R"("kind":"non_idempotent","timeout_ms":2000,"service":"s"},)"
-            R"({"name":"again","host":"h","prefix":"/again/",)"
-            R"("kind":"idempotent","timeout_ms":2000,"attempts":1,)"
-            R"("service":"s"},{"name":"turn","host":"h","prefix":"/turn/",)"
-            R"("kind":"streaming","resumable":true,"timeout_ms":3000,)"
-            R"("attempts":1,"service":"s"}],)"
-            R"("limits":{"header_timeout_ms":300,"idle_timeout_ms":1500},)"
-            R"("services":[{"name":"s",)"
-            R"("engine":{"tokens_per_event":10}}],"tenants":[{"name":"t",)"
-            R"("api_keys":)" +
-            keys + R"(,"rate_per_s":1000,"burst":1000}]})");
-  }
-
-  http_client_request Request(const std::string& path) const {
-    http_client_request request;
-    request.address = caller_address;
-    request.method = "POST";
-    request.target = path;
-    request.headers.Add("Host", "h");
-    request.headers.Add("Request-Id", "r-" + path);
-    request.headers.Add("X-Api-Key", "k");
-    request.headers.Add("Deadline-Ms", "2000");
-    return request;
-  }
-
-  int Status(const std::string& address, const std::string& path) {
-    http_client_request request;
-    request.address = address;
-    request.target = path;
-    return Fetch(client, request).response.status;
-  }
-
-  io_pool pool{2};
-  io_pool daemon_pool{1};
-  const std::string caller_address = ProcessAddress(18368);
-  const std::string directory_address = ProcessAddress(18360);
-  const std::string peer_address = ProcessAddress(17780);
-  const std::string readiness_address = ProcessAddress(18369);
-  fake_target target;
-  fake_metadata_store store;
-  platform_protocol protocol;
-  int version = 0;
-  http_client client{pool};
-  std::unique_ptr<gateway_daemon> daemon;
-};
-
-}  // namespace
-
 // Guards against requests that block because the log isn't read.
 Test(gateway_daemon, serves_while_nobody_reads_its_log, .timeout = 60) {
   std::array<int, 2> pipe_ends{};
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -31,6 +31,13 @@
     items_[key] = {key, value, ++revision_};
   }
 
+  /** The value of a key; empty if it is absent. */
+  std::string Value(const std::string& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = items_.find(key);
+    return found == items_.end() ? "" : found->second.value;
+  }
+
   void Remove(const std::string& key) {
     const std::lock_guard<std::mutex> lock(mutex_);
     items_.erase(key);
@@ -74,6 +81,15 @@
     return answer;
   }
 
+  kv_answer Do(const kv_get& operation) {
+    kv_answer answer = Ok();
+    const auto found = items_.find(operation.key);
+    if (found != items_.end()) {
+      answer.entries.push_back(found->second);
+    }
+    return answer;
+  }
+
   kv_answer Do(const kv_compare_and_swap& operation) {
     const auto found = items_.find(operation.key);
     const std::uint64_t version =
