--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -1,6 +1,7 @@
 #include "gentian_gateway/budget_ledger.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace gentian {
@@ -97,18 +98,64 @@
   while (!entry.waiting.empty()) {
     const std::int64_t amount = AmountToClaim(entry);
     if (entry.available + amount >= entry.waiting.front().max_tokens) {
-      entry.writing = true;
-      entry.write_id = writer_ + "-" + std::to_string(++last_write_);
-      entry.write_amount = amount;
-      commands.writes.push_back(
-          {program, entry.version,
-           EncodeClaim({entry.claimed + amount, entry.write_id})});
+      commands.writes.push_back(StartWrite(program, entry, amount));
       break;
     }
-    commands.decisions.push_back(
-        {entry.waiting.front().ticket, budget_decision::exhausted});
+    const bool others_hold_tokens = entry.claimed > entry.own_claimed;
+    if (others_hold_tokens && !entry.verified) {
+      // Another daemon may have released tokens since the claim was read.
+      entry.verified = true;
+      commands.writes.push_back(StartWrite(program, entry, 0));
+      break;
+    }
+    const bool may_have_more =
+        others_hold_tokens && entry.waiting.front().others_may_release;
+    commands.decisions.push_back({entry.waiting.front().ticket,
+                                  may_have_more ? budget_decision::unavailable
+                                                : budget_decision::exhausted});
     entry.waiting.pop_front();
   }
+  if (!entry.writing) {
+    entry.verified = false;
+  }
+  return commands;
+}
+
+budget_commands::write budget_ledger::StartWrite(const std::string& program,
+                                                 account& entry,
+                                                 std::int64_t amount) {
+  entry.writing = true;
+  entry.write_id = writer_ + "-" + std::to_string(++last_write_);
+  entry.write_amount = amount;
+  return {program, entry.version,
+          EncodeClaim({entry.claimed + amount, entry.write_id})};
+}
+
+budget_commands budget_ledger::ReleaseUnused(const std::string& program) {
+  const auto found = accounts_.find(program);
+  budget_commands commands;
+  if (found == accounts_.end()) {
+    return commands;
+  }
+  account& entry = found->second;
+  if (entry.available > 0 && !entry.writing && entry.version != 0 &&
+      entry.waiting.empty()) {
+    // Not to be granted while the release is on its way.
+    const std::int64_t released = std::exchange(entry.available, 0);
+    commands.writes.push_back(StartWrite(program, entry, -released));
+  }
+  return commands;
+}
+
+budget_commands budget_ledger::ReleaseUnused(
+    const std::function<bool(const std::string& program)>& applies,
+    steady_time since) {
+  budget_commands commands;
+  for (const auto& [program, entry] : accounts_) {
+    if (entry.last_used >= since && entry.available > 0 && applies(program)) {
+      commands.Append(ReleaseUnused(program));
+    }
+  }
   return commands;
 }
 
@@ -121,10 +168,19 @@
   entry.unanswered_writes = 0;
   entry.version = version;
   entry.claimed = stored ? stored->claimed : 0;
-  if (stored && stored->write_id == entry.write_id) {
-    entry.available += entry.write_amount;
+  const bool took_effect = stored && stored->write_id == entry.write_id;
+  if (took_effect) {
+    entry.own_claimed += entry.write_amount;
+  }
+  // A release has already taken its tokens off.
+  if (took_effect == (entry.write_amount > 0)) {
+    entry.available += std::abs(entry.write_amount);
   }
   entry.write_id.clear();
+  if (!took_effect && entry.write_amount < 0 && entry.waiting.empty()) {
+    // Another daemon has changed the claim in the meantime.
+    return ReleaseUnused(program);
+  }
   return Advance(program, entry);
 }
 
@@ -179,6 +235,9 @@
     commands.decisions.push_back({next.ticket, budget_decision::unavailable});
   }
   entry.waiting.clear();
+  if (!may_have_run && entry.write_amount < 0) {
+    entry.available -= entry.write_amount;
+  }
   if (may_have_run) {
     // It is unknown whether this write took effect, so this daemon does not
     // count its tokens as claimed. If the write did take effect, the program
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
       for the program's owner claims only what it needs, because several
       daemons may do so one after another and each would tie up tokens. */
   bool claim_ahead = true;
+  /** The program's owner may have changed lately, so that an earlier one may
+      still return tokens that it had claimed. */
+  bool others_may_release = false;
 };
 
 /** The answer to a token_request. */
@@ -104,6 +108,16 @@
   /** Tokens used by the turns of a program that this daemon granted. */
   std::int64_t UsedTokens(const std::string& program) const;
 
+  /** Releases the tokens of a program that are not in use, so that another
+     daemon can claim them. */
+  budget_commands ReleaseUnused(const std::string& program);
+
+  /** Releases the unused tokens of programs for which a predicate holds and
+     which were used after `since`. */
+  budget_commands ReleaseUnused(
+      const std::function<bool(const std::string& program)>& applies,
+      steady_time since);
+
   /** Releases all tokens that are not in use, before the daemon stops.
 
       @returns  the writes; their outcome need not be reported */
@@ -118,13 +132,18 @@
         daemons may have claimed more since. */
     std::int64_t claimed = 0;
     std::uint64_t version = 0;
+    /** Part of `claimed` that this daemon has claimed. */
+    std::int64_t own_claimed = 0;
     /** Claimed by this daemon and not in use. */
     std::int64_t available = 0;
     std::int64_t used = 0;
     std::deque<token_request> waiting;
     /** Identifies the write in progress, or one whose answer was lost. */
     std::string write_id;
+    /** Tokens that the write claims; negative if it releases them. */
     std::int64_t write_amount = 0;
+    /** The stored claim was read since the budget was found too small. */
+    bool verified = false;
     bool writing = false;
     int unanswered_writes = 0;
     /** As in the last request. */
@@ -141,6 +160,9 @@
                                   account& entry,
                                   std::uint64_t version,
                                   const std::optional<budget_claim>& stored);
+  budget_commands::write StartWrite(const std::string& program,
+                                    account& entry,
+                                    std::int64_t amount);
   void GrantWaiting(account& entry, budget_commands& commands);
   static std::int64_t AmountToClaim(const account& entry);
   static bool MayStartUnclaimed(const account& entry);
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -86,6 +86,13 @@
   return serving;
 }
 
+bool target_table::HasTarget(const std::string& service) const {
+  return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
+    return entry.second.record.service == service &&
+           !entry.second.record.draining;
+  });
+}
+
 known_target* target_table::FindMutable(const std::string& id) {
   const auto found = known_.find(id);
   return found == known_.end() ? nullptr : &found->second;
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -49,6 +49,9 @@
   std::vector<std::string> Update(std::vector<target_record> listing,
                                   steady_time asked_at);
 
+  /** True if a target of the service takes requests. */
+  bool HasTarget(const std::string& service) const;
+
   /** A target by identifier; nullptr if it is unknown or draining. */
   const known_target* Find(const std::string& id) const;
 
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -30,7 +30,9 @@
       ledger_(writer),
       scheduler_(state.targets),
       // Tickets of an earlier start must not identify turns of this one.
-      last_ticket_(StableHash(writer) >> 16U) {}
+      last_ticket_(StableHash(writer) >> 16U) {
+  ReleaseMovedPrograms();
+}
 
 std::uint64_t turn_service::Request(const turn_request& request,
                                     verdict_handler handler) {
@@ -43,6 +45,12 @@
 }
 
 void turn_service::RequestDecision(std::uint64_t number) {
+  if (state_.membership.members().empty()) {
+    // This daemon has just started. A claim of its own would be missing at the
+    // owner.
+    RetryLater(number);
+    return;
+  }
   const member_record* owner =
       ReachableOwner(pending_.at(number).request.program);
   if (owner == nullptr || owner->host == settings_.host) {
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -118,6 +118,8 @@
   void DropOwned(turn_ticket ticket);
   void Advance();
   void ArmTimer();
+  void ReleaseMovedPrograms();
+  void ReleaseLaterIfNotOwner(const std::string& program);
   void AnswerRequest(const std::shared_ptr<http_exchange>& exchange,
                      const json& body);
 
@@ -134,6 +136,10 @@
   budget_ledger ledger_;
   turn_scheduler scheduler_;
   steady_time idle_evicted_at_;
+  /** The change of members after which tokens were last released. */
+  steady_time released_at_change_;
+  /** When to release the tokens of programs that this daemon doesn't own. */
+  std::map<std::string, steady_time> release_at_;
   bool timer_armed_ = false;
   turn_ticket last_ticket_;
   std::uint64_t last_number_ = 0;
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -25,6 +25,10 @@
 // that other daemons soon detect a frozen or partitioned owner.
 constexpr milliseconds kMaxReplyDelay{250};
 constexpr milliseconds kAdvanceInterval{25};
+constexpr milliseconds kReleaseInterval{300};
+constexpr milliseconds kReleaseDelay{1'500};
+// A program that has been idle for longer has most likely ended.
+constexpr milliseconds kReleaseAge{2'500};
 // A program is usually idle for only a few seconds between two turns. For one
 // that returns after this time, the claim is read from the key-value service.
 constexpr milliseconds kAccountRetention{120'000};
@@ -65,7 +69,7 @@
   const bool is_owner = IsOwner(request.program);
   Execute(ledger_.Reserve(
       {request.program, request.budget, request.max_output_tokens, ticket,
-       is_owner && IsMembershipStable(), is_owner},
+       is_owner && IsMembershipStable(), is_owner, !IsMembershipStable()},
       now));
   return ticket;
 }
@@ -157,6 +161,7 @@
   if (own.budget_granted) {
     Execute(ledger_.Settle(own.request.program, own.request.max_output_tokens,
                            0, BootTimeNow()));
+    ReleaseLaterIfNotOwner(own.request.program);
   }
   SetVerdict(own, turn_verdict{result, ticket, ""});
 }
@@ -204,8 +209,40 @@
   });
 }
 
+// Tokens that this daemon has claimed for programs of which another daemon is
+// the owner now would be missing there.
+void turn_service::ReleaseMovedPrograms() {
+  const steady_time now = BootTimeNow();
+  if (released_at_change_ != state_.members_changed_at) {
+    released_at_change_ = state_.members_changed_at;
+    Execute(ledger_.ReleaseUnused(
+        [this](const std::string& program) { return !IsOwner(program); },
+        now - kReleaseAge));
+  }
+  for (auto next = release_at_.begin(); next != release_at_.end();) {
+    if (now < next->second) {
+      ++next;
+      continue;
+    }
+    if (!IsOwner(next->first)) {
+      Execute(ledger_.ReleaseUnused(next->first));
+    }
+    next = release_at_.erase(next);
+  }
+  pool_.After(kReleaseInterval, [this] { ReleaseMovedPrograms(); });
+}
+
+// A daemon that substitutes for the owner keeps unused tokens for a moment: the
+// next turn often comes to it too, and each release is a write.
+void turn_service::ReleaseLaterIfNotOwner(const std::string& program) {
+  if (!IsOwner(program)) {
+    release_at_[program] = BootTimeNow() + kReleaseDelay;
+  }
+}
+
 void turn_service::EndOwned(const turn_end& end) {
   Execute(ledger_.Settle(end.program, end.reserved, end.used, BootTimeNow()));
+  ReleaseLaterIfNotOwner(end.program);
   if (end.load) {
     state_.targets.ReportLoad(
         end.target, {end.load->running, end.load->waiting, BootTimeNow()});
@@ -231,6 +268,7 @@
     Execute(ledger_.Settle(dropped.request.program,
                            dropped.request.max_output_tokens, 0,
                            BootTimeNow()));
+    ReleaseLaterIfNotOwner(dropped.request.program);
   }
 }
 
--- a/tests/gateway/budget_ledger_test.cc
+++ b/tests/gateway/budget_ledger_test.cc
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <array>
+
 #include "gentian_gateway/gentian_gateway.h"
 
 using namespace gentian;
@@ -31,16 +33,20 @@
       if (commands.writes.empty()) {
         return granted;
       }
-      const budget_commands::write write = commands.writes.front();
-      if (write.expected_version == version_) {
-        stored_ = DecodeClaim(write.value);
-        commands = ledger.OnWritten(write.program, ++version_);
-      } else {
-        commands = ledger.OnConflict(write.program, version_, stored_);
-      }
+      commands = Carry(ledger, commands.writes.front());
     }
   }
 
+  /** Carries out one write and reports its outcome. */
+  budget_commands Carry(budget_ledger& ledger,
+                        const budget_commands::write& write) {
+    if (write.expected_version == version_) {
+      stored_ = DecodeClaim(write.value);
+      return ledger.OnWritten(write.program, ++version_);
+    }
+    return ledger.OnConflict(write.program, version_, stored_);
+  }
+
   /** Carries out a write whose answer is lost. */
   void RunUnanswered(const budget_commands::write& write) {
     if (write.expected_version == version_) {
@@ -205,3 +211,119 @@
   cr_assert(granted == 3);
   cr_assert(store.Run(leaving, leaving.Reserve(Turn(9), At(2))) == 0);
 }
+
+// Guards against a program that is refused with tokens unused, because its
+// owner changed and the earlier one holds what it had claimed ahead.
+Test(budget_ledger, an_earlier_owner_returns_what_it_does_not_use) {
+  claim_store store;
+  budget_ledger earlier("earlier");
+  cr_assert(store.Run(earlier, earlier.Reserve(Turn(1), At(0))) == 1);
+  // The turn was refused for another reason.
+  store.Run(earlier, earlier.Settle("program", kMaxTurnTokens, 0, At(0)));
+  const auto moved = [](const std::string&) { return true; };
+  store.Run(earlier, earlier.ReleaseUnused(moved, At(0)));
+  budget_ledger next("next");
+  int granted = 0;
+  for (budget_ticket ticket = 1; ticket < 8; ++ticket) {
+    granted += store.Run(next, next.Reserve(Turn(ticket), At(1)));
+  }
+  cr_assert(granted == 3);
+  cr_assert(store.Run(earlier, earlier.Reserve(Turn(9), At(2))) == 0);
+}
+
+// Guards against a claim that is taken for final although another daemon has
+// returned tokens since it was read.
+Test(budget_ledger, reads_the_claim_again_before_a_budget_counts_as_spent) {
+  claim_store store;
+  budget_ledger earlier("earlier");
+  for (budget_ticket ticket = 1; ticket <= 3; ++ticket) {
+    cr_assert(store.Run(earlier, earlier.Reserve(Turn(ticket), At(0))) == 1);
+  }
+  budget_ledger next("next");
+  cr_assert(store.Run(next, next.Reserve(Turn(4), At(0))) == 0);
+  store.Run(earlier, earlier.Settle("program", kMaxTurnTokens, 0, At(0)));
+  store.Run(earlier, earlier.ReleaseUnused("program"));
+  cr_assert(store.Run(next, next.Reserve(Turn(5), At(1))) == 1);
+}
+
+// Guards against telling a program that its budget is spent, which ends it,
+// while an earlier owner may still return tokens.
+Test(budget_ledger, a_budget_is_not_spent_while_others_may_return_tokens) {
+  claim_store store;
+  budget_ledger earlier("earlier");
+  for (budget_ticket ticket = 1; ticket <= 3; ++ticket) {
+    store.Run(earlier, earlier.Reserve(Turn(ticket), At(0)));
+  }
+  const auto outcome_of = [&store](budget_ledger& ledger,
+                                   const token_request& request) {
+    budget_commands commands = ledger.Reserve(request, At(1));
+    while (!commands.writes.empty()) {
+      commands = store.Carry(ledger, commands.writes.front());
+    }
+    return commands.decisions.front().outcome;
+  };
+  budget_ledger next("next");
+  token_request request = Turn(4);
+  request.others_may_release = true;
+  cr_assert(outcome_of(next, request) == budget_decision::unavailable);
+  request.others_may_release = false;
+  cr_assert(outcome_of(next, request) == budget_decision::exhausted);
+  // Its own claims are certain.
+  request.others_may_release = true;
+  cr_assert(outcome_of(earlier, request) == budget_decision::exhausted);
+}
+
+// Guards against tokens that are granted twice when releases and claims of two
+// daemons cross and answers are lost.
+Test(budget_ledger, releases_never_grant_a_token_twice) {
+  constexpr std::uint64_t kSeeds = 300;
+  constexpr int kSteps = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    seeded_random random(seed);
+    claim_store store;
+    std::array<budget_ledger, 2> ledgers = {budget_ledger("a"),
+                                            budget_ledger("b")};
+    std::int64_t used = 0;
+    std::array<int, 2> running{};
+    budget_ticket ticket = 0;
+    for (int step = 0; step < kSteps; ++step) {
+      const std::size_t i = random.Below(2);
+      budget_commands commands;
+      switch (random.Below(3)) {
+        case 0:
+          commands = ledgers[i].Reserve(Turn(++ticket), At(step));
+          break;
+        case 1:
+          if (running[i] > 0) {
+            --running[i];
+            const auto spent =
+                static_cast<std::int64_t>(random.Below(kMaxTurnTokens + 1));
+            used += spent;
+            commands =
+                ledgers[i].Settle("program", kMaxTurnTokens, spent, At(step));
+          }
+          break;
+        default:
+          commands = ledgers[i].ReleaseUnused("program");
+          break;
+      }
+      while (true) {
+        for (const auto& decision : commands.decisions) {
+          running[i] += decision.outcome == budget_decision::granted ? 1 : 0;
+        }
+        if (commands.writes.empty()) {
+          break;
+        }
+        const auto write = commands.writes.front();
+        if (random.Below(5) == 0) {
+          store.RunUnanswered(write);
+          commands = ledgers[i].OnNoAnswer(write.program, true);
+        } else {
+          commands = store.Carry(ledgers[i], write);
+        }
+      }
+      cr_assert(used + (running[0] + running[1]) * kMaxTurnTokens <= kBudget,
+                "seed %d step %d", static_cast<int>(seed), step);
+    }
+  }
+}
