Bound answers without end and contain exceptions

An answer could fill 64 MB of a host with 88 MB, and an event without end had no bound; an exception in any handler ended the process, since nothing caught it in the I/O pool. Change: headers of answers are bounded at 64 KB, whole answers at 8 MB, one event at 1 MB; the connection is closed, the target marked, the request handled as one that may have run. io_pool takes an exception handler; platform processes log and go on. An exchange that is dropped without an answer closes its connection, so that its caller does not wait.

--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -53,6 +53,12 @@
   return 1;
 }
 
+void LogException(const std::string& message) {
+  Log(log_level::error, "unexpected exception",
+      {{"reason", message},
+       {"remedy", "report it with the lines around this one"}});
+}
+
 void RunUntilStopped(io_pool& pool,
                      const std::function<void(std::function<void()>)>& stop) {
   std::promise<void> stopped;
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -43,6 +43,9 @@
     @returns  the exit status */
 int FailToRun(const platform_command& command, const error& reason);
 
+/** Logs an exception that ended the handling of one event. */
+void LogException(const std::string& message);
+
 /** Runs until a signal to stop has been handled, then stops the pool.
 
     @param stop  stops the daemon and calls its argument once that is done */
--- a/source/gentian_app/turn_store_command.cc
+++ b/source/gentian_app/turn_store_command.cc
@@ -26,7 +26,7 @@
   const std::string incarnation =
       settings.host + "-" +
       std::to_string(BootTimeNow().time_since_epoch().count());
-  io_pool pool(1);
+  io_pool pool(1, &LogException);
   metadata_store store(pool, settings.key_value_address);
   const platform_protocol protocol;
   turn_store_daemon daemon(pool, store, protocol, settings, incarnation);
--- a/source/gentian_gateway/event_splitter.h
+++ b/source/gentian_gateway/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_EVENT_SPLITTER_H_
 #define GENTIAN_GATEWAY_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -18,9 +19,16 @@
     int events = 0;
   };
 
+  /** Longest event that is accepted. */
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
   /** Adds bytes and returns the events that they complete. */
   chunk Feed(std::string_view bytes);
 
+  /** True if the partial event is longer than any sound one: the stream is no
+      series of events. */
+  bool IsOverflowing() const { return buffer_.size() > kMaxEventBytes; }
+
   /** Discards a partial event before the stream is resumed from another run. */
   void DiscardPartialEvent() { buffer_.clear(); }
 
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -85,6 +85,7 @@
   void Send(const known_target& target, milliseconds time_left);
   void OnHeader(int status, const http_headers& headers);
   void OnBody(std::string_view bytes);
+  void OnUnusableStream(const char* reason);
   void OnEnd();
   void OnStreamEnd();
   void SaveTurn();
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -18,6 +18,10 @@
 // it, further attempts go to the last of them.
 constexpr int kMaxRuns = 3;
 constexpr milliseconds kFullRetryAfter{150};
+// Bounds of an answer that never ends. A host has little memory, and answers
+// that are no streams are held there until they are whole.
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxStreamBytes = 64 * 1024 * 1024;
 // For routes without a limit on the pause between events.
 constexpr milliseconds kSaveLimit{2'000};
 constexpr int kFirstFailureStatus = 300;
@@ -127,6 +131,8 @@
   request.deadline = time_left;
   request.connect_limit = std::min(kConnectTimeout, time_left);
   request.reuse_connection = true;
+  request.max_body_bytes =
+      route_->kind == route_kind::stream ? kMaxStreamBytes : kMaxAnswerBytes;
   request.send_once = route_->kind != route_kind::idempotent;
   environment_.state.targets.RequestStarted(target_);
   const std::uint64_t serial = ++attempt_serial_;
@@ -193,6 +199,11 @@
     return;
   }
   event_splitter::chunk part = events_.Feed(bytes);
+  if (events_.IsOverflowing()) {
+    events_.DiscardPartialEvent();
+    OnUnusableStream("event_too_long");
+    return;
+  }
   if (part.events == 0) {
     return;
   }
@@ -209,6 +220,13 @@
   exchange_->SendChunk(std::move(part.bytes));
 }
 
+void gateway_call::OnUnusableStream(const char* reason) {
+  attempt_->Cancel();
+  EndAttempt();
+  environment_.state.targets.ReportFailure(target_, BootTimeNow());
+  RetryAfterPossibleRun(reason);
+}
+
 void gateway_call::OnEnd() {
   EndAttempt();
   environment_.state.targets.ReportSuccess(target_);
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -181,6 +181,8 @@
     sent_ = true;
     parser_.emplace();
     parser_->eager(true);
+    parser_->header_limit(
+        static_cast<std::uint32_t>(request_.max_header_bytes));
     parser_->body_limit(request_.max_body_bytes);
     if (request_.method == "HEAD") {
       parser_->skip(true);
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -48,6 +48,7 @@
   bool reuse_connection = false;
   /** The request is never sent a second time. */
   bool send_once = false;
+  std::size_t max_header_bytes = 64 * 1024;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -399,6 +399,13 @@
       : owner_(std::move(owner)),
         serial_(serial),
         request_(std::move(request)) {}
+  // An exchange that is dropped without an answer, for instance because its
+  // handler threw an exception, must not leave the caller waiting.
+  ~connection_exchange() override {
+    owner_->PostAnswer(serial_, [](connection& self) { self.Close(); });
+  }
+  connection_exchange(const connection_exchange&) = delete;
+  connection_exchange& operator=(const connection_exchange&) = delete;
 
   const http_request& request() const override { return request_; }
 
--- a/source/gentian_net/io_pool.cc
+++ b/source/gentian_net/io_pool.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -17,11 +18,28 @@
   asio::executor_work_guard<asio::io_context::executor_type> work{
       context.get_executor()};
   std::vector<std::thread> threads;
+  exception_handler on_exception;
+
+  void Run() {
+    while (true) {
+      try {
+        context.run();
+        return;
+      } catch (const std::exception& failure) {
+        if (!on_exception) {
+          throw;
+        }
+        on_exception(failure.what());
+      }
+    }
+  }
 };
 
-io_pool::io_pool(unsigned threads) : state_(std::make_unique<state>()) {
+io_pool::io_pool(unsigned threads, exception_handler on_exception)
+    : state_(std::make_unique<state>()) {
+  state_->on_exception = std::move(on_exception);
   for (unsigned i = 0; i < threads; ++i) {
-    state_->threads.emplace_back([this] { state_->context.run(); });
+    state_->threads.emplace_back([this] { state_->Run(); });
   }
 }
 
--- a/source/gentian_net/io_pool.h
+++ b/source/gentian_net/io_pool.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "gentian_core/steady_time.h"
 
@@ -15,8 +16,15 @@
 /** Threads that run all network I/O of a process. */
 class io_pool {
  public:
-  /** Starts the threads. */
-  explicit io_pool(unsigned threads);
+  /** Receives the message of an exception that a handler threw. Runs on the
+      thread of that handler. */
+  using exception_handler = std::function<void(const std::string& message)>;
+
+  /** Starts the threads.
+
+      @param on_exception  keeps the threads running after an exception; without
+                           it, an exception ends the process */
+  explicit io_pool(unsigned threads, exception_handler on_exception = nullptr);
   /** Stops the threads. Objects that use the pool must be stopped before. */
   ~io_pool();
   io_pool(const io_pool&) = delete;
--- a/tests/gateway/event_splitter_test.cc
+++ b/tests/gateway/event_splitter_test.cc
@@ -37,3 +37,17 @@
   splitter.Feed("id: 7\r\ndata: a\r\n\r\nid: 8\r\n");
   cr_assert(splitter.last_id() == "7");
 }
+
+// Guards against bytes without end that are no events and fill the memory.
+Test(event_splitter, notices_an_event_without_end) {
+  event_splitter subject;
+  const std::string part(64 * 1024, 'x');
+  std::size_t fed = 0;
+  while (!subject.IsOverflowing()) {
+    cr_assert(subject.Feed(part).events == 0);
+    fed += part.size();
+    cr_assert(fed <= event_splitter::kMaxEventBytes + part.size());
+  }
+  subject.DiscardPartialEvent();
+  cr_assert(!subject.IsOverflowing());
+}
