Read the platform's store at two gateways only

Cause: every gateway listed op/, servers/ and the members each 1.2 to 1.5 s. Change: relay_tree makes two gateways readers, in different failure domains; the others ask their parent in a tree of at most 16 followers each for changes, with the age of each listing, and read themselves only when that is stale. A gateway serves with keys only while its own record was renewed lately, as before through the same calls. Members are listed once the own record is written. Leases are renewed every 1.5 s instead of 1.2 s. Ruled out: watches (prove nothing while silent).

--- a/source/gentian_core/cbor_message.h
+++ b/source/gentian_core/cbor_message.h
@@ -1,5 +1,5 @@
-#ifndef GENTIAN_TURNS_TURN_CBOR_H_
-#define GENTIAN_TURNS_TURN_CBOR_H_
+#ifndef GENTIAN_CORE_CBOR_MESSAGE_H_
+#define GENTIAN_CORE_CBOR_MESSAGE_H_
 
 #include <cstdint>
 #include <stdexcept>
@@ -7,7 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "gentian_core/gentian_core.h"
+#include "gentian_core/cbor.h"
+#include "gentian_core/json.h"
+#include "gentian_core/result.h"
 
 namespace gentian::detail {
 
@@ -62,4 +64,4 @@
 
 }  // namespace gentian::detail
 
-#endif  // GENTIAN_TURNS_TURN_CBOR_H_
+#endif  // GENTIAN_CORE_CBOR_MESSAGE_H_
--- a/source/gentian_gateway/configuration_holder.h
+++ b/source/gentian_gateway/configuration_holder.h
@@ -31,6 +31,9 @@
   /** The current version; null before the first reading. */
   const shared_configuration& current() const { return current_; }
 
+  /** Time for which a confirmed configuration counts as fresh. */
+  milliseconds max_age() const { return max_age_; }
+
   /** True if keys of the current version may still be accepted. */
   bool IsFresh(steady_time now) const;
 
--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -2,7 +2,7 @@
     targets: routes and keys, allowances, token budgets, choice of a target,
     membership. State in, decisions out; no sockets, threads or clocks.
 
-    Dependencies: gentian_core.
+    Dependencies: gentian_core, gentian_decisions (the key-value interface).
 */
 #ifndef GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
 #define GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
@@ -14,8 +14,10 @@
 #include "gentian_gateway/event_splitter.h"
 #include "gentian_gateway/gateway_configuration.h"
 #include "gentian_gateway/gateway_members.h"
+#include "gentian_gateway/listing_content.h"
 #include "gentian_gateway/member_record.h"
 #include "gentian_gateway/owner_of.h"
+#include "gentian_gateway/relay_tree.h"
 #include "gentian_gateway/target_selector.h"
 #include "gentian_gateway/target_table.h"
 #include "gentian_gateway/turn_scheduler.h"
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -57,7 +57,7 @@
     return stale;
   }
   route_ = configuration_->FindRoute(call_->host, call_->path);
-  const bool fresh = state.configuration.IsFresh(BootTimeNow());
+  const bool fresh = state.IsFresh(BootTimeNow());
   if (route_ == nullptr) {
     return fresh ? refusal{refusal_reason::unknown_route, std::nullopt} : stale;
   }
@@ -153,6 +153,11 @@
 }
 
 void gateway_call::Admit() {
+  if (!environment_.state.targets.HasTarget(service_)) {
+    // Before tokens are claimed for it.
+    Refuse({refusal_reason::no_target, kNoTargetRetryAfter});
+    return;
+  }
   if (NeedsHistory() && !continued_) {
     LoadHistory();
     return;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -61,9 +61,11 @@
       histories_(pool, peer_client_, settings_, state_),
       reader_(pool,
               store,
+              peer_client_,
               protocol,
               settings_,
               state_,
+              incarnation,
               [this] { ApplyCallerLimits(); }),
       environment_{settings_, protocol,   state_,        allowances_,
                    turns_,    histories_, target_client_},
@@ -165,7 +167,8 @@
 
 void gateway_daemon::AnswerPeer(
     const std::shared_ptr<http_exchange>& exchange) {
-  if (turns_.AnswerPeer(exchange) || allowances_.AnswerPeer(exchange)) {
+  if (turns_.AnswerPeer(exchange) || allowances_.AnswerPeer(exchange) ||
+      reader_.AnswerPeer(exchange)) {
     return;
   }
   if (exchange->request().Path() != kMetricsPath) {
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -1,6 +1,8 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_STATE_H_
 
+#include <optional>
+
 #include "gentian_daemon/daemon_metrics.h"
 #include "gentian_gateway/gentian_gateway.h"
 #include "gentian_gateway_daemon/gateway_settings.h"
@@ -14,20 +16,30 @@
       : configuration(settings.withdrawal_bound),
         membership(MemberKey(settings.host)) {}
 
-  /** True if requests that need a key can be served. */
-  bool CanServe(steady_time now) const {
-    return !stopping && configuration.IsFresh(now);
+  /** True if requests that need a key can be decided: the configuration is
+      fresh, and so is this daemon's record, from which the others tell that it
+      still grants allowances. */
+  bool IsFresh(steady_time now) const {
+    return configuration.IsFresh(now) && registered_at &&
+           now - *registered_at < configuration.max_age();
   }
 
+  /** True if callers may be sent here. */
+  bool CanServe(steady_time now) const { return !stopping && IsFresh(now); }
+
   configuration_holder configuration;
   target_table targets;
   allowance_meter allowances;
   allowance_holders holders;
   gateway_members membership;
+  relay_tree relays;
   turn_store_directory turn_stores;
   /** When the list of members last changed. */
   steady_time members_changed_at;
-  /** True if the key-value service answered the last listing. */
+  /** When the last renewal of this daemon's record that succeeded was asked
+      for. */
+  std::optional<steady_time> registered_at;
+  /** True if the key-value service answered the last call. */
   bool store_reached = false;
   bool stopping = false;
   std::size_t open_requests = 0;
--- a/source/gentian_gateway_daemon/lease_registration.cc
+++ b/source/gentian_gateway_daemon/lease_registration.cc
@@ -14,7 +14,8 @@
 // About as long as a daemon serves without a confirmed configuration. After
 // that, the directory must no longer list it.
 constexpr milliseconds kLeaseTtl{4'500};
-constexpr milliseconds kRenewInterval{1'200};
+// Leaves time for two more tries after a lost call.
+constexpr milliseconds kRenewInterval{1'500};
 
 }  // namespace
 
@@ -22,12 +23,14 @@
                                        key_value_store& store,
                                        std::string key,
                                        std::function<std::string()> record,
-                                       counter_set& counters)
+                                       counter_set& counters,
+                                       observer on_call)
     : pool_(pool),
       store_(store),
       key_(std::move(key)),
       record_(std::move(record)),
-      counters_(counters) {}
+      counters_(counters),
+      on_call_(std::move(on_call)) {}
 
 void lease_registration::Start() {
   GrantLease();
@@ -37,9 +40,11 @@
   if (ended_) {
     return;
   }
+  const steady_time asked_at = BootTimeNow();
   store_.Call(kv_grant_lease{kLeaseTtl}, kCallTimeout,
-              [this](const kv_answer& answer) {
+              [this, asked_at](const kv_answer& answer) {
                 if (answer.outcome != kv_answer::status::ok) {
+                  on_call_(false, asked_at);
                   RetryRegistration();
                   return;
                 }
@@ -59,12 +64,15 @@
 }
 
 void lease_registration::Write(std::function<void()> on_written) {
+  const steady_time asked_at = BootTimeNow();
   store_.Call(
       kv_compare_and_swap{key_, version_, record_(), lease_}, kCallTimeout,
-      [this, on_written = std::move(on_written)](const kv_answer& answer) {
+      [this, asked_at,
+       on_written = std::move(on_written)](const kv_answer& answer) {
         switch (answer.outcome) {
           case kv_answer::status::ok:
             version_ = answer.revision;
+            on_call_(true, asked_at);
             on_written();
             return;
           case kv_answer::status::conflict:
@@ -74,6 +82,7 @@
             Write(on_written);
             return;
           default:
+            on_call_(false, asked_at);
             RetryRegistration();
             return;
         }
@@ -84,14 +93,16 @@
   if (lease_ == 0) {
     return;
   }
+  const steady_time asked_at = BootTimeNow();
   store_.Call(kv_renew_lease{lease_}, kCallTimeout,
-              [this](const kv_answer& answer) {
+              [this, asked_at](const kv_answer& answer) {
                 if (answer.outcome == kv_answer::status::lease_expired) {
                   Log(log_level::warning, "lease expired", {{"lease", lease_}});
                   GrantLease();
                   return;
                 }
                 const bool renewed = answer.outcome == kv_answer::status::ok;
+                on_call_(renewed, asked_at);
                 pool_.After(renewed ? kRenewInterval : kRetryDelay,
                             [this] { RenewLease(); });
               });
--- a/source/gentian_gateway_daemon/lease_registration.h
+++ b/source/gentian_gateway_daemon/lease_registration.h
@@ -15,14 +15,19 @@
 */
 class lease_registration {
  public:
+  /** Receives the outcome of a call, and when it was made. */
+  using observer = std::function<void(bool reached, steady_time asked_at)>;
+
   /** @param key       key of the record
       @param record    returns the record's current content
-      @param counters  counts failed registrations */
+      @param counters  counts failed registrations
+      @param on_call   runs after each call that keeps the record */
   lease_registration(io_pool& pool,
                      key_value_store& store,
                      std::string key,
                      std::function<std::string()> record,
-                     counter_set& counters);
+                     counter_set& counters,
+                     observer on_call);
 
   void Start();
 
@@ -43,6 +48,7 @@
   std::string key_;
   std::function<std::string()> record_;
   counter_set& counters_;
+  observer on_call_;
   std::uint64_t lease_ = 0;
   std::uint64_t version_ = 0;
   bool ended_ = false;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -12,11 +12,20 @@
 namespace {
 
 // Configuration changes must apply, and a draining target must stop getting
-// requests, within two seconds. The intervals leave time to repeat one lost
-// call.
-constexpr milliseconds kConfigurationInterval{1'200};
-constexpr milliseconds kTargetsInterval{1'200};
-constexpr milliseconds kMembersInterval{1'500};
+// requests, within two seconds. The intervals leave time for a lost call, or
+// for followers to turn to another reader.
+constexpr milliseconds kConfigurationInterval{800};
+constexpr milliseconds kTargetsInterval{800};
+constexpr milliseconds kMembersInterval{1'000};
+// Interval at which a gateway that follows others looks for stale listings.
+constexpr milliseconds kStaleCheckInterval{200};
+// Interval between reads of a gateway that follows others, while those can't
+// tell: the key-value service may be out of reach of all.
+constexpr milliseconds kMinDirectInterval{1'000};
+// Positions in listings_.
+constexpr std::size_t kConfigurationListing = 0;
+constexpr std::size_t kTargetsListing = 1;
+constexpr std::size_t kMembersListing = 2;
 // Bounds a call whose connection has gone silent.
 constexpr milliseconds kCallTimeout{800};
 constexpr milliseconds kMinRetryDelay{100};
@@ -33,9 +42,11 @@
 
 state_reader::state_reader(io_pool& pool,
                            key_value_store& store,
+                           http_client& peers,
                            const gateway_protocol& protocol,
                            const gateway_settings& settings,
                            gateway_state& state,
+                           std::string start,
                            std::function<void()> on_configuration)
     : pool_(pool),
       store_(store),
@@ -49,6 +60,7 @@
                   &state_reader::ApplyTargets},
                  {"members", kRegistryPrefix, kMembersInterval,
                   &state_reader::ApplyRegistry}}},
+      contents_(listings_.size()),
       registration_(
           pool,
           store,
@@ -58,38 +70,84 @@
                                  settings_.caller_address,
                                  settings_.peer_address, state_.stopping});
           },
-          state.counters) {}
+          state.counters,
+          [this](bool reached, steady_time asked_at) {
+            state_.store_reached = reached;
+            if (reached) {
+              state_.registered_at = asked_at;
+              StartReadingMembers();
+            }
+          }),
+      relay_(pool,
+             peers,
+             settings,
+             state,
+             std::move(start),
+             contents_,
+             [this](std::size_t index) { Apply(index); }) {}
 
 void state_reader::Start() {
-  for (listing& subject : listings_) {
-    Poll(subject);
-  }
+  Read(kConfigurationListing);
+  Read(kTargetsListing);
   registration_.Start();
+  relay_.Start();
+  pool_.After(kMembersInterval, [this] { StartReadingMembers(); });
+}
+
+// The first listing of the members should contain this daemon.
+void state_reader::StartReadingMembers() {
+  if (!reads_members_) {
+    reads_members_ = true;
+    Read(kMembersListing);
+  }
 }
 
-void state_reader::Poll(listing& subject) {
+void state_reader::Poll(std::size_t index) {
+  if (state_.relays.IsReader() || relay_.IsStale(index)) {
+    Read(index);
+  } else {
+    pool_.After(kStaleCheckInterval, [this, index] { Poll(index); });
+  }
+}
+
+void state_reader::Read(std::size_t index) {
   const steady_time asked_at = BootTimeNow();
-  store_.Call(kv_list{subject.prefix}, kCallTimeout,
-              [this, &subject, asked_at](const kv_answer& answer) {
-                OnListing(subject, answer, asked_at);
+  store_.Call(kv_list{listings_[index].prefix}, kCallTimeout,
+              [this, index, asked_at](const kv_answer& answer) {
+                OnListing(index, answer, asked_at);
               });
 }
 
-void state_reader::OnListing(listing& subject,
+void state_reader::OnListing(std::size_t index,
                              const kv_answer& answer,
                              steady_time asked_at) {
+  listing& subject = listings_[index];
   RecordReachability(subject, answer);
   duration delay = RetryDelay(subject.failures);
   if (answer.outcome == kv_answer::status::ok) {
     subject.failures = 0;
-    (this->*subject.apply)(answer, asked_at);
+    shared_listing& own = contents_[index];
+    if (!own.asked_at || asked_at >= *own.asked_at) {
+      const bool changed = own.content.Update(answer.entries);
+      own.asked_at = asked_at;
+      Apply(index);
+      relay_.OnListing(changed);
+    }
     delay = std::max<duration>(kMinRetryDelay,
                                subject.interval - (BootTimeNow() - asked_at));
   } else {
     ++subject.failures;
     state_.counters.Add(std::string("listing_failed.") + subject.name);
   }
-  pool_.After(delay, [this, &subject] { Poll(subject); });
+  if (!state_.relays.IsReader()) {
+    delay = std::max<duration>(delay, kMinDirectInterval);
+  }
+  pool_.After(delay, [this, index] { Poll(index); });
+}
+
+void state_reader::Apply(std::size_t index) {
+  const shared_listing& own = contents_[index];
+  (this->*listings_[index].apply)(own.content.Entries(), *own.asked_at);
 }
 
 void state_reader::RecordReachability(listing& subject,
@@ -113,9 +171,9 @@
   }
 }
 
-void state_reader::ApplyConfiguration(const kv_answer& answer,
+void state_reader::ApplyConfiguration(const std::vector<kv_entry>& entries,
                                       steady_time asked_at) {
-  for (const kv_entry& entry : answer.entries) {
+  for (const kv_entry& entry : entries) {
     if (!protocol_.IsConfiguration(entry)) {
       continue;
     }
@@ -144,9 +202,10 @@
   }
 }
 
-void state_reader::ApplyTargets(const kv_answer& answer, steady_time asked_at) {
+void state_reader::ApplyTargets(const std::vector<kv_entry>& entries,
+                                steady_time asked_at) {
   std::vector<target_record> records;
-  for (const kv_entry& entry : answer.entries) {
+  for (const kv_entry& entry : entries) {
     if (auto record = protocol_.DecodeTarget(entry)) {
       records.push_back(std::move(*record));
     } else {
@@ -162,10 +221,10 @@
   }
 }
 
-void state_reader::ApplyRegistry(const kv_answer& answer,
+void state_reader::ApplyRegistry(const std::vector<kv_entry>& entries,
                                  steady_time asked_at) {
   std::map<std::string, member_record> members;
-  for (const kv_entry& entry : answer.entries) {
+  for (const kv_entry& entry : entries) {
     if (entry.key.rfind(kMembersPrefix, 0) != 0) {
       continue;
     }
@@ -176,7 +235,7 @@
     }
   }
   ApplyMembers(std::move(members), asked_at);
-  const bool placed = ApplyTurnStores(answer, state_.turn_stores);
+  const bool placed = ApplyTurnStores(entries, state_.turn_stores);
   if (placed) {
     Log(log_level::info, "turn stores changed",
         {{"accepting", state_.turn_stores.accepting().size()},
@@ -192,6 +251,7 @@
   const std::vector<std::string> could_grant = membership.PossibleGranters();
   if (membership.Update(std::move(listed), asked_at)) {
     state_.members_changed_at = asked_at;
+    state_.relays.Update(membership.members(), MemberKey(settings_.host));
     Log(log_level::info, "members changed",
         {{"count", membership.members().size()},
          {"listed", listed_count},
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -4,26 +4,34 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/lease_registration.h"
+#include "gentian_gateway_daemon/state_relay.h"
 
 namespace gentian {
 
-/** Keeps a gateway_state up to date from the key-value service and keeps this
-    daemon registered there. Used on the I/O thread only.
+/** Keeps a gateway_state up to date from the key-value service, directly or
+    through other gateways, and keeps this daemon registered there. Used on the
+    I/O thread only.
+    @see relay_tree
 */
 class state_reader {
  public:
-  /** @param on_configuration  runs after a new configuration is applied */
+  /** @param start             unique for each start of a daemon
+      @param on_configuration  runs after a new configuration is applied */
   state_reader(io_pool& pool,
                key_value_store& store,
+               http_client& peers,
                const gateway_protocol& protocol,
                const gateway_settings& settings,
                gateway_state& state,
+               std::string start,
                std::function<void()> on_configuration);
 
   void Start();
@@ -35,27 +43,39 @@
   /** Removes the registration. */
   void Deregister();
 
+  /** Answers a request of another daemon; false if the path belongs to another
+      service. */
+  bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange) {
+    return relay_.AnswerPeer(exchange);
+  }
+
  private:
   /** A key prefix that is polled, and the state of its polling. */
   struct listing {
     const char* name;
     std::string prefix;
     duration interval;
-    void (state_reader::*apply)(const kv_answer& answer, steady_time asked_at);
+    void (state_reader::*apply)(const std::vector<kv_entry>& entries,
+                                steady_time asked_at);
     int failures = 0;
     bool reached = false;
     steady_time last_answer{};
   };
 
-  void Poll(listing& subject);
-  void OnListing(listing& subject,
+  void Poll(std::size_t index);
+  void Read(std::size_t index);
+  void StartReadingMembers();
+  void OnListing(std::size_t index,
                  const kv_answer& answer,
                  steady_time asked_at);
   void RecordReachability(listing& subject, const kv_answer& answer);
 
-  void ApplyConfiguration(const kv_answer& answer, steady_time asked_at);
-  void ApplyTargets(const kv_answer& answer, steady_time asked_at);
-  void ApplyRegistry(const kv_answer& answer, steady_time asked_at);
+  void Apply(std::size_t index);
+  void ApplyConfiguration(const std::vector<kv_entry>& entries,
+                          steady_time asked_at);
+  void ApplyTargets(const std::vector<kv_entry>& entries, steady_time asked_at);
+  void ApplyRegistry(const std::vector<kv_entry>& entries,
+                     steady_time asked_at);
   void ApplyMembers(std::map<std::string, member_record> listed,
                     steady_time asked_at);
 
@@ -68,8 +88,12 @@
   gateway_state& state_;
   std::function<void()> on_configuration_;
   std::array<listing, 3> listings_;
+  /** The content of each listing. */
+  std::vector<shared_listing> contents_;
+  bool reads_members_ = false;
   std::uint64_t configuration_version_ = 0;
   lease_registration registration_;
+  state_relay relay_;
 };
 
 }  // namespace gentian
--- /dev/null
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -0,0 +1,96 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_STATE_RELAY_H_
+#define GENTIAN_GATEWAY_DAEMON_STATE_RELAY_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/peer_client.h"
+#include "gentian_gateway_daemon/relay_messages.h"
+
+namespace gentian {
+
+/** The latest content of one listing, and its age. */
+struct shared_listing {
+  listing_content content;
+  /** When the listing that the content is from was asked for. */
+  std::optional<steady_time> asked_at;
+};
+
+/** Passes listings of the key-value service on between gateways: answers those
+    that follow this one, and follows another one if this gateway is no reader
+   or can't read. Used on the I/O thread only.
+*/
+class state_relay {
+ public:
+  /** Runs after listing number `index` was confirmed by another gateway. */
+  using confirmed_handler = std::function<void(std::size_t index)>;
+
+  /** @param start         unique for each start of a daemon
+      @param listings      the same ones, in the same order, at every gateway
+      @param on_confirmed  see there */
+  state_relay(io_pool& pool,
+              http_client& peers,
+              const gateway_settings& settings,
+              gateway_state& state,
+              std::string start,
+              std::vector<shared_listing>& listings,
+              confirmed_handler on_confirmed);
+
+  void Start();
+
+  /** True if the listing is so old that this gateway should read it itself. */
+  bool IsStale(std::size_t index) const;
+
+  /** Tells the followers, after a listing was applied.
+
+      @param changed  whether its content changed */
+  void OnListing(bool changed);
+
+  /** Answers a request of another daemon; false if the path belongs to another
+      service. */
+  bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
+
+ private:
+  struct follower {
+    std::shared_ptr<http_exchange> exchange;
+    relay_request request;
+    steady_time since;
+  };
+
+  bool HasNews(const relay_request& request) const;
+  void Respond(const follower& waiting);
+  void ReleaseHeld();
+  void ArmHoldTimer();
+
+  void Follow();
+  void OnAnswer(const std::string& address,
+                steady_time sent_at,
+                const http_response& response);
+  void Apply(const relay_answer& answer, steady_time sent_at);
+  void TryNextSource();
+  bool IsAnyStale() const;
+  std::string SourceAddress() const;
+
+  io_pool& pool_;
+  peer_client peers_;
+  const gateway_settings& settings_;
+  gateway_state& state_;
+  const std::string start_;
+  std::vector<shared_listing>& listings_;
+  confirmed_handler on_confirmed_;
+  std::list<follower> followers_;
+  bool hold_timer_armed_ = false;
+  /** Number of the source that is asked, and where the cursors belong. */
+  std::size_t source_ = 0;
+  std::string source_start_;
+  std::vector<std::uint64_t> cursors_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_STATE_RELAY_H_
--- a/source/gentian_gateway_daemon/turn_store_listing.cc
+++ b/source/gentian_gateway_daemon/turn_store_listing.cc
@@ -6,11 +6,11 @@
 
 namespace gentian {
 
-bool ApplyTurnStores(const kv_answer& listing,
+bool ApplyTurnStores(const std::vector<kv_entry>& listing,
                      turn_store_directory& directory) {
   turn_store_directory::records running;
   turn_store_directory::records disks;
-  for (const kv_entry& entry : listing.entries) {
+  for (const kv_entry& entry : listing) {
     const bool is_running = entry.key.rfind(kRunningStoresPrefix, 0) == 0;
     if (!is_running && entry.key.rfind(kDisksPrefix, 0) != 0) {
       continue;
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -50,7 +50,8 @@
           store,
           RunningStoreKey(settings_.host),
           [this] { return EncodeTurnStore(Record()); },
-          counters_),
+          counters_,
+          [](bool, steady_time) {}),
       server_(
           pool,
           [this](const exchange_pointer& exchange) { Answer(exchange); },
@@ -83,7 +84,7 @@
       });
   replicator_ = std::make_unique<turn_replicator>(
       pool_, peer_client_, *storage_, settings_, directory_, counters_);
-  const result<success> listening = server_.Listen(settings_.address);
+  result<success> listening = server_.Listen(settings_.address);
   if (Failed(listening)) {
     return listening;
   }
@@ -128,7 +129,7 @@
                 const bool reached = answer.outcome == kv_answer::status::ok;
                 if (!reached) {
                   counters_.Add("listing_failed.members");
-                } else if (ApplyTurnStores(answer, directory_)) {
+                } else if (ApplyTurnStores(answer.entries, directory_)) {
                   Log(log_level::info, "turn stores changed",
                       {{"accepting", directory_.accepting().size()},
                        {"known", directory_.known().size()}});
--- a/source/gentian_turns/kept_turn.cc
+++ b/source/gentian_turns/kept_turn.cc
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <utility>
 
-#include "gentian_turns/turn_cbor.h"
+#include "gentian_core/cbor_message.h"
 
 namespace gentian {
 
--- a/source/gentian_turns/turn_summary.cc
+++ b/source/gentian_turns/turn_summary.cc
@@ -1,6 +1,6 @@
 #include "gentian_turns/turn_summary.h"
 
-#include "gentian_turns/turn_cbor.h"
+#include "gentian_core/cbor_message.h"
 
 namespace gentian {
 
