Grant at once after a restart that nobody missed

Cause: after all hosts lost power, gateways that hold a team's allowance refused for five seconds, since each start counted as taking over a share. Change: a gateway whose registration finds the record of its earlier start, with a lease that still holds, resumes its shares: the others never missed it and chose the same holders all the while. A gateway is ready only once it knows the members; before, it counted itself as the only holder for some milliseconds.

--- a/source/gentian_gateway/allowance_holders.cc
+++ b/source/gentian_gateway/allowance_holders.cc
@@ -49,7 +49,8 @@
 void allowance_holders::Update(const std::vector<std::string>& members,
                                const std::vector<gateway_team>& teams,
                                const std::string& self,
-                               steady_time now) {
+                               steady_time now,
+                               bool resumes) {
   std::map<std::string, team_holders> updated;
   for (const gateway_team& team : teams) {
     team_holders& next = updated[team.name];
@@ -59,9 +60,13 @@
     next.self_is_holder =
         std::find(next.keys.begin(), next.keys.end(), self) != next.keys.end();
     const auto before = teams_.find(team.name);
-    next.holder_since = before != teams_.end() && before->second.self_is_holder
-                            ? before->second.holder_since
-                            : now;
+    if (resumes) {
+      next.holder_since = now - kTakeoverDelay;
+    } else if (before != teams_.end() && before->second.self_is_holder) {
+      next.holder_since = before->second.holder_since;
+    } else {
+      next.holder_since = now;
+    }
   }
   teams_ = std::move(updated);
 }
--- a/source/gentian_gateway/allowance_holders.h
+++ b/source/gentian_gateway/allowance_holders.h
@@ -22,11 +22,14 @@
   /** Recomputes the holders from the current daemons and teams.
 
       @param members  keys of all daemons that may grant, this one included
-      @param self     key of this daemon */
+      @param self     key of this daemon
+      @param resumes  this daemon has restarted so soon that the others never
+                      missed it, so that nobody has taken over its shares */
   void Update(const std::vector<std::string>& members,
               const std::vector<gateway_team>& teams,
               const std::string& self,
-              steady_time now);
+              steady_time now,
+              bool resumes = false);
 
   /** Keys of a team's holders; empty if the team is not known. */
   const std::vector<std::string>& HoldersOf(const std::string& team) const;
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -17,11 +17,11 @@
         membership(MemberKey(settings.host)) {}
 
   /** True if requests that need a key can be decided: the configuration is
-      fresh, and so is this daemon's record, from which the others tell that it
-      still grants allowances. */
+      fresh, the members are known, and this daemon's record, from which the
+      others tell that it still grants allowances, was renewed lately. */
   bool IsFresh(steady_time now) const {
-    return configuration.IsFresh(now) && registered_at &&
-           now - *registered_at < configuration.max_age();
+    return configuration.IsFresh(now) && !membership.members().empty() &&
+           registered_at && now - *registered_at < configuration.max_age();
   }
 
   /** True if callers may be sent here. */
--- a/source/gentian_gateway_daemon/lease_registration.cc
+++ b/source/gentian_gateway_daemon/lease_registration.cc
@@ -72,11 +72,13 @@
         switch (answer.outcome) {
           case kv_answer::status::ok:
             version_ = answer.revision;
+            registered_before_ = true;
             on_call_(true, asked_at);
             on_written();
             return;
           case kv_answer::status::conflict:
             // The record is from an earlier start, or no longer exists.
+            resumed_ |= !registered_before_ && !answer.entries.empty();
             version_ =
                 answer.entries.empty() ? 0 : answer.entries.front().version;
             Write(on_written);
--- a/source/gentian_gateway_daemon/lease_registration.h
+++ b/source/gentian_gateway_daemon/lease_registration.h
@@ -37,6 +37,10 @@
   /** Removes the record. */
   void End();
 
+  /** True if the first registration found the record of an earlier start whose
+      lease had not expired. */
+  bool resumed() const { return resumed_; }
+
  private:
   void GrantLease();
   void RetryRegistration();
@@ -52,6 +56,8 @@
   std::uint64_t lease_ = 0;
   std::uint64_t version_ = 0;
   bool ended_ = false;
+  bool registered_before_ = false;
+  bool resumed_ = false;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -257,17 +257,21 @@
          {"listed", listed_count},
          {"before", before}});
   }
-  if (membership.PossibleGranters() != could_grant) {
-    UpdateHolders();
+  // After a short outage of all hosts, the first listing still names those that
+  // held the shares before.
+  const bool resumes =
+      before == 0 && listed_count > 0 && registration_.resumed();
+  if (resumes || membership.PossibleGranters() != could_grant) {
+    UpdateHolders(resumes);
   }
 }
 
-void state_reader::UpdateHolders() {
+void state_reader::UpdateHolders(bool resumes) {
   const shared_configuration configuration = state_.configuration.current();
   if (configuration) {
     state_.holders.Update(state_.membership.PossibleGranters(),
                           configuration->content().teams,
-                          MemberKey(settings_.host), BootTimeNow());
+                          MemberKey(settings_.host), BootTimeNow(), resumes);
   }
 }
 
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -79,7 +79,7 @@
   void ApplyMembers(std::map<std::string, member_record> listed,
                     steady_time asked_at);
 
-  void UpdateHolders();
+  void UpdateHolders(bool resumes = false);
 
   io_pool& pool_;
   key_value_store& store_;
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -250,20 +250,37 @@
   Log(log_level::info, "host drained",
       {{"duration_ms",
         ToMilliseconds(BootTimeNow() - drain_started_at_).count()}});
-  WriteDrainStatus(0, true, [this] {
-    registration_.End();
-    store_.Call(kv_get{DiskKey(settings_.host)}, kCallTimeout,
-                [this](const kv_answer& answer) {
-                  if (answer.outcome == kv_answer::status::ok &&
-                      !answer.entries.empty()) {
-                    store_.Call(kv_delete{DiskKey(settings_.host),
-                                          answer.entries.front().version},
-                                kCallTimeout, [](const kv_answer&) {
-                                  // Otherwise it is removed as a lost disk.
-                                });
-                  }
-                });
-  });
+  registration_.End();
+  RemoveDiskRecord();
+}
+
+// The record goes before the host may be taken away: readers would wait for a
+// store that does not come back.
+void turn_store_daemon::RemoveDiskRecord() {
+  const auto retry = [this] {
+    pool_.After(kRetryDelay, [this] { RemoveDiskRecord(); });
+  };
+  store_.Call(
+      kv_get{DiskKey(settings_.host)}, kCallTimeout,
+      [this, retry](const kv_answer& found) {
+        if (found.outcome != kv_answer::status::ok) {
+          retry();
+          return;
+        }
+        if (found.entries.empty()) {
+          WriteDrainStatus(0, true, [] {});
+          return;
+        }
+        store_.Call(
+            kv_delete{DiskKey(settings_.host), found.entries.front().version},
+            kCallTimeout, [this, retry](const kv_answer& removed) {
+              if (removed.outcome == kv_answer::status::ok) {
+                WriteDrainStatus(0, true, [] {});
+              } else {
+                retry();
+              }
+            });
+      });
 }
 
 void turn_store_daemon::CheckSettled() {
--- a/source/gentian_turn_daemon/turn_store_daemon.h
+++ b/source/gentian_turn_daemon/turn_store_daemon.h
@@ -62,6 +62,7 @@
                         std::function<void()> on_written);
   void CheckDrain();
   void CompleteDrain();
+  void RemoveDiskRecord();
 
   void CheckSettled();
   void RemoveExpired();
--- a/tests/gateway/allowance_holders_test.cc
+++ b/tests/gateway/allowance_holders_test.cc
@@ -52,6 +52,26 @@
 
 }  // namespace
 
+// The load: all hosts lose power for a second, and every caller comes back at
+// once. Guards against holders that refuse for five seconds although nobody
+// took over their shares meanwhile.
+Test(allowance_holders, a_holder_that_was_not_missed_grants_at_once) {
+  const gateway_team team = Team(10, 10);
+  const std::string self = HoldersOf(team, 64).front();
+  allowance_holders restarted;
+  // The configuration comes before the list of members.
+  restarted.Update({self}, {team}, self, At(0));
+  restarted.Update(Members(64), {team}, self, At(10), true);
+  cr_assert(restarted.MayGrant(team.name, At(10)));
+  restarted.Update(Members(63), {team}, self, At(20));
+  cr_assert(restarted.MayGrant(team.name, At(20)));
+
+  allowance_holders new_holder;
+  new_holder.Update({self}, {team}, self, At(0));
+  new_holder.Update(Members(64), {team}, self, At(10));
+  cr_assert(!new_holder.MayGrant(team.name, At(4'900)));
+}
+
 // Guards against a team that exceeds its allowance by using many daemons, and
 // against one whose requests are refused because each daemon's share is less
 // than one request. With 64 daemons, half of all requests of a day were
