Keep followers from flooding the readers in an outage

Change: cursors are kept for each source; a stale one is left for 300 ms. As a source tells only what changed for it, the cursors of the others start anew when a listing changes through another one or by a read of the gateway's own. Result: relay/a_source_tells_everything_after_a_change_from_elsewhere.

--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -131,7 +131,7 @@
       const bool changed = own.content.Update(answer.entries);
       own.asked_at = asked_at;
       Apply(index);
-      relay_.OnListing(changed);
+      relay_.OnListing(index, changed);
     }
     delay = std::max<duration>(kMinRetryDelay,
                                subject.interval - (BootTimeNow() - asked_at));
--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -17,6 +17,11 @@
 constexpr milliseconds kAnswerTimeout{700};
 constexpr milliseconds kConnectTimeout{150};
 constexpr milliseconds kNextSourceDelay{50};
+// While the key-value service is away, all sources are stale. Gateways that
+// asked them more often would flood the readers.
+constexpr milliseconds kStaleSourceDelay{300};
+// Gateways that were sources once and have left.
+constexpr std::size_t kMaxPositions = 64;
 constexpr milliseconds kIdleInterval{400};
 // Fraction of the withdrawal bound after which a listing is stale. Then there
 // is still time to read it before the configuration is too old.
@@ -37,8 +42,7 @@
       state_(state),
       start_(std::move(start)),
       listings_(listings),
-      on_confirmed_(std::move(on_confirmed)),
-      cursors_(listings.size(), 0) {}
+      on_confirmed_(std::move(on_confirmed)) {}
 
 void state_relay::Start() {
   Follow();
@@ -115,9 +119,20 @@
   }
 }
 
-void state_relay::OnListing(bool changed) {
-  if (!changed || followers_.empty()) {
-    return;
+void state_relay::OnListing(std::size_t index, bool changed) {
+  if (changed) {
+    OnChanged(index, nullptr);
+  }
+}
+
+void state_relay::OnChanged(std::size_t index,
+                            const source_position* changed_by) {
+  // The other sources tell only what has changed for them. They may never have
+  // seen an entry that came and went, so they have to tell everything again.
+  for (auto& [address, position] : positions_) {
+    if (&position != changed_by && index < position.cursors.size()) {
+      position.cursors[index] = 0;
+    }
   }
   // The hold timer finds the list empty or with followers that came later.
   for (const follower& waiting : std::exchange(followers_, {})) {
@@ -162,21 +177,27 @@
     pool_.After(kIdleInterval, [this] { Follow(); });
     return;
   }
+  if (positions_.size() > kMaxPositions) {
+    positions_.clear();
+  }
+  source_position& position = positions_[address];
+  position.cursors.resize(listings_.size(), 0);
   const steady_time sent_at = BootTimeNow();
   peers_.Post(
-      address, kRelayPath, EncodeRelayRequest({source_start_, cursors_}),
+      address, kRelayPath,
+      EncodeRelayRequest({position.start, position.cursors}),
       [this, address, sent_at](const http_response& response) {
         OnAnswer(address, sent_at, response);
       },
       [this](http_failure, const std::string&) {
         state_.counters.Add("relay_failed");
-        TryNextSource();
+        TryNextSource(kNextSourceDelay);
       });
 }
 
-void state_relay::TryNextSource() {
+void state_relay::TryNextSource(duration delay) {
   ++source_;
-  pool_.After(kNextSourceDelay, [this] { Follow(); });
+  pool_.After(delay, [this] { Follow(); });
 }
 
 void state_relay::OnAnswer(const std::string& address,
@@ -186,10 +207,10 @@
   if (response.status != kOk || Failed(answer) ||
       ValueOf(answer).listings.size() != listings_.size()) {
     state_.counters.Add("relay_answer_unreadable");
-    TryNextSource();
+    TryNextSource(kNextSourceDelay);
     return;
   }
-  Apply(ValueOf(answer), sent_at);
+  Apply(ValueOf(answer), positions_[address], sent_at);
   if (!IsAnyStale()) {
     Follow();
     return;
@@ -197,13 +218,16 @@
   // The source can't read the key-value service, or has just started.
   state_.counters.Add("relay_stale");
   Log(log_level::info, "source of listings is stale", {{"source", address}});
-  TryNextSource();
+  TryNextSource(kStaleSourceDelay);
 }
 
-void state_relay::Apply(const relay_answer& answer, steady_time sent_at) {
-  if (answer.source != source_start_) {
-    source_start_ = answer.source;
-    std::fill(cursors_.begin(), cursors_.end(), 0);
+void state_relay::Apply(const relay_answer& answer,
+                        source_position& position,
+                        steady_time sent_at) {
+  position.cursors.resize(listings_.size(), 0);
+  if (answer.source != position.start) {
+    position.start = answer.source;
+    std::fill(position.cursors.begin(), position.cursors.end(), 0);
   }
   const steady_time now = BootTimeNow();
   // The answer may have been on its way for all of the time for which it was
@@ -223,10 +247,12 @@
       continue;
     }
     const bool changed = own.content.Apply(relayed.changes);
-    cursors_[i] = relayed.changes.cursor;
+    position.cursors[i] = relayed.changes.cursor;
     own.asked_at = asked_at;
     on_confirmed_(i);
-    OnListing(changed);
+    if (changed) {
+      OnChanged(i, &position);
+    }
   }
 }
 
--- a/source/gentian_gateway_daemon/state_relay.h
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,10 +47,10 @@
   /** True if the listing is so old that this gateway should read it itself. */
   bool IsStale(std::size_t index) const;
 
-  /** Tells the followers, after a listing was applied.
+  /** Tells the followers, after this gateway has read a listing itself.
 
       @param changed  whether its content changed */
-  void OnListing(bool changed);
+  void OnListing(std::size_t index, bool changed);
 
   /** Answers a request of another daemon; false if the path belongs to another
       service. */
@@ -62,6 +63,13 @@
     steady_time since;
   };
 
+  /** How far a source's changes are known. */
+  struct source_position {
+    /** The start of the source to which the cursors belong. */
+    std::string start;
+    std::vector<std::uint64_t> cursors;
+  };
+
   bool HasNews(const relay_request& request) const;
   void Respond(const follower& waiting);
   void ReleaseHeld();
@@ -71,8 +79,11 @@
   void OnAnswer(const std::string& address,
                 steady_time sent_at,
                 const http_response& response);
-  void Apply(const relay_answer& answer, steady_time sent_at);
-  void TryNextSource();
+  void Apply(const relay_answer& answer,
+             source_position& position,
+             steady_time sent_at);
+  void OnChanged(std::size_t index, const source_position* changed_by);
+  void TryNextSource(duration delay);
   bool IsAnyStale() const;
   std::string SourceAddress() const;
 
@@ -85,10 +96,10 @@
   confirmed_handler on_confirmed_;
   std::list<follower> followers_;
   bool hold_timer_armed_ = false;
-  /** Number of the source that is asked, and where the cursors belong. */
+  /** Number of the source that is asked. */
   std::size_t source_ = 0;
-  std::string source_start_;
-  std::vector<std::uint64_t> cursors_;
+  /** By address. */
+  std::map<std::string, source_position> positions_;
 };
 
 }  // namespace gentian
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -155,6 +155,39 @@
       WaitFor([&status] { return status() == 503; }, milliseconds(2'500)));
 }
 
+// Guards against an entry that stays although it is gone: it came and went
+// between two listings of the source, so the source never tells that it went.
+Test(relay,
+     a_source_tells_everything_after_a_change_from_elsewhere,
+     .timeout = 60) {
+  gateway_fixture subject(Answer);
+  const relay_answer known = Ask(subject, {"", kFromStart});
+  std::atomic<bool> is_stale{false};
+  std::atomic<std::uint64_t> asked_from{0};
+  http_server source(
+      subject.pool, [&](const std::shared_ptr<http_exchange>& exchange) {
+        const auto request = DecodeRelayRequest(exchange->request().body);
+        asked_from = ValueOf(request).cursors[1];
+        relay_answer answer = known;
+        answer.source = "source";
+        for (relayed_listing& listing : answer.listings) {
+          listing.age = milliseconds(is_stale ? 60'000 : 0);
+        }
+        exchange->Respond({200, http_headers(), EncodeRelayAnswer(answer)});
+      });
+  cr_assert(!Failed(source.Listen("127.0.0.1:0")));
+  constexpr int kOthers = 200;
+  for (int i = 0; i < kOthers; ++i) {
+    const std::string host = "other-" + std::to_string(i);
+    subject.store.Put(MemberKey(host), EncodeMember({host, "z" + host, "",
+                                                     source.address(), false}));
+  }
+  cr_assert(WaitFor([&asked_from] { return asked_from > 0; }));
+  is_stale = true;
+  subject.store.Put("servers/i-3", "came and went");
+  cr_assert(WaitFor([&asked_from] { return asked_from == 0; }));
+}
+
 Test(relay, refuses_malformed_requests) {
   gateway_fixture subject(Answer);
   for (const std::string& body :
