--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -251,7 +251,9 @@
     cr_assert(WaitFor([&] {
       return subject.Turn(id, "r" + number, "+").response.status == 200;
     }));
-    cr_assert(subject.PromptOf(id) == number + " r" + number + "\ndone\n+");
+    std::string expected = number;
+    expected.append(" r").append(number).append("\ndone\n+");
+    cr_assert(subject.PromptOf(id) == expected);
   }
 }
 
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -27,11 +28,15 @@
     sockaddr_in own{};
     own.sin_family = AF_INET;
     own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), sizeof(own));
     socklen_t size = sizeof(own);
-    ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size);
+    const bool is_bound =
+        ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
+        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size) == 0 &&
+        ::listen(socket_, 1) == 0;
+    if (!is_bound) {
+      throw std::runtime_error("no loopback port is free");
+    }
     address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
-    ::listen(socket_, 1);
     thread_ = std::thread([this, serve = std::move(serve)] {
       const int peer = ::accept(socket_, nullptr, nullptr);
       char byte = 0;
