Log kept turns under the request's ID

Cause: 'history not loaded' and 'turn not kept' named the turn in a field that gentianrun explain does not read, so that docs/OPERATIONS.md promised what it did not do (tried: 'no line names r1'). Change: both lines have the request's ID in 'request'; the turn that was continued is 'previous'.

--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -171,7 +171,7 @@
 
 void gateway_call::LoadHistory() {
   environment_.histories.Load(
-      {TeamName(), call_->previous_turn}, call_->program,
+      call_->request_id, {TeamName(), call_->previous_turn}, call_->program,
       exchange_->request().body,
       [me = shared_from_this()](loaded_history history) {
         me->OnHistory(std::move(history));
--- a/source/gentian_gateway_daemon/history_service.cc
+++ b/source/gentian_gateway_daemon/history_service.cc
@@ -46,6 +46,7 @@
 
   turn_key key;
   chain_lookup lookup;
+  std::string request_id;
   std::string input;
   load_handler handler;
   steady_time started_at = BootTimeNow();
@@ -98,7 +99,8 @@
                         });
 }
 
-void history_service::Load(const turn_key& turn,
+void history_service::Load(const std::string& request_id,
+                           const turn_key& turn,
                            const std::string& program,
                            std::string input,
                            load_handler handler) {
@@ -106,6 +108,7 @@
       state_.turn_stores.ReadOrder(program, copies(), settings_.failure_domain);
   DeferAvoided(hosts);
   const auto subject = std::make_shared<load>(turn, std::move(hosts));
+  subject->request_id = request_id;
   subject->input = std::move(input);
   subject->handler = std::move(handler);
   Read(subject, subject->lookup.Start());
@@ -199,7 +202,8 @@
                             BootTimeNow() - subject->started_at);
   if (history.result != loaded_history::outcome::found) {
     Log(log_level::info, "history not loaded",
-        {{"turn", subject->key.id},
+        {{"request", subject->request_id},
+         {"previous", subject->key.id},
          {"team", subject->key.team},
          {"outcome", NameOf(history.result)},
          {"stores", state_.turn_stores.known().size()},
@@ -300,7 +304,7 @@
   state_.metrics.AddLatency("history_save", waited);
   if (!durable) {
     Log(log_level::warning, "turn not kept",
-        {{"turn", subject->key.id},
+        {{"request", subject->key.id},
          {"team", subject->key.team},
          {"reason", subject->conflict ? "another turn has this ID"
                                       : "too few turn stores answered"},
--- a/source/gentian_gateway_daemon/history_service.h
+++ b/source/gentian_gateway_daemon/history_service.h
@@ -47,10 +47,12 @@
 
   /** Loads the chain that ends with a turn.
 
+      @param request_id  the request that continues it, for logs
       @param program  where the chain is looked for first: the program of the
                       request, which usually started the conversation
       @param input    the new input */
-  void Load(const turn_key& turn,
+  void Load(const std::string& request_id,
+            const turn_key& turn,
             const std::string& program,
             std::string input,
             load_handler handler);
