Start both platform daemons through one function

Change: RunPlatformDaemon, a template over the daemon; the commands keep their settings and the fields of their first log line. An include that nothing uses is gone from turn_store_daemon.cc. No behaviour changes.

--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -7,9 +7,6 @@
 #include <future>
 #include <thread>
 
-#include "gentian_log/gentian_log.h"
-#include "platform/platform.h"
-
 namespace gentian {
 
 namespace {
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -1,13 +1,16 @@
 #ifndef GENTIAN_APP_PLATFORM_PROCESS_H_
 #define GENTIAN_APP_PLATFORM_PROCESS_H_
 
+#include <csignal>
 #include <functional>
 #include <iostream>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "gentian_app/text_file.h"
-#include "gentian_net/gentian_net.h"
+#include "gentian_log/gentian_log.h"
+#include "platform/platform.h"
 
 namespace gentian {
 
@@ -52,6 +55,40 @@
 void RunUntilStopped(io_pool& pool,
                      const std::function<void(std::function<void()>)>& stop);
 
+/** Runs a daemon until it is stopped.
+
+    @param describe  fields of the line that is logged after the start
+    @returns         the exit status */
+template <typename Daemon, typename Settings>
+int RunPlatformDaemon(const platform_command& command,
+                      const Settings& settings,
+                      json (*describe)(const Settings& settings,
+                                       const std::string& incarnation)) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const result<success> logging =
+      StartLog("info", settings.host, log_output::standard_output);
+  if (Failed(logging)) {
+    return FailToRun(command, ErrorOf(logging));
+  }
+  const std::string incarnation =
+      settings.host + "-" +
+      std::to_string(BootTimeNow().time_since_epoch().count());
+  io_pool pool(1, &LogException);
+  metadata_store store(pool, settings.key_value_address);
+  const platform_protocol protocol;
+  Daemon daemon(pool, store, protocol, settings, incarnation);
+  const result<success> started = daemon.Start();
+  if (Failed(started)) {
+    pool.Stop();
+    return FailToRun(command, ErrorOf(started));
+  }
+  Log(log_level::info, "started", describe(settings, incarnation));
+  RunUntilStopped(pool, [&daemon](std::function<void()> done) {
+    daemon.Stop(std::move(done));
+  });
+  return 0;
+}
+
 /** Reads the settings that the platform wrote, and runs with them.
 
     @param parse  parses the text of the file with the given path
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -1,6 +1,5 @@
 #include "gentian_turn_daemon/turn_store_daemon.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
