End a test's handlers before the variables that they use

Its handlers, on the fixture's threads, copy a variable of the test that is destroyed before the fixture stops them. Repeated six at a time, 6 of 24 runs of relay/* crashed. Change: three tests of relay_test.cc stop the pools first. No assertion changes.

--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -17,6 +17,12 @@
 
 namespace {
 
+// Ends all handlers before the variables of a test that they use.
+void StopPools(gateway_fixture& gateway) {
+  gateway.daemon_pool.Stop();
+  gateway.pool.Stop();
+}
+
 void Answer(const std::shared_ptr<http_exchange>& exchange, int) {
   fake_target::RespondSealed(exchange, "");
 }
@@ -122,6 +128,7 @@
     return Fetch(subject.client, subject.Request("/once/x")).response.status ==
            401;
   }));
+  StopPools(subject);
 }
 
 // Guards against a stale configuration that a frozen clock or a slow way makes
@@ -153,6 +160,7 @@
   subject.store.SetUnavailable(true);
   cr_assert(
       WaitFor([&status] { return status() == 503; }, milliseconds(2'500)));
+  StopPools(subject);
 }
 
 // Guards against an entry that stays although it is gone: it came and went
@@ -186,6 +194,7 @@
   is_stale = true;
   subject.store.Put("servers/i-3", "came and went");
   cr_assert(WaitFor([&asked_from] { return asked_from == 0; }));
+  StopPools(subject);
 }
 
 Test(relay, refuses_malformed_requests) {
