Log the limits that targets name

Cause: the logs could not tell whether gateways overlook the limit of a target or each keep to it alone: nothing read the field. Change: the adapter decodes the limit, the target table keeps the latest statement, and its changes are logged (`target limits its requests`, `target lifts its limit`) and counted; lines of requests show target_limit. Nothing decides by it yet.

--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -1,6 +1,7 @@
 #include "gentian_gateway/target_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gentian {
@@ -18,6 +19,15 @@
 constexpr milliseconds kInitialAvoidance{200};
 constexpr milliseconds kMaxAvoidance{2'000};
 constexpr int kMaxDoublings = 4;
+constexpr double kSameLimitTolerance = 0.1;
+
+bool IsSameLimit(const std::optional<double>& before,
+                 const std::optional<double>& after) {
+  if (!before || !after) {
+    return before.has_value() == after.has_value();
+  }
+  return std::abs(*after - *before) <= kSameLimitTolerance * *before;
+}
 
 }  // namespace
 
@@ -59,6 +69,7 @@
     }
     if (restarted) {
       target.load.reset();
+      target.limit.reset();
       target.failures = 0;
       target.avoid_until = steady_time();
     }
@@ -119,6 +130,30 @@
   }
 }
 
+bool target_table::LearnLimit(const std::string& id,
+                              const target_limit& limit) {
+  known_target* target = FindMutable(id);
+  if (target == nullptr || (target->limit && limit.at < target->limit->at)) {
+    return false;
+  }
+  const std::optional<double> before =
+      target->limit ? target->limit->rate : std::nullopt;
+  target->limit = limit;
+  return !IsSameLimit(before, limit.rate);
+}
+
+std::optional<target_limit> target_table::Limit(const std::string& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? std::nullopt : found->second.limit;
+}
+
+std::size_t target_table::CountLimited() const {
+  return static_cast<std::size_t>(
+      std::count_if(known_.begin(), known_.end(), [](const auto& entry) {
+        return entry.second.limit && entry.second.limit->rate;
+      }));
+}
+
 void target_table::ReportFailure(const std::string& id, steady_time now) {
   known_target* target = FindMutable(id);
   if (target == nullptr) {
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gentian_core/gentian_core.h"
+#include "gentian_gateway/target_limit.h"
 #include "gentian_gateway/target_record.h"
 
 namespace gentian {
@@ -24,6 +25,8 @@
   /** Requests that this daemon has open there. */
   int open_requests = 0;
   std::optional<reported_load> load;
+  /** Nothing if it has never said whether it has a limit. */
+  std::optional<target_limit> limit;
   /** Consecutive failures to reach it. */
   int failures = 0;
   /** No request is sent before this time unless no other target is left. */
@@ -64,6 +67,15 @@
   void RequestStarted(const std::string& id);
   void RequestEnded(const std::string& id);
   void ReportLoad(const std::string& id, reported_load load);
+  /** Records a target's limit, unless a later statement is known.
+
+      @returns  true if a limit was named, lifted or changed by more than a
+                tenth */
+  bool LearnLimit(const std::string& id, const target_limit& limit);
+  /** What the target last said of its limit; nothing if it is not known. */
+  std::optional<target_limit> Limit(const std::string& id) const;
+  /** Number of targets that have a limit. */
+  std::size_t CountLimited() const;
   /** Records that the target was unreachable or closed the connection early. */
   void ReportFailure(const std::string& id, steady_time now);
   void ReportSuccess(const std::string& id);
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -60,6 +60,8 @@
     std::optional<reported_load> load;
     int open_requests = 0;
     int failures = 0;
+    /** Requests per second that the target takes; nothing for no limit. */
+    std::optional<double> rate_limit;
     steady_time sent_at;
   };
 
@@ -84,6 +86,7 @@
   const known_target* ChooseTarget(steady_time now) const;
   void Send(const known_target& target, milliseconds time_left);
   void OnHeader(int status, const http_headers& headers);
+  void LearnLimit();
   void OnBody(std::string_view bytes);
   void OnUnusableStream(const char* reason);
   void OnEnd();
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -104,7 +105,14 @@
   choice_ = {target_ == bound_target_       ? "earlier attempt"
              : target_ == preferred_target_ ? "owner"
                                             : "this daemon",
-             target.load, target.open_requests, target.failures, BootTimeNow()};
+             target.load,
+             target.open_requests,
+             target.failures,
+             target.limit ? target.limit->rate : std::nullopt,
+             BootTimeNow()};
+  if (choice_.rate_limit) {
+    environment_.state.counters.Add("sent_to_limited_target");
+  }
   answer_ = target_answer();
   answer_body_.clear();
   events_.DiscardPartialEvent();
@@ -186,11 +194,33 @@
     answer_.load->at = BootTimeNow();
     environment_.state.targets.ReportLoad(target_, *answer_.load);
   }
+  LearnLimit();
   if (phase_ != phase::streaming) {
     answer_headers_ = environment_.protocol.AnswerHeaders(headers);
   }
 }
 
+// Another target at the address, or bytes that are no answer, say nothing of
+// this target's limit.
+void gateway_call::LearnLimit() {
+  if (answer_.wrong_target || (!answer_.is_signed && !answer_.rate_limit)) {
+    return;
+  }
+  gateway_state& state = environment_.state;
+  const std::optional<target_limit> before = state.targets.Limit(target_);
+  if (!state.targets.LearnLimit(target_, {answer_.rate_limit, BootTimeNow()})) {
+    return;
+  }
+  state.counters.Add(answer_.rate_limit ? "limit.named" : "limit.lifted");
+  Log(log_level::info,
+      answer_.rate_limit ? "target limits its requests"
+                         : "target lifts its limit",
+      {{"target", target_},
+       {"rate", answer_.rate_limit.value_or(-1)},
+       {"rate_before", before ? before->rate.value_or(-1) : -1},
+       {"request", call_->request_id}});
+}
+
 void gateway_call::OnBody(std::string_view bytes) {
   const bool events = answer_.status < kFirstFailureStatus &&
                       answer_.is_signed && answer_.is_event_stream;
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -25,6 +25,7 @@
        (load ? ToMilliseconds(choice_.sent_at - load->at) : kUnknown).count()},
       {"target_open_here", choice_.open_requests},
       {"target_failures", choice_.failures},
+      {"target_limit", choice_.rate_limit.value_or(-1)},
       {"attempt_ms", ToMilliseconds(now - choice_.sent_at).count()}};
 }
 
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -179,6 +179,8 @@
                           static_cast<double>(state_.open_requests));
   state_.metrics.SetGauge(
       "members", static_cast<double>(state_.membership.members().size()));
+  state_.metrics.SetGauge("limited_targets",
+                          static_cast<double>(state_.targets.CountLimited()));
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
                           static_cast<double>(losses.sampled_out));
--- a/source/gentian_gateway_daemon/target_answer.h
+++ b/source/gentian_gateway_daemon/target_answer.h
@@ -21,6 +21,9 @@
   bool is_event_stream = false;
   std::string request_id;
   std::optional<reported_load> load;
+  /** Requests per second that the target takes from all gateways together;
+      nothing if it names no limit. */
+  std::optional<double> rate_limit;
 };
 
 }  // namespace gentian
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -97,6 +97,29 @@
   cr_assert(SelectTarget(table, demand, At(2)) == nullptr);
 }
 
+// Guards against a limit of an earlier answer, or of an earlier start of the
+// target, that replaces the latest one.
+Test(target_table, knows_the_latest_limit_of_a_target) {
+  target_table table;
+  table.Update({Target("a")}, At(0));
+  cr_assert(!table.Limit("a"));
+  cr_assert(!table.LearnLimit("a", {std::nullopt, At(5)}));
+  cr_assert(table.LearnLimit("a", {4.0, At(10)}));
+  cr_assert(!table.LearnLimit("a", {std::nullopt, At(9)}));
+  cr_assert(table.Limit("a")->rate == 4.0);
+  cr_assert(!table.LearnLimit("a", {4.1, At(11)}), "nearly the same");
+  cr_assert(table.LearnLimit("a", {2.0, At(12)}));
+  cr_assert(table.CountLimited() == 1);
+  cr_assert(table.LearnLimit("a", {std::nullopt, At(13)}));
+  cr_assert(table.CountLimited() == 0);
+  cr_assert(!table.LearnLimit("gone", {4.0, At(10)}));
+  table.LearnLimit("a", {2.0, At(14)});
+  target_record restarted = Target("a");
+  restarted.started_at_ms = 1;
+  table.Update({restarted}, At(20));
+  cr_assert(!table.Limit("a"));
+}
+
 // Guards against an address that a different target has taken over.
 Test(target_selector, never_uses_a_target_that_was_replaced) {
   target_table table;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -120,6 +120,24 @@
   cr_assert(platform_protocol().DecodeAnswer(421, http_headers()).wrong_target);
 }
 
+// Guards against a limit that is overlooked, and against a damaged one that
+// stops all requests or ends the process.
+Test(platform_protocol, reads_the_limit_of_a_target) {
+  const auto limit = [](const char* text) {
+    http_headers headers;
+    headers.Add("Server-Limit", text);
+    return platform_protocol().DecodeAnswer(200, headers).rate_limit;
+  };
+  cr_assert(limit("6.75") == 6.75);
+  cr_assert(limit("12") == 12);
+  cr_assert(limit("0") == 0);
+  cr_assert(!platform_protocol().DecodeAnswer(200, http_headers()).rate_limit);
+  for (const char* damaged :
+       {"", " ", "-1", "6,5", "6.5 ", "1e3", "nan", "inf", "many"}) {
+    cr_assert(!limit(damaged), "%s", damaged);
+  }
+}
+
 // Guards against using malformed entries of the target list.
 Test(platform_protocol, skips_entries_that_name_no_target) {
   const platform_protocol protocol;
