--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -35,16 +35,8 @@
                                  target.address() +
                                  R"(","zone":"z","slots":4,"state":"ready",)"
                                  R"("seq":1,"born":1})");
-    gateway_settings settings;
-    settings.host = "host";
-    settings.failure_domain = "z";
-    settings.caller_address = caller_address;
-    settings.directory_address = directory_address;
-    settings.readiness_address = readiness_address;
-    settings.peer_address = peer_address;
-    settings.withdrawal_bound = milliseconds(2'000);
     daemon = std::make_unique<gateway_daemon>(daemon_pool, store, protocol,
-                                              settings, "start-1");
+                                              Settings(0), "start-1");
     cr_assert(!Failed(daemon->Start()));
     cr_assert(WaitFor(
         [this] { return Status(readiness_address, "/readiness") == 200; }));
@@ -55,6 +47,19 @@
     pool.Stop();
   }
 
+  /** Settings of a gateway whose ports are moved by this offset. */
+  static gateway_settings Settings(int port_offset) {
+    gateway_settings settings;
+    settings.host = "host";
+    settings.failure_domain = "z";
+    settings.caller_address = ProcessAddress(18368 + port_offset);
+    settings.directory_address = ProcessAddress(18360 + port_offset);
+    settings.readiness_address = ProcessAddress(18369 + port_offset);
+    settings.peer_address = ProcessAddress(17780 + port_offset);
+    settings.withdrawal_bound = milliseconds(2'000);
+    return settings;
+  }
+
   void Configure(const std::string& keys) {
     store.Put(
         "op/config",
@@ -98,10 +103,10 @@
 
   io_pool pool{2};
   io_pool daemon_pool{1};
-  const std::string caller_address = ProcessAddress(18368);
-  const std::string directory_address = ProcessAddress(18360);
-  const std::string peer_address = ProcessAddress(17780);
-  const std::string readiness_address = ProcessAddress(18369);
+  const std::string caller_address = Settings(0).caller_address;
+  const std::string directory_address = Settings(0).directory_address;
+  const std::string peer_address = Settings(0).peer_address;
+  const std::string readiness_address = Settings(0).readiness_address;
   fake_target target;
   fake_metadata_store store;
   platform_protocol protocol;
