Keep the requests of all gateways within the limit of a target

Cause: the limit was not read, and nothing that a target says of itself was shared between gateways: no gateway alone sent more than the limit. Evidence: with the limit logged, each of the seven gateways had learned each limit after 1.6 to 3.6 s and went on sending to it. Change: rendezvous hashing picks one gateway that paces a target that names a limit; the others ask it before each request to it. A request takes a target without a limit, or with room, and otherwise waits for the next place or is refused with 503 and Retry-After (targets_limited). The owner of a program gives each of these targets its share of the limit.

--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -19,6 +19,7 @@
 #include "gentian_gateway/owner_of.h"
 #include "gentian_gateway/relay_tree.h"
 #include "gentian_gateway/target_limit.h"
+#include "gentian_gateway/target_pacer.h"
 #include "gentian_gateway/target_selector.h"
 #include "gentian_gateway/target_table.h"
 #include "gentian_gateway/turn_scheduler.h"
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -17,14 +17,17 @@
   std::string failure_domain;
   /** Targets that this request has already tried. */
   std::vector<std::string> excluded;
+  /** Leaves out targets that have a limit. */
+  bool skip_limited = false;
 };
 
 /** Chooses a target for a request; nullptr if none is left.
 
     With an affinity key, targets are ranked by rendezvous hash, so that all
     daemons send the requests of one program to the same target without
-    coordination; targets that are full or failing rank last. Without a key, the
-    least loaded target is chosen.
+    coordination; targets that are full, failing or at their limit rank last.
+    Without a key, the least loaded target is chosen, and one with a limit only
+    if the others are full.
 */
 const known_target* SelectTarget(const target_table& targets,
                                  const target_requirements& demand,
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -70,6 +70,7 @@
     if (restarted) {
       target.load.reset();
       target.limit.reset();
+      target.no_room_until = steady_time();
       target.failures = 0;
       target.avoid_until = steady_time();
     }
@@ -148,10 +149,15 @@
 }
 
 std::size_t target_table::CountLimited() const {
-  return static_cast<std::size_t>(
-      std::count_if(known_.begin(), known_.end(), [](const auto& entry) {
-        return entry.second.limit && entry.second.limit->rate;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      known_.begin(), known_.end(),
+      [](const auto& entry) { return entry.second.IsLimited(); }));
+}
+
+void target_table::ReportNoRoom(const std::string& id, steady_time until) {
+  if (known_target* target = FindMutable(id)) {
+    target->no_room_until = until;
+  }
 }
 
 void target_table::ReportFailure(const std::string& id, steady_time now) {
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -27,12 +27,20 @@
   std::optional<reported_load> load;
   /** Nothing if it has never said whether it has a limit. */
   std::optional<target_limit> limit;
+  /** Its limit leaves no room for a request before this time. */
+  steady_time no_room_until;
   /** Consecutive failures to reach it. */
   int failures = 0;
   /** No request is sent before this time unless no other target is left. */
   steady_time avoid_until;
   /** It was listed after the last outage of the key-value service. */
   bool listed_since_outage = true;
+
+  bool IsLimited() const { return limit && limit->rate; }
+  /** True if its limit is known to leave no room for a request. */
+  bool HasNoRoom(steady_time now) const {
+    return IsLimited() && now < no_room_until;
+  }
 };
 
 /** The targets that requests may be sent to, from listings of the key-value
@@ -74,6 +82,8 @@
   bool LearnLimit(const std::string& id, const target_limit& limit);
   /** What the target last said of its limit; nothing if it is not known. */
   std::optional<target_limit> Limit(const std::string& id) const;
+  /** Records that a target's limit leaves no room before this time. */
+  void ReportNoRoom(const std::string& id, steady_time until);
   /** Number of targets that have a limit. */
   std::size_t CountLimited() const;
   /** Records that the target was unreachable or closed the connection early. */
--- a/source/gentian_gateway/turn_scheduler.cc
+++ b/source/gentian_gateway/turn_scheduler.cc
@@ -39,6 +39,9 @@
 // Time after its deadline at which a turn counts as ended although its end was
 // not reported.
 constexpr milliseconds kEndReportGrace{500};
+// Turns beyond its share of a target's limit count against a daemon for at most
+// this time.
+constexpr milliseconds kMaxShareDebt{2'000};
 // A program with less time left than this can't finish another turn in time.
 constexpr milliseconds kMinTurnTime{200};
 
@@ -130,12 +133,35 @@
   return turns * (speed == speeds_.end() ? 1 : speed->second.idle_interval_s);
 }
 
+bool turn_scheduler::MayGetTurn(const known_target& target,
+                                steady_time now) const {
+  if (!target.IsLimited()) {
+    return true;
+  }
+  const auto used = share_used_until_.find(target.record.id);
+  return !target.HasNoRoom(now) &&
+         (used == share_used_until_.end() || used->second <= now);
+}
+
+void turn_scheduler::Pace(const known_target& target, steady_time now) {
+  if (!target.IsLimited()) {
+    return;
+  }
+  const double share = *target.limit->rate / static_cast<double>(daemon_count_);
+  const duration interval = share * ToSeconds(kMaxShareDebt) > 1
+                                ? FromSeconds(1 / share)
+                                : kMaxShareDebt;
+  steady_time& used = share_used_until_[target.record.id];
+  used = std::min(std::max(used, now) + interval, now + kMaxShareDebt);
+}
+
 std::string turn_scheduler::ChooseTarget(const waiting_turn& turn,
                                          steady_time now) {
   placement& assigned = placements_[turn.program];
   assigned.last_used = now;
   const known_target* current = nullptr;
   const known_target* least = nullptr;
+  bool least_may = false;
   double current_load = 0;
   double least_load = 0;
   std::uint64_t least_hash = 0;
@@ -148,14 +174,17 @@
     // targets.
     const std::uint64_t hash =
         StableHash(turn.program, StableHash(target->record.id));
+    const bool may = MayGetTurn(*target, now);
     if (least == nullptr ||
-        std::tie(load, hash) < std::tie(least_load, least_hash)) {
+        std::make_tuple(!may, load, hash) <
+            std::make_tuple(!least_may, least_load, least_hash)) {
       least = target;
+      least_may = may;
       least_load = load;
       least_hash = hash;
     }
     if (target->record.id == assigned.target) {
-      current = target;
+      current = may ? target : nullptr;
       current_load = load;
     }
   }
@@ -168,7 +197,9 @@
   if (current == nullptr || current_load > kMoveLoadRatio * least_load +
                                                kMoveMarginTurns * one_turn) {
     assigned.target = least->record.id;
+    current = least;
   }
+  Pace(*current, now);
   return assigned.target;
 }
 
@@ -228,6 +259,10 @@
     return;
   }
   last_eviction_ = now;
+  for (auto next = share_used_until_.begin();
+       next != share_used_until_.end();) {
+    next = next->second < now ? share_used_until_.erase(next) : std::next(next);
+  }
   for (auto next = placements_.begin(); next != placements_.end();) {
     next = now - next->second.last_used > kPlacementRetention
                ? placements_.erase(next)
--- a/source/gentian_gateway/turn_scheduler.h
+++ b/source/gentian_gateway/turn_scheduler.h
@@ -56,7 +56,8 @@
     can still finish in time are admitted first. That limit adapts to how much
     slower events arrive than from an idle engine. A program stays on one
     engine, which has its prompt cached, unless that engine is much busier than
-    others.
+    others. An engine with a limit gets an equal share of it from each daemon,
+    more only if all engines have had theirs.
 */
 class turn_scheduler {
  public:
@@ -109,6 +110,8 @@
   pool& PoolOf(const std::string& service);
   std::string ChooseTarget(const waiting_turn& turn, steady_time now);
   double EstimatedLoad(const known_target& target, steady_time now) const;
+  bool MayGetTurn(const known_target& target, steady_time now) const;
+  void Pace(const known_target& target, steady_time now);
   void RemoveExpired(steady_time now);
   void EvictIdlePlacements(steady_time now);
 
@@ -120,6 +123,8 @@
   std::map<std::string, pool> pools_;
   std::map<std::string, target_speed> speeds_;
   std::map<std::string, placement> placements_;
+  /** By target with a limit: until when it has got this daemon's share. */
+  std::map<std::string, steady_time> share_used_until_;
   steady_time last_eviction_;
 };
 
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -214,12 +214,7 @@
   request.max_output_tokens = most;
   request.finish_within = call_->finish_within.value_or(kDefaultFinishWithin);
   request.time_left = TimeLeft(BootTimeNow());
-  const milliseconds patience = route_->max_event_gap.count() > 0
-                                    ? route_->max_event_gap
-                                    : request.time_left;
-  request.wait_limit = milliseconds(static_cast<milliseconds::rep>(std::min(
-      kWaitShareOfTimeLeft * static_cast<double>(request.time_left.count()),
-      kWaitShareOfPatience * static_cast<double>(patience.count()))));
+  request.wait_limit = MaxQueueTime();
   // The handler may run inside Request; the number is then no longer valid.
   const std::uint64_t number = environment_.turns.Request(
       request, [me = shared_from_this(), most](const turn_verdict& verdict,
@@ -287,6 +282,15 @@
   return ToMilliseconds(deadline_ - now);
 }
 
+milliseconds gateway_call::MaxQueueTime() const {
+  const milliseconds left = TimeLeft(BootTimeNow());
+  const milliseconds patience =
+      route_->max_event_gap.count() > 0 ? route_->max_event_gap : left;
+  return milliseconds(static_cast<milliseconds::rep>(
+      std::min(kWaitShareOfTimeLeft * static_cast<double>(left.count()),
+               kWaitShareOfPatience * static_cast<double>(patience.count()))));
+}
+
 void gateway_call::OnDisconnect() {
   if (phase_ == phase::ended) {
     return;
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/history_service.h"
+#include "gentian_gateway_daemon/target_limit_service.h"
 #include "gentian_gateway_daemon/turn_service.h"
 
 namespace gentian {
@@ -19,7 +21,9 @@
   const gateway_settings& settings;
   const gateway_protocol& protocol;
   gateway_state& state;
+  io_pool& pool;
   allowance_service& allowances;
+  target_limit_service& limits;
   turn_service& turns;
   history_service& histories;
   http_client& targets;
@@ -84,9 +88,15 @@
   // One attempt at a target.
   void Dispatch();
   const known_target* ChooseTarget(steady_time now) const;
+  bool IsUsable(const std::string& target) const;
+  bool IsSaturated(const std::string& target) const;
+  void RequestPermit(const std::string& target, milliseconds max_wait);
+  void OnPermit(const std::string& target,
+                const target_limit_service::permit& permit);
+  bool WaitForRoom();
+  void RefuseWithoutTarget();
   void Send(const known_target& target, milliseconds time_left);
   void OnHeader(int status, const http_headers& headers);
-  void LearnLimit();
   void OnBody(std::string_view bytes);
   void OnUnusableStream(const char* reason);
   void OnEnd();
@@ -118,6 +128,8 @@
   void LogFailedAttempt(const char* reason, bool may_have_run) const;
   void LogEnd(const std::string& outcome, steady_time now) const;
   milliseconds TimeLeft(steady_time now) const;
+  /** Longest time that the request may wait for its turn at a target. */
+  milliseconds MaxQueueTime() const;
 
   gateway_environment& environment_;
   std::shared_ptr<http_exchange> exchange_;
@@ -152,6 +164,13 @@
   std::string target_;
   target_choice choice_;
   std::vector<std::string> excluded_;
+  /** Targets whose limits leave no room, and after which time they may. */
+  std::map<std::string, milliseconds> saturated_;
+  /** The target with a limit to which the request may be sent. */
+  std::string permitted_target_;
+  int permit_requests_ = 0;
+  bool has_waited_for_room_ = false;
+  milliseconds permit_wait_{0};
   /** The only target that may still run the request, once the route's
       max_targets have been used. */
   std::string bound_target_;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "gentian_gateway_daemon/gateway_call.h"
-#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -19,6 +18,10 @@
 // it, further attempts go to the last of them.
 constexpr int kMaxRuns = 3;
 constexpr milliseconds kFullRetryAfter{150};
+// Targets with a limit that are asked for room before the request goes to
+// others or waits. Each question takes a few milliseconds.
+constexpr int kMaxPermitRequests = 3;
+constexpr milliseconds kMinLimitRetryAfter{50};
 // Bounds of an answer that never ends. A host has little memory, and answers
 // that are no streams are held there until they are whole.
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
@@ -37,21 +40,16 @@
 
 const known_target* gateway_call::ChooseTarget(steady_time now) const {
   const target_table& targets = environment_.state.targets;
-  if (!bound_target_.empty()) {
-    const known_target* bound = targets.Find(bound_target_);
-    if (bound != nullptr && bound->record.service == service_ &&
-        std::find(excluded_.begin(), excluded_.end(), bound_target_) ==
-            excluded_.end()) {
-      return bound;
+  if (IsUsable(bound_target_)) {
+    // No other target may run it, even if this one has no room.
+    return IsSaturated(bound_target_) ? nullptr : targets.Find(bound_target_);
+  }
+  for (const std::string* id : {&permitted_target_, &preferred_target_}) {
+    if (IsUsable(*id) && !IsSaturated(*id) &&
+        now >= targets.Find(*id)->avoid_until) {
+      return targets.Find(*id);
     }
   }
-  const known_target* preferred = targets.Find(preferred_target_);
-  if (preferred != nullptr && preferred->record.service == service_ &&
-      now >= preferred->avoid_until &&
-      std::find(excluded_.begin(), excluded_.end(), preferred_target_) ==
-          excluded_.end()) {
-    return preferred;
-  }
   target_requirements demand;
   demand.service = service_;
   if (route_->has_affinity) {
@@ -60,9 +58,24 @@
   }
   demand.failure_domain = environment_.settings.failure_domain;
   demand.excluded = excluded_;
+  for (const auto& [target, wait] : saturated_) {
+    demand.excluded.push_back(target);
+  }
+  demand.skip_limited = permit_requests_ >= kMaxPermitRequests;
   return SelectTarget(targets, demand, now);
 }
 
+bool gateway_call::IsUsable(const std::string& target) const {
+  const known_target* known = environment_.state.targets.Find(target);
+  return known != nullptr && known->record.service == service_ &&
+         std::find(excluded_.begin(), excluded_.end(), target) ==
+             excluded_.end();
+}
+
+bool gateway_call::IsSaturated(const std::string& target) const {
+  return saturated_.count(target) > 0;
+}
+
 void gateway_call::Dispatch() {
   const steady_time now = BootTimeNow();
   const milliseconds time_left = TimeLeft(now);
@@ -86,21 +99,100 @@
     return;
   }
   const known_target* target = sends_ < kMaxSends ? ChooseTarget(now) : nullptr;
+  while (target != nullptr && target->HasNoRoom(now) &&
+         target->record.id != permitted_target_) {
+    saturated_[target->record.id] = ToMilliseconds(target->no_room_until - now);
+    target = ChooseTarget(now);
+  }
   if (target == nullptr) {
-    if (runs_ > 0) {
-      Refuse({refusal_reason::target_failed, std::nullopt});
-    } else if (sends_ > 0) {
-      Refuse({refusal_reason::targets_full, kFullRetryAfter});
-    } else {
-      Refuse({refusal_reason::no_target, kNoTargetRetryAfter});
+    if (!WaitForRoom()) {
+      RefuseWithoutTarget();
     }
+  } else if (target->IsLimited() && target->record.id != permitted_target_) {
+    RequestPermit(target->record.id, milliseconds(0));
+  } else {
+    Send(*target, time_left);
+  }
+}
+
+void gateway_call::RefuseWithoutTarget() {
+  if (runs_ > 0) {
+    Refuse({refusal_reason::target_failed, std::nullopt});
+  } else if (!saturated_.empty()) {
+    milliseconds wait = saturated_.begin()->second;
+    for (const auto& [target, next] : saturated_) {
+      wait = std::min(wait, next);
+    }
+    Refuse(
+        {refusal_reason::targets_limited, std::max(wait, kMinLimitRetryAfter)});
+  } else if (sends_ > 0) {
+    Refuse({refusal_reason::targets_full, kFullRetryAfter});
+  } else {
+    Refuse({refusal_reason::no_target, kNoTargetRetryAfter});
+  }
+}
+
+// No target has room at once: reserves the next place, unless the request can't
+// wait for it.
+bool gateway_call::WaitForRoom() {
+  if (saturated_.empty() || has_waited_for_room_ || sends_ >= kMaxSends) {
+    return false;
+  }
+  has_waited_for_room_ = true;
+  const auto soonest =
+      IsSaturated(bound_target_)
+          ? saturated_.find(bound_target_)
+          : std::min_element(saturated_.begin(), saturated_.end(),
+                             [](const auto& a, const auto& b) {
+                               return a.second < b.second;
+                             });
+  const milliseconds limit = MaxQueueTime();
+  if (soonest->second > limit) {
+    return false;
+  }
+  const std::string target = soonest->first;
+  saturated_.erase(soonest);
+  RequestPermit(target, limit);
+  return true;
+}
+
+void gateway_call::RequestPermit(const std::string& target,
+                                 milliseconds max_wait) {
+  ++permit_requests_;
+  environment_.limits.Take(target, max_wait,
+                           [me = shared_from_this(), target](
+                               const target_limit_service::permit& permit) {
+                             me->OnPermit(target, permit);
+                           });
+}
+
+void gateway_call::OnPermit(const std::string& target,
+                            const target_limit_service::permit& permit) {
+  if (phase_ == phase::ended) {
+    return;
+  }
+  if (!permit.granted) {
+    saturated_[target] = permit.wait;
+    Dispatch();
+    return;
+  }
+  permitted_target_ = target;
+  permit_wait_ += permit.wait;
+  if (permit.wait.count() == 0) {
+    Dispatch();
     return;
   }
-  Send(*target, time_left);
+  environment_.pool.After(permit.wait, [me = shared_from_this()] {
+    if (me->phase_ != phase::ended) {
+      me->Dispatch();
+    }
+  });
 }
 
 void gateway_call::Send(const known_target& target, milliseconds time_left) {
   ++sends_;
+  permitted_target_.clear();
+  saturated_.clear();
   target_ = target.record.id;
   choice_ = {target_ == bound_target_       ? "earlier attempt"
              : target_ == preferred_target_ ? "owner"
@@ -194,33 +286,16 @@
     answer_.load->at = BootTimeNow();
     environment_.state.targets.ReportLoad(target_, *answer_.load);
   }
-  LearnLimit();
+  // Another target at the address, or bytes that are no answer, say nothing of
+  // this target's limit.
+  if (!answer_.wrong_target && (answer_.is_signed || answer_.rate_limit)) {
+    environment_.limits.OnAnswer(target_, answer_.rate_limit);
+  }
   if (phase_ != phase::streaming) {
     answer_headers_ = environment_.protocol.AnswerHeaders(headers);
   }
 }
 
-// Another target at the address, or bytes that are no answer, say nothing of
-// this target's limit.
-void gateway_call::LearnLimit() {
-  if (answer_.wrong_target || (!answer_.is_signed && !answer_.rate_limit)) {
-    return;
-  }
-  gateway_state& state = environment_.state;
-  const std::optional<target_limit> before = state.targets.Limit(target_);
-  if (!state.targets.LearnLimit(target_, {answer_.rate_limit, BootTimeNow()})) {
-    return;
-  }
-  state.counters.Add(answer_.rate_limit ? "limit.named" : "limit.lifted");
-  Log(log_level::info,
-      answer_.rate_limit ? "target limits its requests"
-                         : "target lifts its limit",
-      {{"target", target_},
-       {"rate", answer_.rate_limit.value_or(-1)},
-       {"rate_before", before ? before->rate.value_or(-1) : -1},
-       {"request", call_->request_id}});
-}
-
 void gateway_call::OnBody(std::string_view bytes) {
   const bool events = answer_.status < kFirstFailureStatus &&
                       answer_.is_signed && answer_.is_event_stream;
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -61,6 +61,8 @@
          {"sends", sends_},
          {"runs", runs_},
          {"retry_reason", last_reason_},
+         {"permit_requests", permit_requests_},
+         {"permit_wait_ms", permit_wait_.count()},
          {"retry_after_ms", retry_after_.value_or(kUnknown).count()},
          {"events", events_sent_},
          {"first_event_ms",
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -57,6 +57,7 @@
       target_client_(pool),
       peer_client_(pool),
       allowances_(peer_client_, settings_, state_),
+      limits_(peer_client_, settings_, state_),
       turns_(pool, store, peer_client_, settings_, state_, incarnation),
       histories_(pool, peer_client_, settings_, state_),
       reader_(pool,
@@ -67,8 +68,8 @@
               state_,
               incarnation,
               [this] { ApplyCallerLimits(); }),
-      environment_{settings_, protocol,   state_,        allowances_,
-                   turns_,    histories_, target_client_},
+      environment_{settings_, protocol, state_,     pool,          allowances_,
+                   limits_,   turns_,   histories_, target_client_},
       callers_(
           pool,
           [this](std::shared_ptr<http_exchange> exchange) {
@@ -168,7 +169,7 @@
 void gateway_daemon::AnswerPeer(
     const std::shared_ptr<http_exchange>& exchange) {
   if (turns_.AnswerPeer(exchange) || allowances_.AnswerPeer(exchange) ||
-      reader_.AnswerPeer(exchange)) {
+      limits_.AnswerPeer(exchange) || reader_.AnswerPeer(exchange)) {
     return;
   }
   if (exchange->request().Path() != kMetricsPath) {
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -46,6 +46,7 @@
   http_client target_client_;
   http_client peer_client_;
   allowance_service allowances_;
+  target_limit_service limits_;
   turn_service turns_;
   history_service histories_;
   state_reader reader_;
--- a/source/gentian_gateway_daemon/refusal.h
+++ b/source/gentian_gateway_daemon/refusal.h
@@ -28,6 +28,8 @@
   overloaded,
   no_target,
   targets_full,
+  /** The targets get as many requests as the limits that they name allow. */
+  targets_limited,
   /** The deadline passed before the request reached a target. */
   too_late,
   /** From here on the request may have run. */
--- /dev/null
+++ b/source/gentian_gateway_daemon/target_limit_service.h
@@ -0,0 +1,86 @@
+#ifndef GENTIAN_GATEWAY_DAEMON_TARGET_LIMIT_SERVICE_H_
+#define GENTIAN_GATEWAY_DAEMON_TARGET_LIMIT_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gentian_gateway_daemon/gateway_settings.h"
+#include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/peer_client.h"
+#include "gentian_net/gentian_net.h"
+
+namespace gentian {
+
+/** Keeps the requests of all gateways to a target within the limit that the
+    target names.
+
+    Rendezvous hashing picks one gateway that paces the target; the others ask
+    it before each request. A target whose pacing gateway can't be reached gets
+    nothing from those that can't reach it: a substitute would send as much
+    again. Used on the I/O thread only.
+*/
+class target_limit_service {
+ public:
+  /** Whether and when a request may be sent to a target. */
+  struct permit {
+    bool granted = false;
+    /** Granted: time until the request may be sent. Otherwise: time after which
+        the target may have room. */
+    milliseconds wait{0};
+  };
+  using permit_handler = std::function<void(const permit&)>;
+
+  target_limit_service(http_client& peers,
+                       const gateway_settings& settings,
+                       gateway_state& state);
+
+  /** Asks to send one request to a target that has a limit. The handler may run
+      before the function returns.
+
+      @param max_wait  longest time that the request would wait */
+  void Take(const std::string& target,
+            milliseconds max_wait,
+            permit_handler handler);
+
+  /** Records what a target says about its limit in an answer. */
+  void OnAnswer(const std::string& target, std::optional<double> rate);
+
+  /** Answers a request of another daemon; false if the path belongs to another
+      service. */
+  bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
+
+ private:
+  /** The gateway that paces a target; nullptr if no other is known. */
+  const member_record* PacerOf(const std::string& target) const;
+  bool IsSelf(const member_record* pacer) const;
+  /** @param asked_rate  limit that applies if this gateway doesn't list the
+                         target */
+  permit TakeLocally(const std::string& target,
+                     std::optional<double> asked_rate,
+                     milliseconds max_wait);
+  void AskPacer(const std::string& address,
+                const std::string& target,
+                milliseconds max_wait,
+                permit_handler handler);
+  /** Applies a statement unless a later one is known.
+
+      @returns  true if the limit changed */
+  bool Learn(const std::string& target,
+             const target_limit& limit,
+             const char* source);
+  /** What this gateway knows of a limit, for another one. */
+  json Statement(const std::string& target) const;
+  /** @returns  what the other gateway knows; nothing if it knows no limit */
+  std::optional<target_limit> LearnStatement(const json& statement);
+
+  peer_client peers_;
+  const gateway_settings& settings_;
+  gateway_state& state_;
+  target_pacer pacer_;
+};
+
+}  // namespace gentian
+
+#endif  // GENTIAN_GATEWAY_DAEMON_TARGET_LIMIT_SERVICE_H_
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -120,6 +120,34 @@
   cr_assert(!table.Limit("a"));
 }
 
+// Guards against requests to a target at its limit while others have room.
+Test(target_selector, prefers_targets_with_room_below_their_limit) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.LearnLimit("a", {2.0, At(1)});
+  target_requirements demand;
+  demand.service = "model";
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "b");
+  // All but full: the limited one has free slots.
+  for (int i = 0; i < 3; ++i) {
+    table.RequestStarted("b");
+  }
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "a");
+  table.ReportNoRoom("a", At(100));
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "b");
+  cr_assert(SelectTarget(table, demand, At(100))->record.id == "a");
+  demand.skip_limited = true;
+  cr_assert(SelectTarget(table, demand, At(100))->record.id == "b");
+  demand.excluded = {"b"};
+  cr_assert(SelectTarget(table, demand, At(100)) == nullptr);
+  // Without its limit, it has room.
+  demand = target_requirements();
+  demand.service = "model";
+  table.ReportNoRoom("a", At(1'000));
+  table.LearnLimit("a", {std::nullopt, At(101)});
+  cr_assert(SelectTarget(table, demand, At(102))->record.id == "a");
+}
+
 // Guards against an address that a different target has taken over.
 Test(target_selector, never_uses_a_target_that_was_replaced) {
   target_table table;
--- a/tests/gateway/turn_scheduler_test.cc
+++ b/tests/gateway/turn_scheduler_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <map>
 #include <set>
 
 #include "gentian_gateway/gentian_gateway.h"
@@ -178,3 +179,45 @@
   scheduler.Advance(At(4'600));
   cr_assert(scheduler.running() == 0);
 }
+
+// Guards against daemons that each send an engine as many turns as it takes
+// from all of them, and against turns that wait while other engines are idle.
+Test(turn_scheduler, an_engine_with_a_limit_gets_a_share_from_each_daemon) {
+  constexpr int kDaemons = 4;
+  constexpr double kLimit = 8;
+  target_table engines = Engines(2, 64);
+  engines.LearnLimit("engine-0", {kLimit, At(0)});
+  turn_scheduler scheduler(engines);
+  scheduler.SetDaemonCount(kDaemons);
+  std::map<std::string, int> placed;
+  turn_ticket ticket = 0;
+  for (int ms = 10; ms < 4'010; ms += 40) {
+    const std::string program = "p" + std::to_string(++ticket);
+    scheduler.Add(Turn(ticket, program, 0, 60'000));
+    for (const turn_decision& decision : scheduler.Advance(At(ms))) {
+      ++placed[decision.target];
+      scheduler.Remove(decision.ticket);
+    }
+  }
+  cr_assert(placed["engine-0"] >= 6 && placed["engine-0"] <= 9, "%d",
+            placed["engine-0"]);
+  cr_assert(placed["engine-0"] + placed["engine-1"] == 100);
+}
+
+// Guards against refusing turns because all engines have a limit.
+Test(turn_scheduler, engines_with_limits_are_used_if_there_are_no_others) {
+  target_table engines = Engines(2, 64);
+  engines.LearnLimit("engine-0", {1.0, At(0)});
+  engines.LearnLimit("engine-1", {1.0, At(0)});
+  turn_scheduler scheduler(engines);
+  std::map<std::string, int> placed;
+  for (turn_ticket ticket = 1; ticket <= 20; ++ticket) {
+    scheduler.Add(Turn(ticket, "p" + std::to_string(ticket)));
+    for (const turn_decision& decision : scheduler.Advance(At(10))) {
+      ++placed[decision.target];
+      scheduler.Remove(decision.ticket);
+    }
+  }
+  cr_assert(placed["engine-0"] + placed["engine-1"] == 20);
+  cr_assert(placed["engine-0"] > 2 && placed["engine-1"] > 2);
+}
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -216,7 +216,10 @@
   kept_turns_fixture subject(2);
   subject.stores.erase(2);
   const http_outcome outcome = subject.Turn("r1", "", "one");
-  cr_assert(outcome.failure && *outcome.failure == http_failure::broken);
+  cr_assert(outcome.failure && *outcome.failure == http_failure::broken,
+            "status %d, failure %d, body %s", outcome.response.status,
+            outcome.failure ? static_cast<int>(*outcome.failure) : -1,
+            outcome.response.body.c_str());
   subject.StartStore(2, false);
   cr_assert(WaitFor([&subject] {
     static int number = 0;
