Log what a request contains and what ended a send

Cause: request ids are new with each attempt, so the logs could not tell whether one request comes again or many different ones each end a target; nor was the connection's error logged, which a handler discarded. Change: a fingerprint of method, path, team and body in the lines of requests and failed attempts, and the connection's message as detail. The memory of one attempt can't stop it; a memory of contents can.

--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -18,6 +18,7 @@
 #include "gentian_gateway/member_record.h"
 #include "gentian_gateway/owner_of.h"
 #include "gentian_gateway/relay_tree.h"
+#include "gentian_gateway/request_fingerprint.h"
 #include "gentian_gateway/target_limit.h"
 #include "gentian_gateway/target_pacer.h"
 #include "gentian_gateway/target_selector.h"
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -42,6 +42,9 @@
     Refuse(*refused);
     return;
   }
+  const http_request& request = exchange_->request();
+  fingerprint_ = RequestFingerprint(request.method, request.target, TeamName(),
+                                    request.body);
   deadline_ = arrived_ + std::min(call_->time_left.value_or(route_->timeout),
                                   route_->timeout);
   exchange_->SetDisconnectHandler(
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -106,8 +106,10 @@
   void OnWholeAnswer();
   void OnFailure(http_failure failure, const std::string& message);
   void EndAttempt();
-  void RetryElsewhere(const char* reason);
-  void RetryAfterPossibleRun(const char* reason);
+  /** @param detail  what the connection reported; empty if nothing */
+  void RetryElsewhere(const char* reason, const std::string& detail = {});
+  void RetryAfterPossibleRun(const char* reason,
+                             const std::string& detail = {});
   bool MayRunAgain() const;
 
   bool NeedsHistory() const;
@@ -125,7 +127,9 @@
 
   // Logging.
   json ChoiceFields(steady_time now) const;
-  void LogFailedAttempt(const char* reason, bool may_have_run) const;
+  void LogFailedAttempt(const char* reason,
+                        bool may_have_run,
+                        const std::string& detail) const;
   void LogEnd(const std::string& outcome, steady_time now) const;
   milliseconds TimeLeft(steady_time now) const;
   /** Longest time that the request may wait for its turn at a target. */
@@ -140,6 +144,8 @@
   const gateway_route* route_ = nullptr;
   const gateway_team* team_ = nullptr;
   std::string service_;
+  /** Identifies the request's content; empty until it is authorized. */
+  std::string fingerprint_;
   int tokens_per_event_ = 0;
 
   phase phase_ = phase::waiting;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -417,24 +417,25 @@
   Finish(kAnswered);
 }
 
-void gateway_call::OnFailure(http_failure failure, const std::string&) {
+void gateway_call::OnFailure(http_failure failure, const std::string& message) {
   EndAttempt();
   const steady_time now = BootTimeNow();
   if (failure == http_failure::not_sent) {
     environment_.state.targets.ReportFailure(target_, now);
-    RetryElsewhere("not_sent");
+    RetryElsewhere("not_sent", message);
     return;
   }
   if (failure == http_failure::broken) {
     environment_.state.targets.ReportFailure(target_, now);
   }
-  RetryAfterPossibleRun(failure == http_failure::deadline ? "deadline"
-                                                          : "broken");
+  RetryAfterPossibleRun(
+      failure == http_failure::deadline ? "deadline" : "broken", message);
 }
 
-void gateway_call::RetryElsewhere(const char* reason) {
+void gateway_call::RetryElsewhere(const char* reason,
+                                  const std::string& detail) {
   last_reason_ = reason;
-  LogFailedAttempt(reason, false);
+  LogFailedAttempt(reason, false, detail);
   environment_.state.counters.Add(std::string("retried.") + reason);
   excluded_.push_back(target_);
   Dispatch();
@@ -452,10 +453,11 @@
   return false;
 }
 
-void gateway_call::RetryAfterPossibleRun(const char* reason) {
+void gateway_call::RetryAfterPossibleRun(const char* reason,
+                                         const std::string& detail) {
   ++runs_;
   last_reason_ = reason;
-  LogFailedAttempt(reason, true);
+  LogFailedAttempt(reason, true, detail);
   const bool in_time = TimeLeft(BootTimeNow()).count() > 0;
   if (!in_time || !MayRunAgain() || runs_ >= kMaxRuns) {
     Refuse({in_time ? refusal_reason::target_failed
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -30,11 +30,14 @@
 }
 
 void gateway_call::LogFailedAttempt(const char* reason,
-                                    bool may_have_run) const {
+                                    bool may_have_run,
+                                    const std::string& detail) const {
   json line = ChoiceFields(BootTimeNow());
   line.update({{"request", call_->request_id},
                {"program", call_->program},
+               {"fingerprint", fingerprint_},
                {"reason", reason},
+               {"detail", detail},
                {"may_have_run", may_have_run},
                {"status", answer_.status},
                {"events", events_sent_},
@@ -54,6 +57,7 @@
          {"service", service_},
          {"team", team_ == nullptr ? "" : team_->name},
          {"program", call_ ? call_->program : ""},
+         {"fingerprint", fingerprint_},
          {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
          {"most", call_ ? call_->max_output_tokens : -1},
          {"allowance_holder", allowance_holder_},
