--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -150,6 +150,10 @@
   }
 
   std::string address() const { return server_.address(); }
+
+  /** Closes all connections and takes no more. */
+  void Stop() { server_.Stop(); }
+
   int runs() const { return runs_; }
 
   /** Header fields of a signed response to a request. */
