Report a request that was sent twice as sent, and let it be cancelled

Cause: the client sends a GET again on a new connection if a kept one breaks. If the target has ended, the second connection is refused and the failure was not_sent, although the first send had run. The handle of the call also named the first connection only, so that cancelling did nothing after that, and the second send had the whole deadline again. Change: the second send knows that there was a first one, has its deadline, and is cancelled with it.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -82,12 +82,18 @@
 class client_call : public http_call,
                     public std::enable_shared_from_this<client_call<State>> {
  public:
+  /** @param deadline     when the request fails
+      @param sent_before  it was sent on another connection already */
   client_call(std::shared_ptr<State> owner,
               http_client_request request,
-              http_client_handlers handlers)
+              http_client_handlers handlers,
+              steady_time deadline,
+              bool sent_before)
       : owner_(std::move(owner)),
         request_(std::move(request)),
-        handlers_(std::move(handlers)) {}
+        handlers_(std::move(handlers)),
+        deadline_(deadline),
+        sent_before_(sent_before) {}
 
   void Start() {
     const auto endpoint = ParseEndpoint(request_.address);
@@ -110,7 +116,9 @@
 
   void Cancel() override {
     asio::post(stream_->executor(), [me = this->shared_from_this()] {
-      if (!me->ended_) {
+      if (me->again_) {
+        me->again_->Cancel();
+      } else if (!me->ended_) {
         me->End();
         me->stream_->Close();
       }
@@ -126,14 +134,15 @@
       Fail(http_failure::not_sent, "the address is not valid");
       return;
     }
-    deadline_timer_->expires_after(request_.deadline);
-    deadline_timer_->async_wait([me = this->shared_from_this()](
-                                    error_code failure) {
-      if (!failure) {
-        me->Fail(me->sent_ ? http_failure::deadline : http_failure::not_sent,
-                 "the deadline passed");
-      }
-    });
+    deadline_timer_->expires_at(deadline_);
+    deadline_timer_->async_wait(
+        [me = this->shared_from_this()](error_code failure) {
+          if (!failure) {
+            me->Fail(me->sent_ || me->sent_before_ ? http_failure::deadline
+                                                   : http_failure::not_sent,
+                     "the deadline passed");
+          }
+        });
     if (reused_) {
       SendRequest();
     } else {
@@ -278,8 +287,9 @@
     End();
     stream_->Close();
     request_.reuse_connection = false;
-    auto again = std::make_shared<client_call>(owner_, request_, handlers_);
-    again->Start();
+    again_ = std::make_shared<client_call>(owner_, request_, handlers_,
+                                           deadline_, true);
+    again_->Start();
   }
 
   void Deliver() {
@@ -341,7 +351,9 @@
     }
     End();
     stream_->Close();
-    handlers_.on_failure(failure, message);
+    // The server may have run what was sent on the other connection.
+    const bool was_sent = failure == http_failure::not_sent && sent_before_;
+    handlers_.on_failure(was_sent ? http_failure::broken : failure, message);
   }
 
   void End() {
@@ -353,6 +365,10 @@
   std::shared_ptr<State> owner_;
   http_client_request request_;
   http_client_handlers handlers_;
+  steady_time deadline_;
+  bool sent_before_;
+  /** The same request on a new connection. */
+  std::shared_ptr<client_call> again_;
   std::optional<asio::ip::tcp::endpoint> endpoint_;
   std::string text_;
   std::shared_ptr<byte_stream> stream_;
@@ -381,8 +397,10 @@
 
 std::shared_ptr<http_call> http_client::Send(http_client_request request,
                                              http_client_handlers handlers) {
-  auto call = std::make_shared<client_call<state>>(state_, std::move(request),
-                                                   std::move(handlers));
+  const steady_time deadline =
+      std::chrono::steady_clock::now() + request.deadline;
+  auto call = std::make_shared<client_call<state>>(
+      state_, std::move(request), std::move(handlers), deadline, false);
   call->Start();
   return call;
 }
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -39,11 +39,16 @@
       exchange->SendEvent(stream_event{"1", "", "first\nline"});
       exchange->SendEvent(stream_event{"2", "note", "second"});
       exchange->EndStream();
+    } else if (path == "/end" || (path == "/once" && ++aborts == 1)) {
+      if (path == "/end") {
+        server.StopAccepting();
+      }
+      exchange->Abort();
     } else if (path == "/quiet") {
       exchange->StartEvents({});
       exchange->SetDisconnectHandler([this] { ++disconnects; });
       quiet = exchange;
-    } else if (path != "/never") {
+    } else if (path != "/never" && path != "/once") {
       exchange->Respond(
           JsonResponse(200, {{"size", exchange->request().body.size()}}));
     } else {
@@ -61,6 +66,7 @@
 
   io_pool pool{2};
   std::atomic<int> disconnects{0};
+  std::atomic<int> aborts{0};
   std::shared_ptr<http_exchange> quiet;
   http_server server;
   http_client client{pool};
@@ -190,6 +196,35 @@
   cr_assert(Fetch(fixture.client, silent).failure == http_failure::silent);
 }
 
+// Guards against a request that is reported as "not sent" because it was sent
+// again, and the server that may have run it the first time had ended.
+Test(http, a_request_that_was_sent_twice_was_sent) {
+  server_fixture fixture;
+  http_client_request request = fixture.Get("/");
+  request.reuse_connection = true;
+  cr_assert(!Fetch(fixture.client, request).failure);
+  request.target = "/end";
+  cr_assert(Fetch(fixture.client, request).failure == http_failure::broken);
+}
+
+// Guards against a request that can't be cancelled any more after it was sent
+// again on a new connection, so that the server goes on with it.
+Test(http, a_request_that_was_sent_twice_can_be_cancelled) {
+  server_fixture fixture;
+  http_client_request request = fixture.Get("/");
+  request.reuse_connection = true;
+  cr_assert(!Fetch(fixture.client, request).failure);
+  request.target = "/once";
+  const auto call = fixture.client.Send(
+      request,
+      {nullptr, nullptr, [] {}, [](http_failure, const std::string&) {}});
+  cr_assert(WaitFor([&] { return fixture.aborts == 2; }));
+  cr_assert(WaitFor([&] { return fixture.quiet != nullptr; }));
+  call->Cancel();
+  cr_assert(WaitFor([&] { return fixture.disconnects == 1; }));
+  fixture.quiet.reset();
+}
+
 // Guards against lost callers that keep their call running.
 Test(http, disconnect_is_reported) {
   server_fixture fixture;
