Publish the limits of targets to all gateways

Cause: as before, what a target says of itself stays with the gateway that heard it. Change: the gateway that paces a target publishes its limit under a lease in the registry, renews the record while the limit holds, and removes it with the limit. The others ask for room from the first request on.

--- a/source/gentian_gateway/member_record.h
+++ b/source/gentian_gateway/member_record.h
@@ -23,6 +23,8 @@
 constexpr const char* kRegistryPrefix = "gentianrun/members";
 /** Key prefix of the requests that are not sent to targets, by fingerprint. */
 constexpr const char* kBlockedPrefix = "gentianrun/members-blocked/";
+/** Key prefix of the limits that targets name, by target ID. */
+constexpr const char* kLimitsPrefix = "gentianrun/members-limits/";
 /** Key prefix of all records of gateways. */
 constexpr const char* kMembersPrefix = "gentianrun/members/";
 
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -148,10 +148,14 @@
   return found == known_.end() ? std::nullopt : found->second.limit;
 }
 
-std::size_t target_table::CountLimited() const {
-  return static_cast<std::size_t>(std::count_if(
-      known_.begin(), known_.end(),
-      [](const auto& entry) { return entry.second.IsLimited(); }));
+std::vector<std::string> target_table::LimitedTargets() const {
+  std::vector<std::string> limited;
+  for (const auto& [id, target] : known_) {
+    if (target.IsLimited()) {
+      limited.push_back(id);
+    }
+  }
+  return limited;
 }
 
 void target_table::ReportNoRoom(const std::string& id, steady_time until) {
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -87,8 +87,8 @@
   std::optional<target_limit> Limit(const std::string& id) const;
   /** Records that a target's limit leaves no room before this time. */
   void ReportNoRoom(const std::string& id, steady_time until);
-  /** Number of targets that have a limit. */
-  std::size_t CountLimited() const;
+  /** Targets that have a limit. */
+  std::vector<std::string> LimitedTargets() const;
   /** Records that the target was unreachable or closed the connection early. */
   void ReportFailure(const std::string& id, steady_time now);
   void ReportSuccess(const std::string& id, steady_time now);
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -57,8 +57,8 @@
       target_client_(pool),
       peer_client_(pool),
       allowances_(peer_client_, settings_, state_),
-      limits_(peer_client_, settings_, state_),
       publisher_(pool, store, state_.counters, [this] { reader_.Refresh(); }),
+      limits_(peer_client_, settings_, state_, publisher_),
       crashes_(peer_client_, settings_, state_, publisher_),
       turns_(pool, store, peer_client_, settings_, state_, incarnation),
       histories_(pool, peer_client_, settings_, state_),
@@ -72,6 +72,7 @@
           incarnation,
           [this] { ApplyCallerLimits(); },
           [this](const std::vector<kv_entry>& entries) {
+            limits_.OnRegistry(entries);
             crashes_.OnRegistry(entries);
           }),
       environment_{settings_, protocol, state_, pool,       allowances_,
@@ -187,8 +188,9 @@
                           static_cast<double>(state_.open_requests));
   state_.metrics.SetGauge(
       "members", static_cast<double>(state_.membership.members().size()));
-  state_.metrics.SetGauge("limited_targets",
-                          static_cast<double>(state_.targets.CountLimited()));
+  state_.metrics.SetGauge(
+      "limited_targets",
+      static_cast<double>(state_.targets.LimitedTargets().size()));
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
                           static_cast<double>(losses.sampled_out));
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -46,8 +46,8 @@
   http_client target_client_;
   http_client peer_client_;
   allowance_service allowances_;
-  target_limit_service limits_;
   record_publisher publisher_;
+  target_limit_service limits_;
   crash_service crashes_;
   turn_service turns_;
   history_service histories_;
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -21,6 +21,8 @@
 // After a change of members, the gateway that paced a target before may go on
 // until it has seen the change.
 constexpr milliseconds kHandoverDelay{1'500};
+// A record outlives the limit by this time at most if its gateway has ended.
+constexpr milliseconds kRecordLifetime{30'000};
 // Bound the times in a message of another gateway, in case it is damaged.
 constexpr milliseconds kMaxWait{30'000};
 constexpr milliseconds kMaxAge{3'600'000};
@@ -36,10 +38,12 @@
 
 target_limit_service::target_limit_service(http_client& peers,
                                            const gateway_settings& settings,
-                                           gateway_state& state)
+                                           gateway_state& state,
+                                           record_publisher& publisher)
     : peers_(peers, {kPeerTimeout, kPeerConnectTimeout}),
       settings_(settings),
-      state_(state) {}
+      state_(state),
+      publisher_(publisher) {}
 
 const member_record* target_limit_service::PacerOf(
     const std::string& target) const {
@@ -53,6 +57,10 @@
   return pacer == nullptr || pacer->host == settings_.host;
 }
 
+bool target_limit_service::Paces(const std::string& target) const {
+  return IsSelf(PacerOf(target));
+}
+
 void target_limit_service::Take(const std::string& target,
                                 milliseconds max_wait,
                                 permit_handler handler) {
@@ -164,9 +172,50 @@
        {"source", source},
        {"age_ms", ToMilliseconds(BootTimeNow() - limit.at).count()},
        {"pacer", pacer == nullptr ? settings_.host : pacer->host}});
+  if (limited && IsSelf(pacer)) {
+    Publish(target, *limit.rate);
+  }
   return true;
 }
 
+void target_limit_service::Publish(const std::string& target, double rate) {
+  publisher_.Publish(kLimitsPrefix + target, json{{"rate", rate}}.dump(),
+                     kRecordLifetime);
+}
+
+void target_limit_service::OnRegistry(const std::vector<kv_entry>& entries) {
+  const std::string prefix = kLimitsPrefix;
+  std::set<std::string> listed;
+  for (const kv_entry& entry : entries) {
+    if (entry.key.rfind(prefix, 0) != 0) {
+      continue;
+    }
+    const std::string target = entry.key.substr(prefix.size());
+    const json record = json::parse(entry.value, nullptr, false);
+    if (!record.is_object() || !record.contains("rate") ||
+        !record["rate"].is_number()) {
+      state_.counters.Add("limit_entry_unreadable");
+      continue;
+    }
+    listed.insert(target);
+    const std::optional<target_limit> known = state_.targets.Limit(target);
+    if (listed_.count(target) == 0) {
+      // The record is new; how old the target's statement is isn't known.
+      Learn(target, {record["rate"].get<double>(), BootTimeNow()}, "listing");
+    } else if (known && !known->rate && Paces(target)) {
+      publisher_.Remove(entry.key, entry.version);
+    }
+  }
+  // The lease has ended, or the gateway that paced the target before has
+  // stopped.
+  for (const std::string& target : state_.targets.LimitedTargets()) {
+    if (listed.count(target) == 0 && Paces(target)) {
+      Publish(target, *state_.targets.Limit(target)->rate);
+    }
+  }
+  listed_ = std::move(listed);
+}
+
 json target_limit_service::Statement(const std::string& target) const {
   const std::optional<target_limit> limit = state_.targets.Limit(target);
   json statement = {{"target", target}};
--- a/source/gentian_gateway_daemon/target_limit_service.h
+++ b/source/gentian_gateway_daemon/target_limit_service.h
@@ -4,11 +4,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "gentian_gateway_daemon/gateway_settings.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/peer_client.h"
+#include "gentian_gateway_daemon/record_publisher.h"
 #include "gentian_net/gentian_net.h"
 
 namespace gentian {
@@ -17,9 +20,10 @@
     target names.
 
     Rendezvous hashing picks one gateway that paces the target; the others ask
-    it before each request. A target whose pacing gateway can't be reached gets
-    nothing from those that can't reach it: a substitute would send as much
-    again. Used on the I/O thread only.
+    it before each request. It publishes the limit, so that also those ask that
+    have not heard of it from the target. A target whose pacing gateway can't be
+   reached gets nothing from those that can't reach it: a substitute would send
+   as much again. Used on the I/O thread only.
 */
 class target_limit_service {
  public:
@@ -34,7 +38,8 @@
 
   target_limit_service(http_client& peers,
                        const gateway_settings& settings,
-                       gateway_state& state);
+                       gateway_state& state,
+                       record_publisher& publisher);
 
   /** Asks to send one request to a target that has a limit. The handler may run
       before the function returns.
@@ -47,6 +52,10 @@
   /** Records what a target says about its limit in an answer. */
   void OnAnswer(const std::string& target, std::optional<double> rate);
 
+  /** Learns the limits that other gateways have published, and keeps the
+     records of the targets that this gateway paces up to date. */
+  void OnRegistry(const std::vector<kv_entry>& entries);
+
   /** Answers a request of another daemon; false if the path belongs to another
       service. */
   bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
@@ -70,6 +79,8 @@
   bool Learn(const std::string& target,
              const target_limit& limit,
              const char* source);
+  bool Paces(const std::string& target) const;
+  void Publish(const std::string& target, double rate);
   /** What this gateway knows of a limit, for another one. */
   json Statement(const std::string& target) const;
   /** @returns  what the other gateway knows; nothing if it knows no limit */
@@ -78,7 +89,10 @@
   peer_client peers_;
   const gateway_settings& settings_;
   gateway_state& state_;
+  record_publisher& publisher_;
   target_pacer pacer_;
+  /** Targets with a published limit, by the latest listing. */
+  std::set<std::string> listed_;
 };
 
 }  // namespace gentian
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -109,9 +109,9 @@
   cr_assert(table.Limit("a")->rate == 4.0);
   cr_assert(!table.LearnLimit("a", {4.1, At(11)}), "nearly the same");
   cr_assert(table.LearnLimit("a", {2.0, At(12)}));
-  cr_assert(table.CountLimited() == 1);
+  cr_assert(table.LimitedTargets().size() == 1);
   cr_assert(table.LearnLimit("a", {std::nullopt, At(13)}));
-  cr_assert(table.CountLimited() == 0);
+  cr_assert(table.LimitedTargets().empty());
   cr_assert(!table.LearnLimit("gone", {4.0, At(10)}));
   table.LearnLimit("a", {2.0, At(14)});
   target_record restarted = Target("a");
--- a/tests/platform/target_limit_test.cc
+++ b/tests/platform/target_limit_test.cc
@@ -218,3 +218,58 @@
            200;
   }));
 }
+
+// Guards against a gateway that learns of a limit only from an answer of its
+// own, and until then sends what the target doesn't take.
+Test(target_limit,
+     is_known_to_gateways_that_the_target_has_not_told,
+     .timeout = 60) {
+  gateway_fleet fleet(
+      3, [](const std::shared_ptr<http_exchange>& exchange, int) {
+        http_headers headers = fake_target::SealedHeaders(*exchange);
+        headers.Add("Server-Limit", "2");
+        exchange->Respond({200, headers, "whole"});
+      });
+  const auto knows = [&fleet](std::size_t gateway) {
+    return fleet.Metrics(gateway).find("limited_targets 1") !=
+           std::string::npos;
+  };
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    cr_assert(!knows(i));
+  }
+  cr_assert(
+      Fetch(fleet.first.client, fleet.Request(1, "/once/x")).response.status ==
+      200);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    cr_assert(WaitFor([&] { return knows(i); }, milliseconds(1'900)), "%zu", i);
+  }
+  cr_assert(fleet.first.target.runs() == 1);
+  fleet.StopPools();
+}
+
+// Guards against the record of a limit that stays after the target has lifted
+// it, and against a damaged one.
+Test(target_limit, its_record_ends_with_it, .timeout = 60) {
+  std::atomic<bool> limited{true};
+  gateway_fixture subject(
+      [&limited](const std::shared_ptr<http_exchange>& exchange, int) {
+        http_headers headers = fake_target::SealedHeaders(*exchange);
+        if (limited) {
+          headers.Add("Server-Limit", "50");
+        }
+        exchange->Respond({200, headers, "whole"});
+      });
+  const std::string key = kLimitsPrefix + std::string("i-1");
+  subject.store.Put(kLimitsPrefix + std::string("i-2"), "nothing");
+  subject.store.Put(kLimitsPrefix + std::string("i-3"), R"({"rate":"x"})");
+  const auto send = [&subject] {
+    return Fetch(subject.client, subject.Request("/once/x")).response.status;
+  };
+  cr_assert(send() == 200);
+  cr_assert(WaitFor([&] { return !subject.store.Value(key).empty(); }));
+  limited = false;
+  cr_assert(WaitFor([&] { return send() == 200; }));
+  cr_assert(WaitFor([&] { return subject.store.Value(key).empty(); }));
+  subject.daemon_pool.Stop();
+  subject.pool.Stop();
+}
