Keep as many copies of a turn as the losses to be borne require

A caller could get a whole answer of a kept turn that one disk alone held. Cause: a gateway asked for as many copies as it knew stores, at most. One that has just started may know the first store only. Change: the number of copies follows from the settings alone; until as many stores take turns, a kept turn is broken off (turn_not_kept).

--- a/source/gentian_gateway_daemon/history_service.cc
+++ b/source/gentian_gateway_daemon/history_service.cc
@@ -82,9 +82,7 @@
       state_(state) {}
 
 std::size_t history_service::copies() const {
-  const std::size_t stores = state_.turn_stores.known().size();
-  return std::min<std::size_t>(settings_.tolerated_losses + 1,
-                               std::max<std::size_t>(stores, 1));
+  return settings_.tolerated_losses + 1;
 }
 
 std::string history_service::AddressOf(const std::string& host) const {
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -228,6 +228,21 @@
   }));
 }
 
+// Guards against a turn that is answered whole although one disk alone holds
+// it: at the start of a fleet, a gateway may know the first store only.
+Test(kept_turns, one_known_store_is_not_enough, .timeout = 60) {
+  kept_turns_fixture subject(1);
+  const http_outcome outcome = subject.Turn("r1", "", "one");
+  cr_assert(outcome.failure && *outcome.failure == http_failure::broken,
+            "status %d", outcome.response.status);
+  subject.StartStore(2, true);
+  cr_assert(WaitFor([&subject] {
+    static int number = 0;
+    return !subject.Turn("again-" + std::to_string(++number), "", "one")
+                .failure;
+  }));
+}
+
 // Guards against a turn that is lost when disks fail one after the other.
 Test(kept_turns, a_wiped_store_gets_its_copies_back, .timeout = 120) {
   kept_turns_fixture subject(3);
