Block a request after two targets if its service has three or fewer

Callers of a service of three targets lost all of them to one request, for 3.3 s. Cause: three targets could end before a request was blocked, which is all that a small service has. Change: the limit is one less than the targets of the service, between two and three.

--- a/source/gentian_gateway/crash_history.cc
+++ b/source/gentian_gateway/crash_history.cc
@@ -10,10 +10,13 @@
 constexpr milliseconds kEvictionInterval{10'000};
 // Each target that ends makes all requests that it ran suspect.
 constexpr std::size_t kMaxSuspects = 4'096;
+// Targets that a request may end before it counts as the cause.
+constexpr std::size_t kMostCrashes = 3;
+constexpr std::size_t kLeastCrashes = 2;
 // A target that began to answer could run the request, at least for a while.
 constexpr double kPartialAnswerWeight = 0.5;
 // More crashes of one request tell nothing new.
-constexpr std::size_t kMaxCrashes = 8;
+constexpr std::size_t kMaxRemembered = 8;
 
 }  // namespace
 
@@ -31,7 +34,7 @@
         return other.target == crash.target &&
                other.target_start == crash.target_start;
       });
-  if (known || crashes.size() >= kMaxCrashes) {
+  if (known || crashes.size() >= kMaxRemembered) {
     return;
   }
   subject.last_added = now;
@@ -68,13 +71,14 @@
                                   : found->second.crashes;
 }
 
-double crash_history::Count(const std::string& fingerprint,
-                            const answered_since& answered) const {
+bool crash_history::IsOverLimit(const std::string& fingerprint,
+                                const answered_since& answered) const {
   const auto found = suspects_.find(fingerprint);
   if (found == suspects_.end()) {
-    return 0;
+    return false;
   }
   double count = 0;
+  std::size_t targets = kMostCrashes + 1;
   steady_time last_end;
   for (const target_crash& crash : found->second.crashes) {
     // Targets that end at the same moment have another cause, such as a failure
@@ -82,9 +86,13 @@
     if (crash.sent_at >= last_end && !answered(crash)) {
       count += crash.has_answered_partly ? kPartialAnswerWeight : 1;
       last_end = crash.ended_at;
+      targets = std::min(targets, crash.service_targets);
     }
   }
-  return count;
+  // A small service keeps a target.
+  const std::size_t limit =
+      std::clamp(targets, kLeastCrashes + 1, kMostCrashes + 1) - 1;
+  return count >= static_cast<double>(limit);
 }
 
 void crash_history::EvictOld(steady_time now) {
--- a/source/gentian_gateway/crash_history.h
+++ b/source/gentian_gateway/crash_history.h
@@ -40,10 +40,11 @@
 
   std::vector<target_crash> CrashesOf(const std::string& fingerprint) const;
 
-  /** Number of targets that ended one after the other. One that had sent a part
-      of the answer counts half. */
-  double Count(const std::string& fingerprint,
-               const answered_since& answered) const;
+  /** True if the request has ended too many targets, one after the other:
+     three, or two if the service has three targets or fewer. One that had sent
+     a part of the answer counts half. */
+  bool IsOverLimit(const std::string& fingerprint,
+                   const answered_since& answered) const;
 
  private:
   struct suspect {
--- a/source/gentian_gateway/target_crash.h
+++ b/source/gentian_gateway/target_crash.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_TARGET_CRASH_H_
 #define GENTIAN_GATEWAY_TARGET_CRASH_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +20,8 @@
   steady_time ended_at;
   /** The target had sent a part of the answer. */
   bool has_answered_partly = false;
+  /** Targets that the service had, this one included. */
+  std::size_t service_targets = 0;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -15,8 +15,6 @@
 constexpr int kBadRequest = 400;
 constexpr milliseconds kPeerTimeout{200};
 constexpr milliseconds kPeerConnectTimeout{100};
-// Targets that a request may crash before it is blocked.
-constexpr double kMaxCrashes = 3;
 // An answer that a target had sent before it ended arrives within this time.
 constexpr milliseconds kLateAnswer{100};
 // Bounds the times in a message of another gateway, in case it is damaged.
@@ -38,7 +36,8 @@
           {"start", crash.target_start},
           {"sent_ms_ago", ToMilliseconds(now - crash.sent_at).count()},
           {"ended_ms_ago", ToMilliseconds(now - crash.ended_at).count()},
-          {"partly_answered", crash.has_answered_partly}};
+          {"partly_answered", crash.has_answered_partly},
+          {"service_targets", crash.service_targets}};
 }
 
 target_crash DecodeCrash(const json& message, steady_time now) {
@@ -46,7 +45,8 @@
           message.at("start").get<std::uint64_t>(),
           now - ReadTime(message, "sent_ms_ago"),
           now - ReadTime(message, "ended_ms_ago"),
-          message.at("partly_answered").get<bool>()};
+          message.at("partly_answered").get<bool>(),
+          message.at("service_targets").get<std::size_t>()};
 }
 
 // The two fingerprints, or one if they are equal.
@@ -173,12 +173,12 @@
   if (const auto answered_at = answers_.Find(fingerprint)) {
     history_.AddAnswer(fingerprint, *answered_at);
   }
-  const double count =
-      history_.Count(fingerprint, [this](const target_crash& crash) {
+  const bool is_over =
+      history_.IsOverLimit(fingerprint, [this](const target_crash& crash) {
         return state_.targets.HasAnsweredAfter(crash.target, crash.target_start,
                                                crash.ended_at + kLateAnswer);
       });
-  if (count < kMaxCrashes) {
+  if (!is_over) {
     return;
   }
   const milliseconds length = blocked_.Block(fingerprint, BootTimeNow());
--- a/source/gentian_gateway_daemon/crash_service.h
+++ b/source/gentian_gateway_daemon/crash_service.h
@@ -18,10 +18,10 @@
     they come to and under whichever IDs.
 
     Rendezvous hashing picks one gateway that counts the crashes of a request,
-    by content and by origin. After the third one it blocks that fingerprint and
-    publishes the block to all gateways. A gateway that has seen a target end
-    under a request asks before it sends the request again. Used on the I/O
-    thread only.
+    by content and by origin. After the third one (the second one, if the
+   service has few targets) it blocks that fingerprint and publishes the block
+   to all gateways. A gateway that has seen a target end under a request asks
+   before it sends the request again. Used on the I/O thread only.
 */
 class crash_service {
  public:
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -217,6 +217,7 @@
              target.open_requests,
              target.failures,
              target.record.started_at_ms,
+             environment_.state.targets.Serving(service_).size(),
              target.limit ? target.limit->rate : std::nullopt,
              BootTimeNow()};
   if (choice_.rate_limit) {
@@ -458,15 +459,16 @@
 // seen it end targets too, so it is sent again only after they were asked.
 void gateway_call::OnBroken(const std::string& message) {
   RecordPossibleRun("broken", message);
-  environment_.crashes.OnCrash(fingerprint_,
-                               {target_, choice_.target_start, choice_.sent_at,
-                                BootTimeNow(), attempt_events_ > 0},
-                               [me = shared_from_this()] {
-                                 if (me->phase_ != phase::ended) {
-                                   me->is_crash_checked_ = true;
-                                   me->RetryOrFail("broken");
-                                 }
-                               });
+  environment_.crashes.OnCrash(
+      fingerprint_,
+      {target_, choice_.target_start, choice_.sent_at, BootTimeNow(),
+       attempt_events_ > 0, choice_.service_targets},
+      [me = shared_from_this()] {
+        if (me->phase_ != phase::ended) {
+          me->is_crash_checked_ = true;
+          me->RetryOrFail("broken");
+        }
+      });
 }
 
 void gateway_call::RetryElsewhere(const char* reason,
--- a/tests/gateway/crash_history_test.cc
+++ b/tests/gateway/crash_history_test.cc
@@ -11,20 +11,22 @@
 
 namespace {
 
+constexpr std::size_t kTargets = 10;
+
 steady_time At(int ms) {
   return steady_time(std::chrono::hours(1) + milliseconds(ms));
 }
 
 target_crash Crash(const std::string& target, int sent_ms, int ended_ms) {
-  return {target, 1, At(sent_ms), At(ended_ms), false};
+  return {target, 1, At(sent_ms), At(ended_ms), false, kTargets};
 }
 
 const crash_history::answered_since kNone = [](const target_crash&) {
   return false;
 };
 
-double CountOf(const crash_history& history) {
-  return history.Count("r", kNone);
+bool IsOver(const crash_history& history) {
+  return history.IsOverLimit("r", kNone);
 }
 
 }  // namespace
@@ -33,11 +35,12 @@
 // in whichever order the gateways report them.
 Test(crash_history, counts_targets_that_end_one_after_the_other) {
   crash_history history;
-  cr_assert(CountOf(history) == 0);
+  cr_assert(!IsOver(history));
   history.Add("r", Crash("c", 420, 500), At(600));
   history.Add("r", Crash("a", 0, 100), At(600));
+  cr_assert(!IsOver(history));
   history.Add("r", Crash("b", 200, 300), At(600));
-  cr_assert(CountOf(history) == 3);
+  cr_assert(IsOver(history));
   cr_assert(history.IsSuspect("r"));
   cr_assert(!history.IsSuspect("other"));
 }
@@ -49,12 +52,13 @@
   history.Add("r", Crash("a", 0, 100), At(600));
   history.Add("r", Crash("a", 101, 102), At(600));
   history.Add("r", Crash("a", 0, 100), At(700));
-  cr_assert(CountOf(history) == 1);
+  history.Add("r", Crash("b", 200, 300), At(700));
+  cr_assert(!IsOver(history));
   // The target may have started again under its ID.
-  target_crash again = Crash("a", 200, 300);
+  target_crash again = Crash("a", 400, 500);
   again.target_start = 2;
   history.Add("r", again, At(700));
-  cr_assert(CountOf(history) == 2);
+  cr_assert(IsOver(history));
 }
 
 // Guards against blocking what was in flight when a whole failure domain lost
@@ -64,19 +68,35 @@
   for (int i = 0; i < 6; ++i) {
     history.Add("r", Crash("t" + std::to_string(i), 10 * i, 100 + i), At(600));
   }
-  cr_assert(CountOf(history) == 1);
+  cr_assert(!IsOver(history));
+}
+
+// Guards against losing all targets of a small service to one request.
+Test(crash_history, two_crashes_are_enough_if_the_service_has_few_targets) {
+  for (const std::size_t targets : {1, 2, 3}) {
+    crash_history history;
+    target_crash first = Crash("a", 0, 100);
+    first.service_targets = targets;
+    history.Add("r", first, At(600));
+    cr_assert(!IsOver(history));
+    target_crash second = Crash("b", 200, 300);
+    second.service_targets = targets;
+    history.Add("r", second, At(600));
+    cr_assert(IsOver(history), "%zu", targets);
+  }
 }
 
 // Guards against blocking requests that only ran at targets that another
 // request crashed: they have mostly got a part of their answers.
 Test(crash_history, a_partial_answer_counts_half) {
   crash_history history;
-  for (int i = 0; i < 5; ++i) {
+  for (int i = 0; i < 6; ++i) {
+    cr_assert(!IsOver(history));
     target_crash crash = Crash("t" + std::to_string(i), 100 * i, 100 * i + 50);
     crash.has_answered_partly = true;
     history.Add("r", crash, At(600));
   }
-  cr_assert(CountOf(history) == 2.5);
+  cr_assert(IsOver(history));
 }
 
 // Guards against taking connections that a living target has closed for its
@@ -87,9 +107,10 @@
   history.Add("r", Crash("b", 200, 300), At(600));
   history.Add("r", Crash("c", 400, 500), At(600));
   const std::set<std::string> living = {"b"};
-  cr_assert(history.Count("r", [&living](const target_crash& crash) {
+  cr_assert(IsOver(history));
+  cr_assert(!history.IsOverLimit("r", [&living](const target_crash& crash) {
     return living.count(crash.target) > 0;
-  }) == 2);
+  }));
 }
 
 // Guards against blocking a request that targets do answer, and against an old
@@ -99,10 +120,13 @@
   cr_assert(!history.AddAnswer("r", At(50)));
   history.Add("r", Crash("a", 0, 100), At(600));
   history.Add("r", Crash("b", 200, 300), At(600));
+  history.Add("r", Crash("c", 400, 500), At(600));
+  cr_assert(history.AddAnswer("r", At(50)));
+  cr_assert(IsOver(history));
   cr_assert(history.AddAnswer("r", At(150)));
-  cr_assert(CountOf(history) == 1);
-  cr_assert(history.AddAnswer("r", At(400)));
-  cr_assert(CountOf(history) == 0);
+  cr_assert(!IsOver(history));
+  cr_assert(history.CrashesOf("r").size() == 2);
+  cr_assert(history.AddAnswer("r", At(500)));
   cr_assert(!history.IsSuspect("r"));
 }
 
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -172,7 +172,7 @@
         R"({"reports":[{"fingerprint":"f","crashes":[{}]}]})",
         R"({"reports":[{"fingerprint":"f","crashes":[{"target":"t",)"
         R"("start":1,"sent_ms_ago":"x","ended_ms_ago":1,)"
-        R"("partly_answered":false}]}]})"}) {
+        R"("partly_answered":false,"service_targets":1}]}]})"}) {
     const http_outcome outcome =
         Fetch(subject.client,
               PostRequest(subject.peer_address, "/crashes/report", body));
