Leave targets without room out of the choice

Cause: a request went through all targets that had no room, one after the other, each time with a new list of the others: with 122 limited targets that is 15,000 copies for one refusal. A GET that the connection sends again was not counted against a limit. Change: the choice leaves out targets whose limits leave no room; the one with room first is looked up once for the wait and for Retry-After. A request to a target with a limit is sent once. A target is asked for room three times at most, also if it is the one that the owner chose.

--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -27,11 +27,10 @@
          std::max(1.0, kFullLoadFraction * target.record.slots);
 }
 
-// Smaller is better: reachable targets first, then those with room below their
-// limit and with free slots. The rest is ordered by hash if there is an
-// affinity key, otherwise by whether they have a limit, load and failure
-// domain.
-using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
+// Smaller is better: reachable targets first, then those with free slots. The
+// rest is ordered by hash if there is an affinity key, otherwise by whether
+// they have a limit, load and failure domain.
+using rank = std::tuple<bool, bool, bool, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
             const target_requirements& demand,
@@ -47,7 +46,6 @@
   const bool far =
       !has_affinity && target.record.failure_domain != demand.failure_domain;
   return {avoided,
-          target.HasNoRoom(now),
           IsFull(target, now),
           !has_affinity && target.IsLimited(),
           load,
@@ -69,6 +67,7 @@
                   target->record.id) != demand.excluded.end();
     // The address now belongs to another target, which can't run the request.
     if (excluded || target->avoid_until == steady_time::max() ||
+        target->HasNoRoom(now) ||
         (demand.skip_limited && target->IsLimited())) {
       continue;
     }
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -25,7 +25,8 @@
 
     With an affinity key, targets are ranked by rendezvous hash, so that all
     daemons send the requests of one program to the same target without
-    coordination; targets that are full, failing or at their limit rank last.
+    coordination; targets that are full or failing rank last. Targets whose
+    limits leave no room are left out.
     Without a key, the least loaded target is chosen, and one with a limit only
     if the others are full.
 */
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -1,7 +1,6 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -94,7 +93,9 @@
   void Dispatch();
   const known_target* ChooseTarget(steady_time now) const;
   bool IsUsable(const std::string& target) const;
-  bool IsSaturated(const std::string& target) const;
+  /** Of the targets that may run the request but whose limits leave no room,
+      the one that has room first; nullptr if there is none. */
+  const known_target* FindSoonestRoom(steady_time now) const;
   void RequestPermit(const std::string& target, milliseconds max_wait);
   void OnPermit(const std::string& target,
                 const target_limit_service::permit& permit);
@@ -181,8 +182,6 @@
   std::string target_;
   target_choice choice_;
   std::vector<std::string> excluded_;
-  /** Targets whose limits leave no room, and after which time they may. */
-  std::map<std::string, milliseconds> saturated_;
   /** The target with a limit to which the request may be sent. */
   std::string permitted_target_;
   int permit_requests_ = 0;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -40,12 +40,18 @@
 
 const known_target* gateway_call::ChooseTarget(steady_time now) const {
   const target_table& targets = environment_.state.targets;
+  const bool may_ask = permit_requests_ < kMaxPermitRequests;
+  const auto may_send = [&](const std::string& id) {
+    const known_target& target = *targets.Find(id);
+    return id == permitted_target_ ||
+           (!target.HasNoRoom(now) && (may_ask || !target.IsLimited()));
+  };
   if (IsUsable(bound_target_)) {
     // No other target may run it, even if this one has no room.
-    return IsSaturated(bound_target_) ? nullptr : targets.Find(bound_target_);
+    return may_send(bound_target_) ? targets.Find(bound_target_) : nullptr;
   }
   for (const std::string* id : {&permitted_target_, &preferred_target_}) {
-    if (IsUsable(*id) && !IsSaturated(*id) &&
+    if (IsUsable(*id) && may_send(*id) &&
         now >= targets.Find(*id)->avoid_until) {
       return targets.Find(*id);
     }
@@ -58,10 +64,7 @@
   }
   demand.failure_domain = environment_.settings.failure_domain;
   demand.excluded = excluded_;
-  for (const auto& [target, wait] : saturated_) {
-    demand.excluded.push_back(target);
-  }
-  demand.skip_limited = permit_requests_ >= kMaxPermitRequests;
+  demand.skip_limited = !may_ask;
   return SelectTarget(targets, demand, now);
 }
 
@@ -72,8 +75,19 @@
              excluded_.end();
 }
 
-bool gateway_call::IsSaturated(const std::string& target) const {
-  return saturated_.count(target) > 0;
+const known_target* gateway_call::FindSoonestRoom(steady_time now) const {
+  const known_target* soonest = nullptr;
+  for (const known_target* target :
+       environment_.state.targets.Serving(service_)) {
+    const std::string& id = target->record.id;
+    if (target->HasNoRoom(now) && IsUsable(id) &&
+        (!IsUsable(bound_target_) || id == bound_target_) &&
+        (soonest == nullptr ||
+         target->no_room_until < soonest->no_room_until)) {
+      soonest = target;
+    }
+  }
+  return soonest;
 }
 
 void gateway_call::Dispatch() {
@@ -114,11 +128,6 @@
     return;
   }
   const known_target* target = sends_ < kMaxSends ? ChooseTarget(now) : nullptr;
-  while (target != nullptr && target->HasNoRoom(now) &&
-         target->record.id != permitted_target_) {
-    saturated_[target->record.id] = ToMilliseconds(target->no_room_until - now);
-    target = ChooseTarget(now);
-  }
   if (target == nullptr) {
     if (!WaitForRoom()) {
       RefuseWithoutTarget();
@@ -131,15 +140,13 @@
 }
 
 void gateway_call::RefuseWithoutTarget() {
+  const steady_time now = BootTimeNow();
   if (runs_ > 0) {
     Refuse({refusal_reason::target_failed, std::nullopt});
-  } else if (!saturated_.empty()) {
-    milliseconds wait = saturated_.begin()->second;
-    for (const auto& [target, next] : saturated_) {
-      wait = std::min(wait, next);
-    }
-    Refuse(
-        {refusal_reason::targets_limited, std::max(wait, kMinLimitRetryAfter)});
+  } else if (const known_target* soonest = FindSoonestRoom(now)) {
+    Refuse({refusal_reason::targets_limited,
+            std::max(ToMilliseconds(soonest->no_room_until - now),
+                     kMinLimitRetryAfter)});
   } else if (sends_ > 0) {
     Refuse({refusal_reason::targets_full, kFullRetryAfter});
   } else {
@@ -150,24 +157,17 @@
 // No target has room at once: reserves the next place, unless the request can't
 // wait for it.
 bool gateway_call::WaitForRoom() {
-  if (saturated_.empty() || has_waited_for_room_ || sends_ >= kMaxSends) {
+  if (has_waited_for_room_ || sends_ >= kMaxSends) {
     return false;
   }
   has_waited_for_room_ = true;
-  const auto soonest =
-      IsSaturated(bound_target_)
-          ? saturated_.find(bound_target_)
-          : std::min_element(saturated_.begin(), saturated_.end(),
-                             [](const auto& a, const auto& b) {
-                               return a.second < b.second;
-                             });
+  const steady_time now = BootTimeNow();
+  const known_target* soonest = FindSoonestRoom(now);
   const milliseconds limit = MaxQueueTime();
-  if (soonest->second > limit) {
+  if (soonest == nullptr || soonest->no_room_until - now > limit) {
     return false;
   }
-  const std::string target = soonest->first;
-  saturated_.erase(soonest);
-  RequestPermit(target, limit);
+  RequestPermit(soonest->record.id, limit);
   return true;
 }
 
@@ -187,7 +187,7 @@
     return;
   }
   if (!permit.granted) {
-    saturated_[target] = permit.wait;
+    // The target is known to have no room now.
     Dispatch();
     return;
   }
@@ -207,7 +207,6 @@
 void gateway_call::Send(const known_target& target, milliseconds time_left) {
   ++sends_;
   permitted_target_.clear();
-  saturated_.clear();
   is_crash_checked_ = false;
   target_ = target.record.id;
   choice_ = {target_ == bound_target_       ? "earlier attempt"
@@ -252,7 +251,9 @@
   request.reuse_connection = true;
   request.max_body_bytes =
       route_->kind == route_kind::stream ? kMaxStreamBytes : kMaxAnswerBytes;
-  request.send_once = route_->kind != route_kind::idempotent;
+  // A second send would not be counted against the limit.
+  request.send_once =
+      route_->kind != route_kind::idempotent || target.IsLimited();
   environment_.state.targets.RequestStarted(target_);
   const std::uint64_t serial = ++attempt_serial_;
   // Handlers of a cancelled attempt must have no effect.
