Block an origin only for crashes of different contents

Callers of a team whose requests have one path could be refused for a minute because one request crashed targets. Cause: three ends without an answer in between blocked the origin, also if one content alone was behind them, which its own block stops. Change: an origin needs crashes of at least two contents. A time in a message of another gateway is read by one function; an answered request looks for the counting gateway only if it was a suspect.

--- a/source/gentian_gateway/crash_history.h
+++ b/source/gentian_gateway/crash_history.h
@@ -41,8 +41,9 @@
   std::vector<target_crash> CrashesOf(const std::string& fingerprint) const;
 
   /** True if the request has ended too many targets, one after the other:
-     three, or two if the service has three targets or fewer. One that had sent
-     a part of the answer counts half. */
+      three, or two if the service has three targets or fewer. One that had sent
+      a part of the answer counts half. An origin is over the limit only if
+      requests of different contents have ended targets. */
   bool IsOverLimit(const std::string& fingerprint,
                    const answered_since& answered) const;
 
--- a/source/gentian_gateway/target_crash.h
+++ b/source/gentian_gateway/target_crash.h
@@ -11,6 +11,8 @@
 
 /** The end of a connection to a target that was running a request. */
 struct target_crash {
+  /** `request_fingerprint::content` of the request. */
+  std::string content;
   std::string target;
   /** `target_record::started_at_ms` of the target. */
   std::uint64_t target_start = 0;
--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "gentian_gateway_daemon/message_time.h"
 #include "gentian_log/gentian_log.h"
 
 namespace gentian {
@@ -20,11 +21,6 @@
 // Bounds the times in a message of another gateway, in case it is damaged.
 constexpr milliseconds kMaxTime{900'000};
 
-milliseconds ReadTime(const json& message, const char* name) {
-  return std::clamp(milliseconds(message.at(name).get<milliseconds::rep>()),
-                    milliseconds(0), kMaxTime);
-}
-
 std::int64_t UnixTimeNow() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -32,7 +28,8 @@
 }
 
 json EncodeCrash(const target_crash& crash, steady_time now) {
-  return {{"target", crash.target},
+  return {{"content", crash.content},
+          {"target", crash.target},
           {"start", crash.target_start},
           {"sent_ms_ago", ToMilliseconds(now - crash.sent_at).count()},
           {"ended_ms_ago", ToMilliseconds(now - crash.ended_at).count()},
@@ -41,10 +38,11 @@
 }
 
 target_crash DecodeCrash(const json& message, steady_time now) {
-  return {message.at("target").get<std::string>(),
+  return {message.at("content").get<std::string>(),
+          message.at("target").get<std::string>(),
           message.at("start").get<std::uint64_t>(),
-          now - ReadTime(message, "sent_ms_ago"),
-          now - ReadTime(message, "ended_ms_ago"),
+          now - ReadMilliseconds(message, "sent_ms_ago", kMaxTime),
+          now - ReadMilliseconds(message, "ended_ms_ago", kMaxTime),
           message.at("partly_answered").get<bool>(),
           message.at("service_targets").get<std::size_t>()};
 }
@@ -159,7 +157,7 @@
     const json answer = json::parse(body);
     for (const json& block : answer.at("blocks")) {
       const auto fingerprint = block.at("fingerprint").get<std::string>();
-      const milliseconds left = ReadTime(block, "left_ms");
+      const milliseconds left = ReadMilliseconds(block, "left_ms", kMaxTime);
       if (blocked_.Add(fingerprint, left, now)) {
         LogBlock(fingerprint, left, "peer");
       }
@@ -232,8 +230,11 @@
     blocked_.Remove(fingerprint);
     was_suspect |= history_.AddAnswer(fingerprint, now);
   }
+  if (!was_suspect) {
+    return;
+  }
   const member_record* counter = CounterOf(request);
-  if (was_suspect && !IsSelf(counter)) {
+  if (!IsSelf(counter)) {
     Post(*counter, request, [] {});
   }
 }
@@ -280,8 +281,9 @@
         history_.Add(fingerprint, DecodeCrash(crash, now), now);
       }
       if (report.contains("answered_ms_ago")) {
-        history_.AddAnswer(fingerprint,
-                           now - ReadTime(report, "answered_ms_ago"));
+        history_.AddAnswer(
+            fingerprint,
+            now - ReadMilliseconds(report, "answered_ms_ago", kMaxTime));
       }
       Decide(fingerprint);
       const milliseconds left =
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -216,7 +216,6 @@
              target.open_requests,
              target.failures,
              target.record.started_at_ms,
-             environment_.state.targets.Serving(service_).size(),
              target.limit ? target.limit->rate : std::nullopt,
              BootTimeNow()};
   if (choice_.rate_limit) {
@@ -462,8 +461,9 @@
   RecordPossibleRun("broken", message);
   environment_.crashes.OnCrash(
       fingerprint_,
-      {target_, choice_.target_start, choice_.sent_at, BootTimeNow(),
-       attempt_events_ > 0, choice_.service_targets},
+      {fingerprint_.content, target_, choice_.target_start, choice_.sent_at,
+       BootTimeNow(), attempt_events_ > 0,
+       environment_.state.targets.Serving(service_).size()},
       [me = shared_from_this()] {
         if (me->phase_ != phase::ended) {
           me->is_crash_checked_ = true;
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gentian_gateway_daemon/message_time.h"
 #include "gentian_log/gentian_log.h"
 
 namespace gentian {
@@ -27,13 +28,6 @@
 constexpr milliseconds kMaxWait{30'000};
 constexpr milliseconds kMaxAge{3'600'000};
 
-milliseconds ReadMilliseconds(const json& message,
-                              const char* name,
-                              milliseconds most) {
-  return std::clamp(milliseconds(message.at(name).get<milliseconds::rep>()),
-                    milliseconds(0), most);
-}
-
 }  // namespace
 
 target_limit_service::target_limit_service(http_client& peers,
