Answer a request that is not sent again without asking others

Callers of requests that may not be repeated could wait up to 200 ms longer for the 502 that was certain. Cause: after a target ended under a request, its answer waited for the gateway that counts crashes, also if nothing was to be sent again. Change: such a request is answered at once and the crash is reported beside it. A permit whose wait is longer than the request may wait counts as refused; a target whose pacing gateway is avoided counts as without room.

--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -117,7 +117,10 @@
                              const std::string& detail = {});
   void RecordPossibleRun(const char* reason, const std::string& detail);
   void RetryOrFail(const char* reason);
+  /** True if requests of the route may run more than once. */
   bool MayRunAgain() const;
+  /** True if this one may be sent again after a possible run. */
+  bool MayRetry() const;
 
   bool NeedsHistory() const;
   /** True if the history that was loaded is the one that the configuration
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -456,20 +456,25 @@
 }
 
 // The target may have ended because of this request. Other gateways may have
-// seen it end targets too, so it is sent again only after they were asked.
+// seen it end targets too, so it is sent again only after they were asked. A
+// request that is not sent again is answered at once.
 void gateway_call::OnBroken(const std::string& message) {
   RecordPossibleRun("broken", message);
+  const bool retries = MayRetry();
   environment_.crashes.OnCrash(
       fingerprint_,
       {fingerprint_.content, target_, choice_.target_start, choice_.sent_at,
        BootTimeNow(), attempt_events_ > 0,
        environment_.state.targets.Serving(service_).size()},
-      [me = shared_from_this()] {
-        if (me->phase_ != phase::ended) {
+      [me = shared_from_this(), retries] {
+        if (retries && me->phase_ != phase::ended) {
           me->is_crash_checked_ = true;
           me->RetryOrFail("broken");
         }
       });
+  if (!retries) {
+    RetryOrFail("broken");
+  }
 }
 
 void gateway_call::RetryElsewhere(const char* reason,
@@ -493,6 +498,11 @@
   return false;
 }
 
+bool gateway_call::MayRetry() const {
+  return TimeLeft(BootTimeNow()).count() > 0 && MayRunAgain() &&
+         runs_ < kMaxRuns;
+}
+
 void gateway_call::RetryAfterPossibleRun(const char* reason,
                                          const std::string& detail) {
   RecordPossibleRun(reason, detail);
@@ -507,8 +517,8 @@
 }
 
 void gateway_call::RetryOrFail(const char* reason) {
-  const bool in_time = TimeLeft(BootTimeNow()).count() > 0;
-  if (!in_time || !MayRunAgain() || runs_ >= kMaxRuns) {
+  if (!MayRetry()) {
+    const bool in_time = TimeLeft(BootTimeNow()).count() > 0;
     Refuse({in_time ? refusal_reason::target_failed
                     : refusal_reason::target_timeout,
             std::nullopt});
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -62,6 +62,8 @@
   if (IsSelf(pacer)) {
     handler(TakeLocally(target, std::nullopt, max_wait));
   } else if (peers_.IsAvoided(pacer->peer_address)) {
+    state_.targets.ReportNoRoom(target,
+                                BootTimeNow() + peer_client::kAvoidDuration);
     handler({false, peer_client::kAvoidDuration});
   } else {
     AskPacer(pacer->peer_address, target, max_wait, std::move(handler));
@@ -98,12 +100,14 @@
   const auto shared = std::make_shared<permit_handler>(std::move(handler));
   peers_.Post(
       address, kTakePath, question,
-      [this, target, shared](const http_response& response) {
+      [this, target, max_wait, shared](const http_response& response) {
         permit answer{false, kMovedRetryAfter};
         try {
           const json body = json::parse(response.body);
-          answer.granted = body.at("granted").get<bool>();
           answer.wait = ReadMilliseconds(body, "wait_ms", kMaxWait);
+          // A caller is not kept for longer than the request may wait.
+          answer.granted =
+              body.at("granted").get<bool>() && answer.wait <= max_wait;
           LearnStatement(body);
         } catch (const json::exception&) {
           state_.counters.Add("limit.answer_unreadable");
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -196,3 +196,34 @@
       Fetch(subject.client, subject.Request("/once/x")).response;
   cr_assert(answer.status == 200, "%d %s", answer.status, answer.body.c_str());
 }
+
+// Guards against a caller that waits for other gateways although its request is
+// not sent again: the one that counts is silent.
+Test(crashing_request,
+     a_request_that_has_failed_is_answered_at_once,
+     .timeout = 60) {
+  gateway_fixture subject([](const std::shared_ptr<http_exchange>& exchange,
+                             int) { exchange->Abort(); });
+  std::atomic<int> asked{0};
+  http_server silent(
+      subject.pool,
+      [&asked](const std::shared_ptr<http_exchange>&) { ++asked; });
+  cr_assert(!Failed(silent.Listen("127.0.0.1:0")));
+  for (int i = 0; i < 1'000; ++i) {
+    const std::string host = "other-" + std::to_string(i);
+    subject.store.Put(MemberKey(host),
+                      EncodeMember({host, "z", "", silent.address(), false}));
+  }
+  http_client_request request = Request(subject, subject.caller_address, "k2");
+  request.target = "/once/x";
+  request.headers.Add("Request-Id", "r");
+  cr_assert(WaitFor([&] {
+    return Fetch(subject.client, request).response.status == 502 && asked > 0;
+  }));
+  std::this_thread::sleep_for(milliseconds(2'100));
+  const auto began = test_clock::now();
+  cr_assert(Fetch(subject.client, request).response.status == 502);
+  cr_assert(test_clock::now() - began < milliseconds(150));
+  subject.daemon_pool.Stop();
+  subject.pool.Stop();
+}
