--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -58,6 +59,8 @@
   std::atomic<int> false_promises{0};
   std::atomic<int> others{0};
   std::atomic<int> others_served{0};
+  std::mutex mutex;
+  std::string refusals;
   std::vector<std::thread> callers;
   for (std::size_t i = 0; i < kGateways; ++i) {
     callers.emplace_back([&, i] {
@@ -76,6 +79,11 @@
         if (!deadly && test_clock::now() > ends - kLength / 2) {
           ++others;
           others_served += outcome.response.status == 200 ? 1 : 0;
+          if (outcome.response.status != 200) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            refusals += std::to_string(outcome.response.status) + " " +
+                        outcome.response.body + " ";
+          }
         }
         std::this_thread::sleep_for(milliseconds(40));
       }
@@ -95,8 +103,8 @@
   cr_assert(later <= kMostLater, "%d of %zu", later, runs.size());
   cr_assert(false_promises == 0, "%d", false_promises.load());
   // The other requests of these callers go on.
-  cr_assert(others_served == others && others > 0, "%d of %d",
-            others_served.load(), others.load());
+  cr_assert(others_served == others && others > 0, "%d of %d: %s",
+            others_served.load(), others.load(), refusals.c_str());
 }
 
 // Guards against a gateway that sends a request on although the answer to its
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -72,6 +72,12 @@
       StartStore(i, true);
     }
     cr_assert(WaitFor([this, stores] { return KnownStores() == stores; }));
+    // A turn needs two stores; the gateway may know the first one only.
+    cr_assert(WaitFor([this, stores] {
+      static int number = 0;
+      return stores < 2 ||
+             !Turn("ready-" + std::to_string(++number), "", "").failure;
+    }));
   }
 
   ~kept_turns_fixture() {
@@ -249,8 +255,9 @@
   constexpr int kTurns = 20;
   for (int i = 0; i < kTurns; ++i) {
     const std::string number = std::to_string(i);
-    cr_assert(subject.Turn("r" + number, "", number + " ").response.status ==
-              200);
+    const http_outcome outcome = subject.Turn("r" + number, "", number + " ");
+    cr_assert(outcome.response.status == 200, "%d %s", outcome.response.status,
+              outcome.response.body.c_str());
   }
   for (int wiped = 1; wiped <= 3; ++wiped) {
     subject.Wipe(wiped);
@@ -295,8 +302,10 @@
   subject.stores.erase(3);
   for (int i = 0; i < kTurns; ++i) {
     const std::string id = "c" + std::to_string(i);
-    subject.Turn(id, "r" + std::to_string(i), "y");
-    cr_assert(subject.PromptOf(id) == "x r" + std::to_string(i) + "\ndone\ny");
+    const http_outcome outcome = subject.Turn(id, "r" + std::to_string(i), "y");
+    cr_assert(subject.PromptOf(id) == "x r" + std::to_string(i) + "\ndone\ny",
+              "status %d, prompt %s", outcome.response.status,
+              subject.PromptOf(id).c_str());
   }
 }
 
