Run the handlers of a fake store on the pool of the daemon that called it

Cause: kept_turns/an_answer_is_not_ended_before_enough_disks_hold_it ended with an uncaught type_error 316 on arm64. The fake metadata store ran its handlers on the two threads of the test's own pool, beside the daemon's single thread and also after the daemon had been destroyed: the registration of a turn store that the test had ended encoded a freed record. In the product, metadata_store runs its handlers on the daemon's pool, so that only the test support is at fault; EncodeTurnStore is where it showed. Change: each daemon calls the fake store through a fake_store_client with the daemon's own pool; a stopped pool drops what is pending.

--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -29,14 +29,14 @@
 class gateway_fixture {
  public:
   explicit gateway_fixture(fake_target::request_handler handler)
-      : target(pool, std::move(handler)), store(pool) {
+      : target(pool, std::move(handler)) {
     Configure(R"(["k"])");
     store.Put("servers/i-1", R"({"service":"s","address":")" +
                                  target.address() +
                                  R"(","zone":"z","slots":4,"state":"ready",)"
                                  R"("seq":1,"born":1})");
-    daemon = std::make_unique<gateway_daemon>(daemon_pool, store, protocol,
-                                              Settings(0), "start-1");
+    daemon = std::make_unique<gateway_daemon>(daemon_pool, store_client,
+                                              protocol, Settings(0), "start-1");
     cr_assert(!Failed(daemon->Start()));
     cr_assert(WaitFor(
         [this] { return Status(readiness_address, "/readiness") == 200; }));
@@ -109,6 +109,7 @@
   const std::string readiness_address = Settings(0).readiness_address;
   fake_target target;
   fake_metadata_store store;
+  fake_store_client store_client{store, daemon_pool};
   platform_protocol protocol;
   int version = 0;
   http_client client{pool};
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -62,9 +62,9 @@
  private:
   struct gateway {
     gateway(gateway_fixture& shared, std::size_t index)
-        : settings(SettingsAt(index)) {
+        : settings(SettingsAt(index)), store_client(shared.store, pool) {
       daemon = std::make_unique<gateway_daemon>(
-          pool, shared.store, shared.protocol, settings,
+          pool, store_client, shared.protocol, settings,
           "start-" + std::to_string(index + 1));
       cr_assert(!Failed(daemon->Start()));
     }
@@ -78,6 +78,7 @@
 
     gateway_settings settings;
     io_pool pool{1};
+    fake_store_client store_client;
     std::unique_ptr<gateway_daemon> daemon;
   };
 
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -15,11 +15,9 @@
 namespace gentian::testing {
 
 /** In-memory key-value store in place of the platform's metadata store.
-    Thread-safe. */
-class fake_metadata_store : public key_value_store {
+    Thread-safe. Daemons call it through a fake_store_client each. */
+class fake_metadata_store {
  public:
-  explicit fake_metadata_store(io_pool& pool) : pool_(pool) {}
-
   /** Makes all calls fail with the status not_sent. */
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
 
@@ -43,24 +41,17 @@
     items_.erase(key);
   }
 
-  void Call(const kv_operation& operation,
-            milliseconds deadline,
-            answer_handler handler) override {
-    kv_answer answer;
-    if (unresponsive_) {
-      pool_.After(deadline,
-                  [handler = std::move(handler), answer] { handler(answer); });
-      return;
-    }
+  bool is_unresponsive() const { return unresponsive_; }
+
+  kv_answer Answer(const kv_operation& operation) {
     if (unavailable_) {
+      kv_answer answer;
       answer.outcome = kv_answer::status::not_sent;
-    } else {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      answer = std::visit([this](const auto& value) { return Do(value); },
-                          operation);
+      return answer;
     }
-    pool_.After(milliseconds(1),
-                [handler = std::move(handler), answer] { handler(answer); });
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::visit([this](const auto& value) { return Do(value); },
+                      operation);
   }
 
  private:
@@ -126,7 +117,6 @@
     return kv_answer{};
   }
 
-  io_pool& pool_;
   std::atomic<bool> unavailable_{false};
   std::atomic<bool> unresponsive_{false};
   std::mutex mutex_;
@@ -134,6 +124,27 @@
   std::map<std::string, kv_entry> items_;
 };
 
+/** A daemon's connection to a fake_metadata_store. */
+class fake_store_client : public key_value_store {
+ public:
+  /** @param pool  the daemon's pool, on which its handlers have to run */
+  fake_store_client(fake_metadata_store& store, io_pool& pool)
+      : store_(store), pool_(pool) {}
+
+  void Call(const kv_operation& operation,
+            milliseconds deadline,
+            answer_handler handler) override {
+    const bool lost = store_.is_unresponsive();
+    const kv_answer answer = lost ? kv_answer() : store_.Answer(operation);
+    pool_.After(lost ? deadline : milliseconds(1),
+                [handler = std::move(handler), answer] { handler(answer); });
+  }
+
+ private:
+  fake_metadata_store& store_;
+  io_pool& pool_;
+};
+
 /** HTTP server in place of a target: counts the requests that it receives and
     responds as the handler of the test does. */
 class fake_target {
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -15,6 +15,7 @@
 
 using namespace gentian;
 using gentian::testing::fake_metadata_store;
+using gentian::testing::fake_store_client;
 using gentian::testing::fake_target;
 using gentian::testing::Fetch;
 using gentian::testing::gateway_fixture;
@@ -36,7 +37,8 @@
                 int number,
                 const std::string& path,
                 bool first_start)
-      : address(ProcessAddress(kFirstPort + number)) {
+      : address(ProcessAddress(kFirstPort + number)),
+        store_client(store, pool) {
     turn_store_settings settings;
     settings.host = "store-" + std::to_string(number);
     settings.failure_domain = "z" + std::to_string(number);
@@ -45,7 +47,7 @@
     settings.first_start = first_start;
     static std::atomic<int> starts{0};
     daemon = std::make_unique<turn_store_daemon>(
-        pool, store, protocol, settings, std::to_string(++starts));
+        pool, store_client, protocol, settings, std::to_string(++starts));
     cr_assert(!Failed(daemon->Start()));
   }
   // As after a kill: nothing is deregistered.
@@ -53,6 +55,7 @@
 
   const std::string address;
   io_pool pool{1};
+  fake_store_client store_client;
   platform_protocol protocol;
   std::unique_ptr<turn_store_daemon> daemon;
 };
