Log the software version of a target and what a caller resumes

Cause: the logs could not tell streams that the gateway joined within one answer from those that a caller resumed elsewhere. Change: target_version in the lines of attempts and ends, resumed_after, resumes and last_event_id; a gauge of the turn stores that the gateway may write to.

--- a/source/gentian_gateway/target_record.h
+++ b/source/gentian_gateway/target_record.h
@@ -14,6 +14,8 @@
   /** `ip:port`. */
   std::string address;
   std::string failure_domain;
+  /** Version of the target's software; empty if not reported. */
+  std::string version;
   /** Unix time of its start in milliseconds; 0 if not reported. */
   std::uint64_t started_at_ms = 0;
   /** Requests that it processes concurrently. */
--- a/source/gentian_gateway_daemon/caller_call.h
+++ b/source/gentian_gateway_daemon/caller_call.h
@@ -34,6 +34,9 @@
   std::string object;
   /** Identifier of the last event that the caller got of a resumed stream. */
   std::string last_event_id;
+  /** Request ID of the attempt that brought the first event of a resumed
+      stream; empty if the caller names none. */
+  std::string resumed_request;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -66,6 +66,8 @@
     int open_requests = 0;
     int failures = 0;
     std::uint64_t target_start = 0;
+    /** Version of the target's software. */
+    std::string version;
     /** Requests per second that the target takes; nothing for no limit. */
     std::optional<double> rate_limit;
     steady_time sent_at;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -111,6 +111,7 @@
              target.open_requests,
              target.failures,
              target.record.started_at_ms,
+             target.record.version,
              target.limit ? target.limit->rate : std::nullopt,
              BootTimeNow()};
   if (choice_.rate_limit) {
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -18,6 +18,7 @@
   const std::optional<reported_load>& load = choice_.load;
   return {
       {"target", target_},
+      {"target_version", choice_.version},
       {"chosen_by", choice_.chosen_by},
       {"target_running", load ? load->running : -1},
       {"target_waiting", load ? load->waiting : -1},
@@ -42,7 +43,8 @@
                {"may_have_run", may_have_run},
                {"status", answer_.status},
                {"events", events_sent_},
-               {"send", sends_}});
+               {"send", sends_},
+               {"resumed_after", events_.last_id()}});
   Log(log_level::info, "attempt failed", line);
 }
 
@@ -53,6 +55,8 @@
     line.update(
         {{"request", call_ ? call_->request_id : ""},
          {"outcome", outcome},
+         {"resumes", call_ ? call_->resumed_request : ""},
+         {"last_event_id", call_ ? call_->last_event_id : ""},
          {"status", answer_.status},
          {"route", route_ == nullptr ? "" : route_->name},
          {"service", service_},
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -191,6 +191,9 @@
   state_.metrics.SetGauge(
       "limited_targets",
       static_cast<double>(state_.targets.LimitedTargets().size()));
+  state_.metrics.SetGauge(
+      "turn_stores_accepting",
+      static_cast<double>(state_.turn_stores.accepting().size()));
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
                           static_cast<double>(losses.sampled_out));
