--- a/tests/platform/crashing_targets.h
+++ b/tests/platform/crashing_targets.h
@@ -87,7 +87,7 @@
     gateway_.store.Put(
         here.key, R"({"service":"s","address":")" + here.target->address() +
                       R"(","zone":"z","slots":4,"state":"ready","seq":1,)"
-                      R"("born":)" +
+                      R"("version":"v1","born":)" +
                       std::to_string(starts_) + "}");
   }
 
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -31,10 +31,7 @@
   explicit gateway_fixture(fake_target::request_handler handler)
       : target(pool, std::move(handler)) {
     Configure(R"(["k"])");
-    store.Put("servers/i-1", R"({"service":"s","address":")" +
-                                 target.address() +
-                                 R"(","zone":"z","slots":4,"state":"ready",)"
-                                 R"("seq":1,"born":1})");
+    RegisterTarget("i-1", target, "v1");
     daemon = std::make_unique<gateway_daemon>(daemon_pool, store_client,
                                               protocol, Settings(0), "start-1");
     cr_assert(!Failed(daemon->Start()));
@@ -60,6 +57,17 @@
     return settings;
   }
 
+  /** Registers a target for the service "s". */
+  void RegisterTarget(const std::string& id,
+                      const fake_target& registered,
+                      const std::string& software_version) {
+    store.Put("servers/" + id,
+              R"({"service":"s","address":")" + registered.address() +
+                  R"(","zone":"z","slots":4,"state":"ready","seq":1,)"
+                  R"("born":1,"version":")" +
+                  software_version + R"("})");
+  }
+
   void Configure(const std::string& keys) {
     store.Put(
         "op/config",
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -1,7 +1,5 @@
 // Tests turns that the system keeps: a gateway and turn stores with real HTTP
 // and disks, between callers, a target and a fake metadata store.
-#include "gentian_turn_daemon/turn_store_daemon.h"
-
 #include <criterion/criterion.h>
 
 #include <atomic>
@@ -12,54 +10,21 @@
 
 #include "gentian_gateway_daemon/history_paths.h"
 #include "platform/gateway_fixture.h"
+#include "platform/store_process.h"
 
 using namespace gentian;
-using gentian::testing::fake_metadata_store;
-using gentian::testing::fake_store_client;
 using gentian::testing::fake_target;
 using gentian::testing::Fetch;
 using gentian::testing::gateway_fixture;
 using gentian::testing::http_outcome;
 using gentian::testing::PostRequest;
-using gentian::testing::ProcessAddress;
+using gentian::testing::store_process;
 using gentian::testing::WaitFor;
 
 namespace {
 
 namespace fs = std::filesystem;
 
-constexpr int kFirstPort = 17'800;
-
-/** A turn store in this process. */
-class store_process {
- public:
-  store_process(fake_metadata_store& store,
-                int number,
-                const std::string& path,
-                bool first_start)
-      : address(ProcessAddress(kFirstPort + number)),
-        store_client(store, pool) {
-    turn_store_settings settings;
-    settings.host = "store-" + std::to_string(number);
-    settings.failure_domain = "z" + std::to_string(number);
-    settings.address = address;
-    settings.data_directory = path;
-    settings.first_start = first_start;
-    static std::atomic<int> starts{0};
-    daemon = std::make_unique<turn_store_daemon>(
-        pool, store_client, protocol, settings, std::to_string(++starts));
-    cr_assert(!Failed(daemon->Start()));
-  }
-  // As after a kill: nothing is deregistered.
-  ~store_process() { pool.Stop(); }
-
-  const std::string address;
-  io_pool pool{1};
-  fake_store_client store_client;
-  platform_protocol protocol;
-  std::unique_ptr<turn_store_daemon> daemon;
-};
-
 /** A gateway, turn stores, and a target whose answer to a turn is two events
     with the text of the newest input. */
 class kept_turns_fixture {
