Keep a stream at the software version that began it

Cause: nothing knew where a stream had begun. The gateway resumed a broken stream at any target of the service, and a caller's resumed stream was a new request to any target; on routes that are split among services, even to another service. Class: state of a piece of work (its writer's version) that is kept by the process that happened to serve it. Change: each send of a resumable stream records service, version, target and its start on the disks of as many turn stores as may be lost, and one more, while the target works; the first events wait for the record, 60 ms at most. A resumed stream is looked up at its gateway, then at the stores; only targets of that version may run it, and if the origin is not certain, or no such target is left, it is refused with 503 at once. A send to other software before the first event replaces the record at every store that may hold it, or the stream does not begin. An entry without a version names no target.

--- a/source/gentian_gateway/target_record.h
+++ b/source/gentian_gateway/target_record.h
@@ -14,7 +14,7 @@
   /** `ip:port`. */
   std::string address;
   std::string failure_domain;
-  /** Version of the target's software; empty if not reported. */
+  /** Version of the target's software. Streams can't change to another one. */
   std::string version;
   /** Unix time of its start in milliseconds; 0 if not reported. */
   std::uint64_t started_at_ms = 0;
--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -27,10 +27,11 @@
          std::max(1.0, kFullLoadFraction * target.record.slots);
 }
 
-// Smaller is better: reachable targets first, then those with free slots. The
-// rest is ordered by hash if there is an affinity key, otherwise by whether
-// they have a limit, load and failure domain.
-using rank = std::tuple<bool, bool, bool, double, bool, std::uint64_t>;
+// Smaller is better: reachable targets first, then those with free slots, then
+// those with the preferred software. The rest is ordered by hash if there is an
+// affinity key, otherwise by whether they have a limit, load and failure
+// domain.
+using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
             const target_requirements& demand,
@@ -45,8 +46,11 @@
                                 std::max(1, target.record.slots);
   const bool far =
       !has_affinity && target.record.failure_domain != demand.failure_domain;
+  const bool other_software = !demand.preferred_version.empty() &&
+                              target.record.version != demand.preferred_version;
   return {avoided,
           IsFull(target, now),
+          other_software,
           !has_affinity && target.IsLimited(),
           load,
           far,
@@ -66,8 +70,10 @@
         std::find(demand.excluded.begin(), demand.excluded.end(),
                   target->record.id) != demand.excluded.end();
     // The address now belongs to another target, which can't run the request.
-    if (excluded || target->avoid_until == steady_time::max() ||
-        target->HasNoRoom(now) ||
+    const bool wrong_software =
+        !demand.version.empty() && target->record.version != demand.version;
+    if (excluded || wrong_software ||
+        target->avoid_until == steady_time::max() || target->HasNoRoom(now) ||
         (demand.skip_limited && target->IsLimited())) {
       continue;
     }
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -19,6 +19,11 @@
   std::vector<std::string> excluded;
   /** Leaves out targets that have a limit. */
   bool skip_limited = false;
+  /** Software version that the target must have; empty for any. */
+  std::string version;
+  /** Software version that is preferred among targets with free slots; empty
+      for none. */
+  std::string preferred_version;
 };
 
 /** Chooses a target for a request; nullptr if none is left.
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -87,6 +87,11 @@
              : &found->second;
 }
 
+const known_target* target_table::FindListed(const std::string& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? nullptr : &found->second;
+}
+
 std::vector<const known_target*> target_table::Serving(
     const std::string& service) const {
   std::vector<const known_target*> serving;
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -69,6 +69,9 @@
   /** A target by identifier; nullptr if it is unknown or draining. */
   const known_target* Find(const std::string& id) const;
 
+  /** A target by identifier, draining or not; nullptr if it is unknown. */
+  const known_target* FindListed(const std::string& id) const;
+
   /** Targets of a service that are not draining. */
   std::vector<const known_target*> Serving(const std::string& service) const;
 
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -86,6 +86,24 @@
   if (route_->services.empty()) {
     return refusal{refusal_reason::no_target, kNoTargetRetryAfter};
   }
+  if (!SelectService()) {
+    return refusal{refusal_reason::stream_software_gone, std::nullopt};
+  }
+  const gateway_service* service = configuration_->FindService(service_);
+  tokens_per_event_ = service == nullptr ? 0 : service->tokens_per_event;
+  return std::nullopt;
+}
+
+// A stream stays at the service that began it; false if the route no longer
+// leads there.
+bool gateway_call::SelectService() {
+  if (origin_) {
+    service_ = origin_->service;
+    return std::any_of(route_->services.begin(), route_->services.end(),
+                       [this](const weighted_service& next) {
+                         return next.service == service_;
+                       });
+  }
   double total = 0;
   for (const weighted_service& next : route_->services) {
     total += next.weight;
@@ -102,9 +120,7 @@
       break;
     }
   }
-  const gateway_service* service = configuration_->FindService(service_);
-  tokens_per_event_ = service == nullptr ? 0 : service->tokens_per_event;
-  return std::nullopt;
+  return true;
 }
 
 void gateway_call::TakeAllowance() {
@@ -161,9 +177,14 @@
 }
 
 void gateway_call::Admit() {
-  if (!environment_.state.targets.HasTarget(service_)) {
+  if (ResumesEarlier() && !origin_) {
+    FindOrigin();
+    return;
+  }
+  if (!HasTarget()) {
     // Before tokens are claimed for it.
-    Refuse({refusal_reason::no_target, kNoTargetRetryAfter});
+    Refuse(origin_ ? refusal{refusal_reason::stream_software_gone, std::nullopt}
+                   : refusal{refusal_reason::no_target, kNoTargetRetryAfter});
     return;
   }
   if (NeedsHistory() && !continued_) {
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -11,6 +11,7 @@
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/history_service.h"
+#include "gentian_gateway_daemon/stream_origin_service.h"
 #include "gentian_gateway_daemon/target_limit_service.h"
 #include "gentian_gateway_daemon/turn_service.h"
 
@@ -27,6 +28,7 @@
   crash_service& crashes;
   turn_service& turns;
   history_service& histories;
+  stream_origin_service& origins;
   http_client& targets;
 };
 
@@ -84,6 +86,7 @@
   void OnAllowance(std::shared_ptr<const gateway_team> team,
                    const allowance_verdict& verdict);
   void Admit();
+  bool SelectService();
   void LoadHistory();
   void OnHistory(loaded_history history);
   void RequestTurn();
@@ -107,6 +110,7 @@
   void OnUnusableStream(const char* reason);
   void OnEnd();
   void OnStreamEnd();
+  void FinishStream();
   void SaveTurn();
   void EndAnswer();
   void OnWholeAnswer();
@@ -124,6 +128,22 @@
   /** True if this one may be sent again after a possible run. */
   bool MayRetry() const;
 
+  // Software of a stream's targets.
+  /** True if a caller or the gateway may resume the stream of the route. */
+  bool IsResumable() const;
+  /** True if the request resumes a stream of an earlier request. */
+  bool ResumesEarlier() const;
+  void FindOrigin();
+  void OnOrigin(std::optional<stream_origin> origin);
+  /** True if no listed restart contradicts which software began the stream. */
+  bool IsOriginCertain() const;
+  bool HasTarget() const;
+  void RecordOrigin(const known_target& target);
+  /** Sends events to the caller, or holds them until the origin of the stream
+      is recorded. */
+  void PassOn(std::string events);
+  void OnOriginSettled();
+
   bool NeedsHistory() const;
   /** True if the history that was loaded is the one that the configuration
       calls for now. */
@@ -180,6 +200,16 @@
   /** The data of the events sent so far, on routes that keep turns. */
   std::string event_data_;
 
+  /** The software that began the stream: nothing else may continue it. */
+  std::optional<stream_origin> origin_;
+  std::shared_ptr<stream_origin_service::recording> recording_;
+  /** The record of the origin is durable, or can't become so. */
+  bool is_origin_settled_ = true;
+  /** Events that wait for the record of the origin. */
+  std::string held_events_;
+  /** The target has ended the stream while events were held. */
+  bool ends_after_held_ = false;
+
   std::shared_ptr<http_call> attempt_;
   std::uint64_t attempt_serial_ = 0;
   std::string target_;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -72,6 +72,12 @@
     });
     return;
   }
+  if (!IsOriginCertain()) {
+    Refuse(runs_ > 0
+               ? refusal{refusal_reason::target_failed, std::nullopt}
+               : refusal{refusal_reason::stream_origin_unknown, std::nullopt});
+    return;
+  }
   const known_target* target = sends_ < kMaxSends ? ChooseTarget(now) : nullptr;
   if (target == nullptr) {
     if (sends_ >= kMaxSends || !WaitForRoom()) {
@@ -149,6 +155,7 @@
   // A second send would not be counted against the limit.
   request.send_once =
       route_->kind != route_kind::idempotent || target.IsLimited();
+  RecordOrigin(target);
   environment_.state.targets.RequestStarted(target_);
   const std::uint64_t serial = ++attempt_serial_;
   // Handlers of a cancelled attempt must have no effect.
@@ -206,7 +213,7 @@
   if (!answer_.wrong_target && (answer_.is_signed || answer_.rate_limit)) {
     environment_.limits.OnAnswer(target_, answer_.rate_limit);
   }
-  if (phase_ != phase::streaming) {
+  if (events_sent_ == 0) {
     answer_headers_ = environment_.protocol.AnswerHeaders(headers);
   }
 }
@@ -227,10 +234,8 @@
   if (part.events == 0) {
     return;
   }
-  if (phase_ != phase::streaming) {
-    phase_ = phase::streaming;
+  if (events_sent_ == 0) {
     first_event_ = BootTimeNow();
-    exchange_->StartChunks(answer_headers_);
   }
   if (route_->keeps_turns) {
     AppendEventData(part.bytes, event_data_);
@@ -238,7 +243,7 @@
   events_sent_ += part.events;
   attempt_events_ += part.events;
   last_event_ = BootTimeNow();
-  exchange_->SendChunk(std::move(part.bytes));
+  PassOn(std::move(part.bytes));
 }
 
 void gateway_call::OnUnusableStream(const char* reason) {
@@ -261,6 +266,14 @@
 
 void gateway_call::OnStreamEnd() {
   ++runs_;
+  if (!held_events_.empty()) {
+    ends_after_held_ = true;
+    return;
+  }
+  FinishStream();
+}
+
+void gateway_call::FinishStream() {
   if (phase_ != phase::streaming) {
     exchange_->StartChunks(answer_headers_);
     phase_ = phase::streaming;
@@ -321,7 +334,7 @@
   }
   const bool misleading =
       PromisesNotRun(answer_.status) && route_->kind != route_kind::idempotent;
-  if (phase_ == phase::streaming || !answer_.is_signed || misleading) {
+  if (events_sent_ > 0 || !answer_.is_signed || misleading) {
     RetryAfterPossibleRun("unusable_answer");
     return;
   }
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -57,6 +57,7 @@
          {"outcome", outcome},
          {"resumes", call_ ? call_->resumed_request : ""},
          {"last_event_id", call_ ? call_->last_event_id : ""},
+         {"stream_version", origin_ ? origin_->version : ""},
          {"status", answer_.status},
          {"route", route_ == nullptr ? "" : route_->name},
          {"service", service_},
--- /dev/null
+++ b/source/gentian_gateway_daemon/gateway_call_stream.cc
@@ -0,0 +1,157 @@
+// Implements gateway_call: which software may run a stream.
+
+#include <algorithm>
+#include <utility>
+
+#include "gentian_gateway_daemon/gateway_call.h"
+
+namespace gentian {
+
+namespace {
+
+// Longest time for which the first events wait for the record of the stream's
+// origin. Without a record, a caller can't resume the stream.
+constexpr milliseconds kMaxOriginWait{60};
+// Longest time to look for the origin of a stream, within this share of the
+// caller's remaining time.
+constexpr milliseconds kMaxOriginSearch{500};
+constexpr int kOriginSearchShare = 4;
+constexpr milliseconds kOriginRetryAfter{200};
+// Largest difference between the clocks of two hosts that is allowed for.
+constexpr milliseconds kMaxClockDifference{1'000};
+
+std::int64_t UnixTimeNow() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+bool gateway_call::IsResumable() const {
+  return route_->kind == route_kind::stream && route_->resumable;
+}
+
+bool gateway_call::ResumesEarlier() const {
+  return IsResumable() && !call_->last_event_id.empty();
+}
+
+void gateway_call::FindOrigin() {
+  if (call_->resumed_request.empty()) {
+    Refuse({refusal_reason::stream_origin_unknown, std::nullopt});
+    return;
+  }
+  environment_.origins.Find(
+      call_->request_id, {TeamName(), call_->resumed_request},
+      std::min(kMaxOriginSearch, TimeLeft(BootTimeNow()) / kOriginSearchShare),
+      [me = shared_from_this()](std::optional<stream_origin> origin) {
+        if (me->phase_ != phase::ended) {
+          me->OnOrigin(std::move(origin));
+        }
+      });
+}
+
+void gateway_call::OnOrigin(std::optional<stream_origin> origin) {
+  origin_ = std::move(origin);
+  if (!origin_ || !IsOriginCertain()) {
+    Refuse({refusal_reason::stream_origin_unknown, kOriginRetryAfter});
+    return;
+  }
+  // The service may differ from the one that was selected by the request's ID.
+  if (const std::optional<refusal> refused = Authorize()) {
+    Refuse(*refused);
+    return;
+  }
+  Admit();
+}
+
+// A target may restart under its ID with other software. A request that was
+// sent before the registration was read again may have met either.
+bool gateway_call::IsOriginCertain() const {
+  if (!origin_) {
+    return true;
+  }
+  const known_target* listed =
+      environment_.state.targets.FindListed(origin_->target);
+  return !origin_->version.empty() &&
+         (listed == nullptr ||
+          listed->record.started_at_ms == origin_->target_start ||
+          static_cast<std::int64_t>(listed->record.started_at_ms) >
+              origin_->sent_at_ms + kMaxClockDifference.count());
+}
+
+bool gateway_call::HasTarget() const {
+  const std::vector<const known_target*> serving =
+      environment_.state.targets.Serving(service_);
+  return std::any_of(
+      serving.begin(), serving.end(), [this](const known_target* target) {
+        return !origin_ || target->record.version == origin_->version;
+      });
+}
+
+// Starts with the send, so that the record is durable before the first event
+// comes.
+void gateway_call::RecordOrigin(const known_target& target) {
+  if (!IsResumable() || origin_ || call_->request_id.empty()) {
+    return;
+  }
+  if (!recording_) {
+    recording_ = environment_.origins.Start({TeamName(), call_->request_id});
+  }
+  is_origin_settled_ = false;
+  environment_.origins.Record(
+      recording_,
+      {service_, target.record.version, target.record.id,
+       target.record.started_at_ms, UnixTimeNow()},
+      [me = shared_from_this()] { me->OnOriginSettled(); });
+}
+
+void gateway_call::PassOn(std::string events) {
+  if (recording_ && !origin_) {
+    origin_ = recording_->origin();
+    if (!is_origin_settled_) {
+      environment_.pool.After(
+          kMaxOriginWait, [me = shared_from_this()] { me->OnOriginSettled(); });
+    }
+  }
+  if (!is_origin_settled_) {
+    held_events_ += events;
+    return;
+  }
+  if (phase_ != phase::streaming) {
+    phase_ = phase::streaming;
+    if (recording_) {
+      environment_.origins.Begin(*recording_);
+    }
+    exchange_->StartChunks(answer_headers_);
+  }
+  exchange_->SendChunk(std::move(events));
+}
+
+void gateway_call::OnOriginSettled() {
+  if (phase_ == phase::ended || is_origin_settled_) {
+    return;
+  }
+  is_origin_settled_ = true;
+  if (held_events_.empty()) {
+    return;
+  }
+  environment_.state.metrics.AddLatency("stream_origin_wait",
+                                        BootTimeNow() - *first_event_);
+  if (!recording_->IsConsistent()) {
+    // A store may name the software of an earlier send.
+    if (attempt_) {
+      attempt_->Cancel();
+      EndAttempt();
+    }
+    RecordPossibleRun("origin_not_recorded", {});
+    Refuse({refusal_reason::target_failed, std::nullopt});
+    return;
+  }
+  PassOn(std::exchange(held_events_, {}));
+  if (ends_after_held_) {
+    FinishStream();
+  }
+}
+
+}  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -41,12 +41,19 @@
   demand.failure_domain = environment_.settings.failure_domain;
   demand.excluded = excluded_;
   demand.skip_limited = !may_ask;
+  if (origin_) {
+    demand.version = origin_->version;
+  } else if (recording_) {
+    // The record that was written for the earlier send stays true.
+    demand.preferred_version = recording_->origin().version;
+  }
   return SelectTarget(targets, demand, now);
 }
 
 bool gateway_call::IsUsable(const std::string& target) const {
   const known_target* known = environment_.state.targets.Find(target);
   return known != nullptr && known->record.service == service_ &&
+         (!origin_ || known->record.version == origin_->version) &&
          std::find(excluded_.begin(), excluded_.end(), target) ==
              excluded_.end();
 }
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -62,6 +62,7 @@
       crashes_(peer_client_, settings_, state_, publisher_),
       turns_(pool, store, peer_client_, settings_, state_, incarnation),
       histories_(pool, peer_client_, settings_, state_),
+      origins_(pool, peer_client_, settings_, state_),
       reader_(
           pool,
           store,
@@ -75,8 +76,9 @@
             limits_.OnRegistry(entries);
             crashes_.OnRegistry(entries);
           }),
-      environment_{settings_, protocol, state_, pool,       allowances_,
-                   limits_,   crashes_, turns_, histories_, target_client_},
+      environment_{settings_,   protocol, state_,        pool,
+                   allowances_, limits_,  crashes_,      turns_,
+                   histories_,  origins_, target_client_},
       callers_(
           pool,
           [this](std::shared_ptr<http_exchange> exchange) {
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -51,6 +51,7 @@
   crash_service crashes_;
   turn_service turns_;
   history_service histories_;
+  stream_origin_service origins_;
   state_reader reader_;
   gateway_environment environment_;
   http_server callers_;
--- a/source/gentian_gateway_daemon/history_paths.h
+++ b/source/gentian_gateway_daemon/history_paths.h
@@ -15,6 +15,12 @@
 constexpr const char* kReadJournalPath = "/history/journal";
 /** Answers a list of keys with the turns that are stored here. */
 constexpr const char* kReadTurnsPath = "/history/turns";
+/** Stores a stored_origin. 200: durable; 503: this store doesn't take it; any
+    other status: it may be stored. */
+constexpr const char* kStoreOriginPath = "/streams/store";
+/** Reads the stream_origin of one turn_key. 200: found; 404: not stored here;
+    503: it may be. */
+constexpr const char* kReadOriginPath = "/streams/origin";
 
 }  // namespace gentian
 
--- a/source/gentian_gateway_daemon/refusal.cc
+++ b/source/gentian_gateway_daemon/refusal.cc
@@ -13,7 +13,7 @@
 };
 
 // Statuses 429 and 503 promise that the request has not run and never will.
-constexpr std::array<reason_row, 20> kReasons = {{
+constexpr std::array<reason_row, 22> kReasons = {{
     {refusal_reason::malformed, "malformed", 400},
     {refusal_reason::too_large, "too_large", 413},
     {refusal_reason::unknown_key, "unknown_key", 401},
@@ -25,6 +25,8 @@
     {refusal_reason::budget_unavailable, "budget_unavailable", 503},
     {refusal_reason::unknown_turn, "unknown_turn", 404},
     {refusal_reason::history_unavailable, "history_unavailable", 503},
+    {refusal_reason::stream_origin_unknown, "stream_origin_unknown", 503},
+    {refusal_reason::stream_software_gone, "stream_software_gone", 503},
     {refusal_reason::overloaded, "overloaded", 503},
     {refusal_reason::no_target, "no_target", 503},
     {refusal_reason::targets_full, "targets_full", 503},
--- a/source/gentian_gateway_daemon/refusal.h
+++ b/source/gentian_gateway_daemon/refusal.h
@@ -23,6 +23,11 @@
   unknown_turn,
   /** A turn store that may hold the history did not answer. */
   history_unavailable,
+  /** It is not known which software began the stream that the request
+      resumes. */
+  stream_origin_unknown,
+  /** No target runs the software that began the stream any more. */
+  stream_software_gone,
   /** The turn waited too long because the engines were busy with more urgent
       turns. */
   overloaded,
--- a/source/gentian_log/request_history.cc
+++ b/source/gentian_log/request_history.cc
@@ -27,7 +27,7 @@
   const char* meaning;
 };
 
-constexpr std::array<meaning_row, 22> kMeanings = {{
+constexpr std::array<meaning_row, 24> kMeanings = {{
     {"answered", "The target's response was forwarded to the caller."},
     {"caller_gone",
      "The caller closed its connection before the response was complete."},
@@ -59,6 +59,13 @@
     {"overloaded",
      "Not run. The turn was queued at its owner until its wait limit passed; "
      "look at the load that targets reported."},
+    {"stream_origin_unknown",
+     "Not run. It is not known which software began the stream that the "
+     "request "
+     "resumes; look at `stream origin looked up` and at lost turn stores."},
+    {"stream_software_gone",
+     "Not run. No target runs the software that began the stream; look at the "
+     "changes of targets before it."},
     {"no_target",
      "Not run. No target of the service was usable; look at the changes of "
      "targets before it."},
--- a/source/gentian_turn_daemon/turn_store_daemon.h
+++ b/source/gentian_turn_daemon/turn_store_daemon.h
@@ -46,6 +46,9 @@
   void ReadChain(const exchange_pointer& exchange);
   void ReadJournal(const exchange_pointer& exchange);
   void ReadTurns(const exchange_pointer& exchange);
+  void StoreOrigin(const exchange_pointer& exchange);
+  void ReadOrigin(const exchange_pointer& exchange);
+  bool TakesWrites() const;
   void ShowMetrics(const exchange_pointer& exchange);
 
   // Registration.
--- a/source/gentian_turn_daemon/turn_store_interface.cc
+++ b/source/gentian_turn_daemon/turn_store_interface.cc
@@ -16,6 +16,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr int kFailed = 500;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kPageEntries = 500;
 constexpr const char* kMetricsPath = "/metrics";
@@ -30,11 +31,13 @@
 }  // namespace
 
 void turn_store_daemon::Answer(const exchange_pointer& exchange) {
-  static constexpr std::array<endpoint, 5> kEndpoints = {
+  static constexpr std::array<endpoint, 7> kEndpoints = {
       {{kStoreTurnPath, &turn_store_daemon::StoreTurn},
        {kReadChainPath, &turn_store_daemon::ReadChain},
        {kReadJournalPath, &turn_store_daemon::ReadJournal},
        {kReadTurnsPath, &turn_store_daemon::ReadTurns},
+       {kStoreOriginPath, &turn_store_daemon::StoreOrigin},
+       {kReadOriginPath, &turn_store_daemon::ReadOrigin},
        {kMetricsPath, &turn_store_daemon::ShowMetrics}}};
   const std::string path = exchange->request().Path();
   const auto found =
@@ -47,13 +50,17 @@
   (this->*found->answer)(exchange);
 }
 
+bool turn_store_daemon::TakesWrites() const {
+  return registered_ && !stopping_ && drain_status_key_.empty();
+}
+
 void turn_store_daemon::StoreTurn(const exchange_pointer& exchange) {
   result<kept_turn> turn = DecodeTurn(exchange->request().body);
   if (Failed(turn)) {
     Respond(*exchange, kBadRequest);
     return;
   }
-  if (!registered_ || stopping_ || !drain_status_key_.empty()) {
+  if (!TakesWrites()) {
     counters_.Add("turns_refused");
     Respond(*exchange, kUnavailable);
     return;
@@ -151,6 +158,52 @@
       });
 }
 
+void turn_store_daemon::StoreOrigin(const exchange_pointer& exchange) {
+  result<stored_origin> origin = DecodeStoredOrigin(exchange->request().body);
+  if (Failed(origin)) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  if (!TakesWrites()) {
+    counters_.Add("origins_refused");
+    Respond(*exchange, kUnavailable);
+    return;
+  }
+  const steady_time started_at = BootTimeNow();
+  storage_->StoreOrigin(
+      std::move(ValueOf(origin)),
+      [this, exchange, started_at](const result<success>& outcome) {
+        counters_.Add(Failed(outcome) ? "origins_refused" : "origins_stored");
+        metrics_.AddLatency("store_origin", BootTimeNow() - started_at);
+        // It may be stored after all.
+        Respond(*exchange, Failed(outcome) ? kFailed : kOk);
+      });
+}
+
+void turn_store_daemon::ReadOrigin(const exchange_pointer& exchange) {
+  const result<std::vector<turn_key>> keys =
+      DecodeKeys(exchange->request().body);
+  if (Failed(keys) || ValueOf(keys).size() != 1) {
+    Respond(*exchange, kBadRequest);
+    return;
+  }
+  storage_->Run<std::optional<stream_origin>>(
+      [key = ValueOf(keys).front()](turn_database& database) {
+        return database.ReadOrigin(key);
+      },
+      [this, exchange](const result<std::optional<stream_origin>>& outcome) {
+        if (Failed(outcome)) {
+          counters_.Add("reads_failed");
+          Respond(*exchange, kUnavailable);
+        } else if (!ValueOf(outcome)) {
+          Respond(*exchange, kNotFound);
+        } else {
+          counters_.Add("origins_read");
+          Respond(*exchange, kOk, EncodeOrigin(*ValueOf(outcome)));
+        }
+      });
+}
+
 void turn_store_daemon::ShowMetrics(const exchange_pointer& exchange) {
   metrics_.SetGauge("settled", settled_ ? 1 : 0);
   metrics_.SetGauge("replication_lag_seconds", ToSeconds(replicator_->Lag()));
--- a/source/gentian_turn_storage/turn_database.cc
+++ b/source/gentian_turn_storage/turn_database.cc
@@ -28,9 +28,17 @@
     "CREATE UNIQUE INDEX IF NOT EXISTS turns_by_key ON turns(team, id);"
     "CREATE INDEX IF NOT EXISTS turns_by_conversation"
     "  ON turns(team, conversation, expires_at);"
+    "CREATE TABLE IF NOT EXISTS origins("
+    "  team BLOB NOT NULL, id BLOB NOT NULL, send INTEGER NOT NULL,"
+    "  expires_at INTEGER NOT NULL, checksum INTEGER NOT NULL,"
+    "  origin BLOB NOT NULL);"
+    "CREATE UNIQUE INDEX IF NOT EXISTS origins_by_key ON origins(team, id);"
     "CREATE TABLE IF NOT EXISTS properties("
     "  name TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;";
 
+// Callers resume a stream within the deadline of their request, which is
+// shorter.
+constexpr milliseconds kOriginRetention{120'000};
 // Bounds a chain, in case that damaged records form a cycle.
 constexpr int kMaxChainLength = 100'000;
 
@@ -43,6 +51,11 @@
   return static_cast<std::int64_t>(checksum);
 }
 
+std::int64_t ChecksumOf(const turn_key& key, std::string_view origin) {
+  return static_cast<std::int64_t>(
+      StableHash(origin, StableHash(key.id, StableHash(key.team))));
+}
+
 error ErrorFrom(const sqlite_failure& failure) {
   if (failure.is_damage()) {
     return error{
@@ -94,6 +107,16 @@
     last_position.emplace(
         database.Prepare("SELECT seq FROM sqlite_sequence WHERE name='turns'"));
     count.emplace(database.Prepare("SELECT COUNT(*) FROM turns"));
+    insert_origin.emplace(database.Prepare(
+        "INSERT INTO origins(team, id, send, expires_at, checksum, origin)"
+        " VALUES(?,?,?,?,?,?) ON CONFLICT(team, id) DO UPDATE SET"
+        " send=excluded.send, expires_at=excluded.expires_at,"
+        " checksum=excluded.checksum, origin=excluded.origin"
+        " WHERE excluded.send >= send"));
+    read_origin.emplace(database.Prepare(
+        "SELECT checksum, origin FROM origins WHERE team=? AND id=?"));
+    expire_origins.emplace(
+        database.Prepare("DELETE FROM origins WHERE expires_at < ?"));
     set_property.emplace(database.Prepare(
         "INSERT OR REPLACE INTO properties(name, value) VALUES(?,?)"));
     get_property.emplace(
@@ -140,6 +163,7 @@
   }
 
   store_outcome Insert(const kept_turn& turn);
+  void Insert(const stored_origin& stored);
   /** @throws damaged_record */
   std::optional<kept_turn> Read(const turn_key& key);
   /** Removes a damaged record, so that a copy can replace it. */
@@ -154,6 +178,9 @@
   std::optional<sqlite_statement> expire;
   std::optional<sqlite_statement> last_position;
   std::optional<sqlite_statement> count;
+  std::optional<sqlite_statement> insert_origin;
+  std::optional<sqlite_statement> read_origin;
+  std::optional<sqlite_statement> expire_origins;
   std::optional<sqlite_statement> set_property;
   std::optional<sqlite_statement> get_property;
   std::int64_t running_ms = 0;
@@ -181,6 +208,17 @@
   return same ? store_outcome::stored : store_outcome::conflict;
 }
 
+void turn_database::state::Insert(const stored_origin& stored) {
+  const std::string origin = EncodeOrigin(stored.origin);
+  insert_origin->BindBytes(0, stored.key.team)
+      .BindBytes(1, stored.key.id)
+      .Bind(2, stored.send)
+      .Bind(3, running_ms + kOriginRetention.count())
+      .Bind(4, ChecksumOf(stored.key, origin))
+      .BindBytes(5, origin)
+      .Run();
+}
+
 std::optional<kept_turn> turn_database::state::Read(const turn_key& key) {
   const statement_use use(*read);
   read->BindBytes(0, key.team).BindBytes(1, key.id);
@@ -262,19 +300,46 @@
 result<std::vector<store_outcome>> turn_database::Store(
     const std::vector<const kept_turn*>& turns,
     duration elapsed) {
+  return Store(store_batch{turns, {}}, elapsed);
+}
+
+result<std::vector<store_outcome>> turn_database::Store(
+    const store_batch& batch,
+    duration elapsed) {
   return Guard([&] {
     return state_->Commit([&] {
       state_->AddRunningTime(elapsed);
       std::vector<store_outcome> outcomes;
-      outcomes.reserve(turns.size());
-      for (const kept_turn* turn : turns) {
+      outcomes.reserve(batch.turns.size());
+      for (const kept_turn* turn : batch.turns) {
         outcomes.push_back(state_->Insert(*turn));
       }
+      for (const stored_origin* origin : batch.origins) {
+        state_->Insert(*origin);
+      }
       return outcomes;
     });
   });
 }
 
+result<std::optional<stream_origin>> turn_database::ReadOrigin(
+    const turn_key& key) {
+  return Guard([&]() -> std::optional<stream_origin> {
+    const statement_use use(*state_->read_origin);
+    state_->read_origin->BindBytes(0, key.team).BindBytes(1, key.id);
+    if (!state_->read_origin->Step()) {
+      return std::nullopt;
+    }
+    const std::string bytes = state_->read_origin->Bytes(1);
+    if (ChecksumOf(key, bytes) != state_->read_origin->Number(0)) {
+      ++state_->damaged;
+      return std::nullopt;
+    }
+    const result<stream_origin> origin = DecodeOrigin(bytes);
+    return Failed(origin) ? std::nullopt : std::optional(ValueOf(origin));
+  });
+}
+
 result<std::optional<chain_part>> turn_database::ReadChain(
     const turn_key& key) {
   return Guard([&]() -> std::optional<chain_part> {
@@ -356,6 +421,7 @@
   return Guard([&] {
     return state_->Commit([&] {
       state_->AddRunningTime(elapsed);
+      state_->expire_origins->Bind(0, state_->running_ms).Run();
       state_->expire->Bind(0, state_->running_ms).Run();
       return state_->database.changes();
     });
--- a/source/gentian_turn_storage/turn_database.h
+++ b/source/gentian_turn_storage/turn_database.h
@@ -19,6 +19,12 @@
   conflict,
 };
 
+/** What one transaction stores. */
+struct store_batch {
+  std::vector<const kept_turn*> turns;
+  std::vector<const stored_origin*> origins;
+};
+
 /** Totals of a database. */
 struct database_totals {
   std::int64_t turns = 0;
@@ -61,6 +67,18 @@
       const std::vector<const kept_turn*>& turns,
       duration elapsed);
 
+  /** Stores turns and origins of streams in one transaction. An origin stays
+      if the one that is stored under its key is of a later send.
+
+      @returns  the outcomes of the turns */
+  result<std::vector<store_outcome>> Store(const store_batch& batch,
+                                           duration elapsed);
+
+  /** Reads the origin of a stream.
+
+      @returns  nothing if it is not stored here */
+  result<std::optional<stream_origin>> ReadOrigin(const turn_key& key);
+
   /** Reads the chain that ends with a turn. A record that doesn't match its
       checksum is removed, and the database is no longer settled.
 
@@ -76,7 +94,7 @@
   /** Reads turns; keys that are not stored are left out. */
   result<std::vector<kept_turn>> ReadTurns(const std::vector<turn_key>& keys);
 
-  /** Removes conversations that need not be kept any longer.
+  /** Removes conversations and origins that need not be kept any longer.
 
       @returns  the number of turns removed */
   result<int> RemoveExpired(duration elapsed);
--- a/source/gentian_turn_storage/turn_storage.cc
+++ b/source/gentian_turn_storage/turn_storage.cc
@@ -15,6 +15,11 @@
 // Histories that wait for the disk. Hosts with disks have little memory.
 constexpr std::size_t kMaxQueuedBytes = 16 * 1024 * 1024;
 
+error QueueFull() {
+  return error{error_kind::overloaded, "too many turns wait for the disk",
+               "store the turn at another host"};
+}
+
 }  // namespace
 
 struct turn_storage::state {
@@ -23,6 +28,11 @@
     store_handler on_stored;
   };
 
+  struct queued_origin {
+    stored_origin origin;
+    origin_handler on_stored;
+  };
+
   std::unique_ptr<turn_database> database;
   std::string directory;
   /** The start of the running time that the database has not counted. */
@@ -31,6 +41,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::vector<queued_turn> turns;
+  std::vector<queued_origin> origins;
   std::deque<job> jobs;
   std::size_t queued_bytes = 0;
   bool stopping = false;
@@ -56,21 +67,35 @@
   state_->thread.join();
 }
 
-void turn_storage::Store(kept_turn turn, store_handler on_stored) {
+template <typename Entry>
+bool turn_storage::Queue(std::vector<Entry>& queue,
+                         Entry& entry,
+                         std::size_t size) {
   {
     const std::lock_guard<std::mutex> lock(state_->mutex);
-    if (state_->queued_bytes < kMaxQueuedBytes) {
-      state_->queued_bytes += turn.history.size();
-      state_->turns.push_back({std::move(turn), std::move(on_stored)});
-      on_stored = nullptr;
+    if (state_->queued_bytes >= kMaxQueuedBytes) {
+      return false;
     }
-  }
-  if (on_stored) {
-    on_stored(error{error_kind::overloaded, "too many turns wait for the disk",
-                    "store the turn at another host"});
-    return;
+    state_->queued_bytes += size;
+    queue.push_back(std::move(entry));
   }
   state_->changed.notify_all();
+  return true;
+}
+
+void turn_storage::Store(kept_turn turn, store_handler on_stored) {
+  const std::size_t size = turn.history.size();
+  state::queued_turn entry{std::move(turn), std::move(on_stored)};
+  if (!Queue(state_->turns, entry, size)) {
+    entry.on_stored(QueueFull());
+  }
+}
+
+void turn_storage::StoreOrigin(stored_origin origin, origin_handler on_stored) {
+  state::queued_origin entry{std::move(origin), std::move(on_stored)};
+  if (!Queue(state_->origins, entry, sizeof(stored_origin))) {
+    entry.on_stored(QueueFull());
+  }
 }
 
 void turn_storage::Enqueue(job next) {
@@ -100,7 +125,7 @@
   while (true) {
     state_->changed.wait(lock, [this] {
       return state_->stopping || !state_->turns.empty() ||
-             !state_->jobs.empty();
+             !state_->origins.empty() || !state_->jobs.empty();
     });
     if (state_->stopping) {
       return;
@@ -119,30 +144,43 @@
 }
 
 void turn_storage::Commit() {
-  std::vector<state::queued_turn> batch;
+  std::vector<state::queued_turn> turns;
+  std::vector<state::queued_origin> origins;
   {
     const std::lock_guard<std::mutex> lock(state_->mutex);
-    batch.swap(state_->turns);
+    turns.swap(state_->turns);
+    origins.swap(state_->origins);
     state_->queued_bytes = 0;
   }
-  if (batch.empty()) {
+  if (turns.empty() && origins.empty()) {
     return;
   }
-  std::vector<const kept_turn*> turns;
-  turns.reserve(batch.size());
-  for (const state::queued_turn& next : batch) {
-    turns.push_back(&next.turn);
+  store_batch batch;
+  batch.turns.reserve(turns.size());
+  for (const state::queued_turn& next : turns) {
+    batch.turns.push_back(&next.turn);
+  }
+  batch.origins.reserve(origins.size());
+  for (const state::queued_origin& next : origins) {
+    batch.origins.push_back(&next.origin);
   }
   const result<std::vector<store_outcome>> outcomes =
-      state_->database->Store(turns, TakeRunningTime());
-  for (std::size_t i = 0; i < batch.size(); ++i) {
+      state_->database->Store(batch, TakeRunningTime());
+  for (std::size_t i = 0; i < turns.size(); ++i) {
     const result<store_outcome> outcome =
         Failed(outcomes) ? result<store_outcome>(ErrorOf(outcomes))
                          : result<store_outcome>(ValueOf(outcomes)[i]);
-    run_handlers_([outcome, on_stored = std::move(batch[i].on_stored)] {
+    run_handlers_([outcome, on_stored = std::move(turns[i].on_stored)] {
       on_stored(outcome);
     });
   }
+  const result<success> stored = Failed(outcomes)
+                                     ? result<success>(ErrorOf(outcomes))
+                                     : result<success>(success{});
+  for (state::queued_origin& next : origins) {
+    run_handlers_(
+        [stored, on_stored = std::move(next.on_stored)] { on_stored(stored); });
+  }
   if (Failed(outcomes)) {
     Recover(ErrorOf(outcomes));
   }
--- a/source/gentian_turn_storage/turn_storage.h
+++ b/source/gentian_turn_storage/turn_storage.h
@@ -13,12 +13,14 @@
 namespace gentian {
 
 /** Runs a turn_database on a thread of its own, since each commit waits for the
-    disk. Turns that arrive during a commit are stored together in the next one.
-    A database that turns out to be damaged is replaced by an empty one.
+    disk. Turns and origins that arrive during a commit are stored together in
+   the next one. A database that turns out to be damaged is replaced by an empty
+   one.
 */
 class turn_storage {
  public:
   using store_handler = std::function<void(const result<store_outcome>&)>;
+  using origin_handler = std::function<void(const result<success>&)>;
   /** Runs an action where the results are handled. */
   using executor = std::function<void(std::function<void()>)>;
 
@@ -38,7 +40,12 @@
                         are queued */
   void Store(kept_turn turn, store_handler on_stored);
 
-  /** Removes conversations that need not be kept any longer.
+  /** Stores the origin of a stream.
+
+      @param on_stored  see Store */
+  void StoreOrigin(stored_origin origin, origin_handler on_stored);
+
+  /** Removes conversations and origins that need not be kept any longer.
 
       @param on_done  receives the number of turns removed */
   void RemoveExpired(std::function<void(const result<int>&)> on_done);
@@ -65,6 +72,8 @@
   void Enqueue(job next);
   void Work();
   void Commit();
+  template <typename Entry>
+  bool Queue(std::vector<Entry>& queue, Entry& entry, std::size_t size);
   duration TakeRunningTime();
   void Recover(const error& reason);
 
--- a/source/gentian_turns/gentian_turns.h
+++ b/source/gentian_turns/gentian_turns.h
@@ -1,5 +1,6 @@
 /** Decisions about turns that the system keeps: which turn stores hold a turn,
     when it is durable, how its chain is read and when a store has been emptied.
+    Decisions about the origins of streams, which the turn stores hold too.
     State in, decisions out; no sockets, threads, clocks or files.
 
     Dependencies: gentian_core.
@@ -11,6 +12,9 @@
 #include "gentian_turns/drain_progress.h"
 #include "gentian_turns/event_data.h"
 #include "gentian_turns/kept_turn.h"
+#include "gentian_turns/origin_lookup.h"
+#include "gentian_turns/origin_write.h"
+#include "gentian_turns/stream_origin.h"
 #include "gentian_turns/turn_store_directory.h"
 #include "gentian_turns/turn_store_record.h"
 #include "gentian_turns/turn_summary.h"
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -173,3 +173,28 @@
               SelectTarget(other, demand, At(10))->record.id);
   }
 }
+
+// Guards against a stream that changes to another version of the software, and
+// against leaving a preferred version that has room.
+Test(target_table, chooses_targets_by_software_version) {
+  target_table table;
+  target_record old_one = Target("a");
+  old_one.version = "v1";
+  target_record new_one = Target("b");
+  new_one.version = "v2";
+  table.Update({old_one, new_one}, At(0));
+  target_requirements demand;
+  demand.service = "model";
+  demand.version = "v2";
+  cr_assert(SelectTarget(table, demand, At(1))->record.id == "b");
+  demand.excluded = {"b"};
+  cr_assert(SelectTarget(table, demand, At(1)) == nullptr);
+  demand = target_requirements();
+  demand.service = "model";
+  for (const char* preferred : {"v1", "v2"}) {
+    demand.preferred_version = preferred;
+    cr_assert(SelectTarget(table, demand, At(1))->record.version == preferred);
+  }
+  table.ReportFailure("b", At(1));
+  cr_assert(SelectTarget(table, demand, At(2))->record.id == "a");
+}
