Drop answers that belong to another request on a kept connection

What callers saw: in a test, 503 with the promise 'not run' for a request that a target was running: it had written an earlier refusal, without an ID, once more on the kept connection (REFUSED). With the ID of the earlier request the caller got 502 although its own answer followed. Cause: an answer without a Request-Id counted as the answer to the request in hand, and one with another ID ended the connection. Class: answers matched by their order alone. Change: http_client asks whether an answer belongs to the request, reads and drops one that doesn't, awaits the next, and closes the connection afterwards; after four such it counts as broken. On a connection that was used before, an answer without the ID is not the request's own; on a new one it is.

--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -163,6 +164,11 @@
     return me->phase_ != phase::ended && me->attempt_serial_ == serial;
   };
   http_client_handlers handlers;
+  handlers.is_own = [me = shared_from_this(), if_current](
+                        int status, const http_headers& headers,
+                        bool is_first) {
+    return !if_current() || me->IsOwnAnswer(status, headers, is_first);
+  };
   handlers.on_header = [me = shared_from_this(), if_current](
                            int status, const http_headers& headers) {
     if (if_current()) {
@@ -195,15 +201,29 @@
   environment_.state.targets.RequestEnded(target_);
 }
 
+// A target in trouble may send an answer twice. The copy arrives where the next
+// answer is expected, and may be a refusal, which would promise that the next
+// request has not run.
+bool gateway_call::IsOwnAnswer(int status,
+                               const http_headers& headers,
+                               bool is_first) {
+  const std::string id =
+      environment_.protocol.DecodeAnswer(status, headers).request_id;
+  if (call_->request_id.empty() || id == call_->request_id ||
+      (id.empty() && is_first)) {
+    return true;
+  }
+  environment_.state.counters.Add("foreign_answer_dropped");
+  Log(log_level::warning, "answer to another request dropped",
+      {{"request", call_->request_id},
+       {"answered_request", id},
+       {"status", status},
+       {"target", target_}});
+  return false;
+}
+
 void gateway_call::OnHeader(int status, const http_headers& headers) {
   answer_ = environment_.protocol.DecodeAnswer(status, headers);
-  if (!answer_.request_id.empty() && answer_.request_id != call_->request_id) {
-    // A late answer to an earlier request on the same connection.
-    attempt_->Cancel();
-    EndAttempt();
-    RetryAfterPossibleRun("foreign_answer");
-    return;
-  }
   if (answer_.load) {
     answer_.load->at = BootTimeNow();
     environment_.state.targets.ReportLoad(target_, *answer_.load);
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -38,6 +38,8 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
+// Answers to other requests on one connection before it counts as broken.
+constexpr int kMaxForeignAnswers = 4;
 // Larger bodies are written without a copy, after the header.
 constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
@@ -188,14 +190,7 @@
 
   void SendRequest() {
     sent_ = true;
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(
-        static_cast<std::uint32_t>(request_.max_header_bytes));
-    parser_->body_limit(request_.max_body_bytes);
-    if (request_.method == "HEAD") {
-      parser_->skip(true);
-    }
+    StartAnswer();
     silence_timer_->cancel();
     ArmSilenceTimer();
     stream_->Write(asio::buffer(text_), [me = this->shared_from_this()](
@@ -213,6 +208,19 @@
     Read();
   }
 
+  void StartAnswer() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(
+        static_cast<std::uint32_t>(request_.max_header_bytes));
+    parser_->body_limit(request_.max_body_bytes);
+    if (request_.method == "HEAD") {
+      parser_->skip(true);
+    }
+    header_read_ = false;
+    is_foreign_ = false;
+  }
+
   // A server may answer and close before it has read everything, so a failed
   // write is reported by the read.
   void OnWritten(error_code failure) { written_ = !failure; }
@@ -247,6 +255,10 @@
     }
     ArmSilenceTimer();
     input_.append(space_.data(), size);
+    Parse();
+  }
+
+  void Parse() {
     error_code parse_failure;
     while (!input_.empty() && !parser_->is_done()) {
       const std::size_t used =
@@ -297,15 +309,15 @@
       Read();
       return;
     }
-    if (!header_delivered_) {
-      header_delivered_ = true;
+    if (!header_read_) {
+      header_read_ = true;
       DeliverHeader();
     }
     std::string& body = parser_->get().body();
     if (!body.empty() && !ended_) {
       const std::string part = std::move(body);
       body.clear();
-      if (handlers_.on_body) {
+      if (handlers_.on_body && !is_foreign_) {
         handlers_.on_body(part);
       }
     }
@@ -316,7 +328,24 @@
       Read();
       return;
     }
-    Complete();
+    if (is_foreign_) {
+      AwaitNextAnswer();
+    } else {
+      Complete();
+    }
+  }
+
+  void AwaitNextAnswer() {
+    if (++foreign_answers_ > kMaxForeignAnswers) {
+      Fail(http_failure::broken, "answers to other requests came");
+      return;
+    }
+    StartAnswer();
+    if (input_.empty()) {
+      Read();
+    } else {
+      Parse();
+    }
   }
 
   void DeliverHeader() {
@@ -324,9 +353,12 @@
     for (const auto& field : parser_->get()) {
       headers.Add(std::string(field.name_string()), std::string(field.value()));
     }
-    if (handlers_.on_header) {
-      handlers_.on_header(static_cast<int>(parser_->get().result_int()),
-                          headers);
+    const int status = static_cast<int>(parser_->get().result_int());
+    const bool is_first = !reused_ && foreign_answers_ == 0;
+    is_foreign_ =
+        handlers_.is_own && !handlers_.is_own(status, headers, is_first);
+    if (handlers_.on_header && !is_foreign_) {
+      handlers_.on_header(status, headers);
     }
   }
 
@@ -335,7 +367,7 @@
     // After an answer that came before the whole request was written, the
     // server still reads the rest of that request.
     if (request_.reuse_connection && parser_->get().keep_alive() &&
-        input_.empty() && written_) {
+        input_.empty() && written_ && foreign_answers_ == 0) {
       owner_->cache.Put(
           request_.address, stream_,
           detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
@@ -380,7 +412,10 @@
   bool reused_ = false;
   bool sent_ = false;
   bool written_ = false;
-  bool header_delivered_ = false;
+  bool header_read_ = false;
+  /** The answer that is being read belongs to another request. */
+  bool is_foreign_ = false;
+  int foreign_answers_ = 0;
   bool ended_ = false;
 };
 
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -61,6 +61,13 @@
   std::function<void()> on_end;
   std::function<void(http_failure failure, const std::string& message)>
       on_failure;
+  /** Tells whether an answer belongs to the request. One that doesn't is read
+      and dropped, and the next one on the connection is awaited. Without it,
+      every answer belongs to the request.
+
+      @param is_first  nothing was sent or read on the connection before */
+  std::function<bool(int status, const http_headers& headers, bool is_first)>
+      is_own = nullptr;
 };
 
 /** A request in progress. */
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -31,7 +31,7 @@
   explicit gateway_fixture(fake_target::request_handler handler)
       : target(pool, std::move(handler)) {
     Configure(R"(["k"])");
-    RegisterTarget("i-1", target, "v1");
+    RegisterTarget("i-1", target.address(), "v1");
     daemon = std::make_unique<gateway_daemon>(daemon_pool, store_client,
                                               protocol, Settings(0), "start-1");
     cr_assert(!Failed(daemon->Start()));
@@ -59,10 +59,10 @@
 
   /** Registers a target for the service "s". */
   void RegisterTarget(const std::string& id,
-                      const fake_target& registered,
+                      const std::string& address,
                       const std::string& software_version) {
     store.Put("servers/" + id,
-              R"({"service":"s","address":")" + registered.address() +
+              R"({"service":"s","address":")" + address +
                   R"(","zone":"z","slots":4,"state":"ready","seq":1,)"
                   R"("born":1,"version":")" +
                   software_version + R"("})");
--- a/tests/platform/stream_fixture.h
+++ b/tests/platform/stream_fixture.h
@@ -144,7 +144,7 @@
 
   stream_target& AddTarget(const std::string& id, const std::string& version) {
     targets_.push_back(std::make_unique<stream_target>(target_pool_, version));
-    fleet.first.RegisterTarget(id, targets_.back()->server, version);
+    fleet.first.RegisterTarget(id, targets_.back()->server.address(), version);
     return *targets_.back();
   }
 
--- /dev/null
+++ b/tests/support/scripted_target.h
@@ -0,0 +1,161 @@
+#ifndef TESTS_SUPPORT_SCRIPTED_TARGET_H_
+#define TESTS_SUPPORT_SCRIPTED_TARGET_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <functional>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace gentian::testing {
+
+/** A TCP server that answers each request with bytes that a script makes, which
+    no HTTP server would send. Requests have a length, or no body. */
+class scripted_target {
+ public:
+  /** How a connection ends after the bytes. */
+  enum class ending { keep_open, close, reset };
+  struct step {
+    std::string bytes;
+    ending end = ending::keep_open;
+  };
+  /** @param request  the header of a request
+      @param number   of the request on its connection, from 1; runs on a
+                      thread of the connection */
+  using script = std::function<step(const std::string& request, int number)>;
+
+  explicit scripted_target(script answers)
+      : answers_(std::move(answers)),
+        socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(own);
+    const bool is_bound =
+        ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
+        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size) == 0 &&
+        ::listen(socket_, 16) == 0;
+    if (!is_bound) {
+      throw std::runtime_error("no loopback port is free");
+    }
+    address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+    accepting_ = std::thread([this] { Accept(); });
+  }
+  ~scripted_target() { Stop(); }
+  scripted_target(const scripted_target&) = delete;
+  scripted_target& operator=(const scripted_target&) = delete;
+
+  const std::string& address() const { return address_; }
+
+  /** Closes all connections and takes no more. */
+  void Stop() {
+    if (!accepting_.joinable()) {
+      return;
+    }
+    ::shutdown(socket_, SHUT_RDWR);
+    accepting_.join();
+    ::close(socket_);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      for (const int peer : peers_) {
+        ::shutdown(peer, SHUT_RDWR);
+      }
+    }
+    for (std::thread& next : threads_) {
+      next.join();
+    }
+    for (const int peer : peers_) {
+      ::close(peer);
+    }
+  }
+
+  /** The value of a header field of a request; empty if it is absent. */
+  static std::string FieldOf(const std::string& request,
+                             const std::string& name) {
+    const std::size_t start = request.find("\r\n" + name + ": ");
+    if (start == std::string::npos) {
+      return {};
+    }
+    const std::size_t first = start + name.size() + 4;
+    return request.substr(first, request.find("\r\n", first) - first);
+  }
+
+ private:
+  void Accept() {
+    while (true) {
+      const int peer = ::accept(socket_, nullptr, nullptr);
+      if (peer < 0) {
+        return;
+      }
+      const std::lock_guard<std::mutex> lock(mutex_);
+      peers_.push_back(peer);
+      threads_.emplace_back([this, peer] { Serve(peer); });
+    }
+  }
+
+  void Serve(int peer) {
+    std::string input;
+    std::array<char, 4096> space{};
+    for (int number = 1;; ++number) {
+      std::size_t end = std::string::npos;
+      std::size_t body = 0;
+      while ((end = input.find("\r\n\r\n")) == std::string::npos ||
+             input.size() < end + 4 + body) {
+        if (end != std::string::npos) {
+          const std::string length =
+              FieldOf(input.substr(0, end + 2), "Content-Length");
+          body = length.empty() ? 0 : std::stoul(length);
+          if (input.size() >= end + 4 + body) {
+            break;
+          }
+        }
+        const ssize_t count = ::recv(peer, space.data(), space.size(), 0);
+        if (count <= 0) {
+          return;
+        }
+        input.append(space.data(), static_cast<std::size_t>(count));
+      }
+      const step next = answers_(input.substr(0, end + 2), number);
+      input.erase(0, end + 4 + body);
+      ::send(peer, next.bytes.data(), next.bytes.size(), MSG_NOSIGNAL);
+      if (next.end == ending::close) {
+        ::shutdown(peer, SHUT_RDWR);
+        return;
+      }
+      if (next.end == ending::reset) {
+        // The bytes arrive before the reset.
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        const linger none{1, 0};
+        ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (int& known : peers_) {
+          if (known == peer) {
+            ::close(peer);
+            known = -1;
+          }
+        }
+        return;
+      }
+    }
+  }
+
+  script answers_;
+  int socket_;
+  std::string address_;
+  std::thread accepting_;
+  std::mutex mutex_;
+  std::vector<int> peers_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace gentian::testing
+
+#endif  // TESTS_SUPPORT_SCRIPTED_TARGET_H_
