--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -28,12 +28,18 @@
     has the key "k". A second team has the key "k2". */
 class gateway_fixture {
  public:
-  explicit gateway_fixture(fake_target::request_handler handler)
+  static constexpr milliseconds kWithdrawalBound{2'000};
+
+  /** @param withdrawal_bound  see gateway_settings; gateways read listings
+                               from each other when they are a third as old */
+  explicit gateway_fixture(fake_target::request_handler handler,
+                           milliseconds withdrawal_bound = kWithdrawalBound)
       : target(pool, std::move(handler)) {
     Configure(R"(["k"])");
     RegisterTarget("i-1", target.address(), "v1");
-    daemon = std::make_unique<gateway_daemon>(daemon_pool, store_client,
-                                              protocol, Settings(0), "start-1");
+    daemon = std::make_unique<gateway_daemon>(
+        daemon_pool, store_client, protocol, Settings(0, withdrawal_bound),
+        "start-1");
     cr_assert(!Failed(daemon->Start()));
     cr_assert(WaitFor(
         [this] { return Status(readiness_address, "/readiness") == 200; }));
@@ -45,7 +51,9 @@
   }
 
   /** Settings of a gateway whose ports are moved by this offset. */
-  static gateway_settings Settings(int port_offset) {
+  static gateway_settings Settings(
+      int port_offset,
+      milliseconds withdrawal_bound = kWithdrawalBound) {
     gateway_settings settings;
     settings.host = "host";
     settings.failure_domain = "z";
@@ -53,7 +61,7 @@
     settings.directory_address = ProcessAddress(18360 + port_offset);
     settings.readiness_address = ProcessAddress(18369 + port_offset);
     settings.peer_address = ProcessAddress(17780 + port_offset);
-    settings.withdrawal_bound = milliseconds(2'000);
+    settings.withdrawal_bound = withdrawal_bound;
     return settings;
   }
 
@@ -61,11 +69,15 @@
   void RegisterTarget(const std::string& id,
                       const std::string& address,
                       const std::string& software_version) {
-    store.Put("servers/" + id,
-              R"({"service":"s","address":")" + address +
-                  R"(","zone":"z","slots":4,"state":"ready","seq":1,)"
-                  R"("born":1,"version":")" +
-                  software_version + R"("})");
+    store.Put("servers/" + id, TargetEntry(address, software_version));
+  }
+
+  static std::string TargetEntry(const std::string& address,
+                                 const std::string& software_version) {
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"z","slots":4,"state":"ready","seq":1,)"
+           R"("born":1,"version":")" +
+           software_version + R"("})";
   }
 
   void Configure(const std::string& keys) {
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -14,10 +14,13 @@
     gateway_fixture, which is the first of them. */
 class gateway_fleet {
  public:
-  gateway_fleet(std::size_t size, fake_target::request_handler handler)
-      : first(std::move(handler)) {
+  gateway_fleet(
+      std::size_t size,
+      fake_target::request_handler handler,
+      milliseconds withdrawal_bound = gateway_fixture::kWithdrawalBound)
+      : first(std::move(handler), withdrawal_bound) {
     for (std::size_t i = 1; i < size; ++i) {
-      others_.push_back(std::make_unique<gateway>(first, i));
+      others_.push_back(std::make_unique<gateway>(first, i, withdrawal_bound));
     }
     cr_assert(WaitFor([this] {
       for (std::size_t i = 0; i < this->size(); ++i) {
@@ -61,17 +64,22 @@
 
  private:
   struct gateway {
-    gateway(gateway_fixture& shared, std::size_t index)
-        : settings(SettingsAt(index)), store_client(shared.store, pool) {
+    gateway(gateway_fixture& shared,
+            std::size_t index,
+            milliseconds withdrawal_bound)
+        : settings(SettingsAt(index, withdrawal_bound)),
+          store_client(shared.store, pool) {
       daemon = std::make_unique<gateway_daemon>(
           pool, store_client, shared.protocol, settings,
           "start-" + std::to_string(index + 1));
       cr_assert(!Failed(daemon->Start()));
     }
 
-    static gateway_settings SettingsAt(std::size_t index) {
+    static gateway_settings SettingsAt(std::size_t index,
+                                       milliseconds withdrawal_bound) {
       const int offset = static_cast<int>(index) * 100;
-      gateway_settings settings = gateway_fixture::Settings(offset);
+      gateway_settings settings =
+          gateway_fixture::Settings(offset, withdrawal_bound);
       settings.host = "host-" + std::to_string(index);
       return settings;
     }
--- /dev/null
+++ b/tests/platform/partition_test.cc
@@ -0,0 +1,149 @@
+// Tests a gateway that has lost its paths to all targets, while its callers,
+// the other gateways and the key-value store still reach it.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "platform/gateway_fleet.h"
+#include "support/cuttable_link.h"
+
+using namespace gentian;
+using gentian::testing::cuttable_link;
+using gentian::testing::fake_target;
+using gentian::testing::Fetch;
+using gentian::testing::gateway_fixture;
+using gentian::testing::gateway_fleet;
+using gentian::testing::http_outcome;
+using gentian::testing::WaitFor;
+
+namespace {
+
+constexpr int kTargets = 4;
+// Long enough that no gateway reads listings from the other one, which has
+// other addresses for the targets.
+constexpr milliseconds kWithdrawalBound{60'000};
+
+/** Two gateways and four targets, to which the first gateway has links of its
+    own. */
+class partition {
+ public:
+  partition()
+      : fleet(
+            2,
+            [](const std::shared_ptr<http_exchange>& exchange, int) {
+              fake_target::RespondSealed(exchange, "");
+            },
+            kWithdrawalBound) {
+    for (int i = 0; i < kTargets; ++i) {
+      targets.push_back(std::make_unique<fake_target>(
+          target_pool, [](const std::shared_ptr<http_exchange>& exchange, int) {
+            fake_target::RespondSealed(exchange, "answer");
+          }));
+      links.push_back(
+          std::make_unique<cuttable_link>(targets.back()->address()));
+      const std::string id = "t-" + std::to_string(i);
+      fleet.first.store_client.Replace(
+          "servers/" + id,
+          gateway_fixture::TargetEntry(links.back()->address(), "v1"));
+      fleet.first.RegisterTarget(id, targets.back()->address(), "v1");
+    }
+    fleet.first.store.Remove("servers/i-1");
+    for (std::size_t gateway = 0; gateway < fleet.size(); ++gateway) {
+      cr_assert(WaitFor([&] {
+        const int before = Runs();
+        return IsServed(gateway, "/once/x") && Runs() > before;
+      }));
+    }
+  }
+  ~partition() {
+    fleet.StopPools();
+    target_pool.Stop();
+  }
+
+  bool IsServed(std::size_t gateway, const std::string& path) {
+    static std::atomic<int> number{0};
+    http_client_request request = fleet.Request(gateway, path);
+    request.headers = http_headers();
+    request.headers.Add("Host", "h");
+    request.headers.Add("Request-Id", "r" + std::to_string(++number));
+    request.headers.Add("X-Api-Key", "k");
+    request.headers.Add("Deadline-Ms", "1500");
+    const http_response answer = Fetch(fleet.first.client, request).response;
+    return answer.status == 200 && answer.body == "answer";
+  }
+
+  /** Requests that are served, of several at a steady rate. */
+  int CountServed(std::size_t gateway, int count) {
+    int served = 0;
+    for (int i = 0; i < count; ++i) {
+      served += IsServed(gateway, i % 2 == 0 ? "/once/x" : "/again/x") ? 1 : 0;
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return served;
+  }
+
+  int Runs() const {
+    int runs = 0;
+    for (const auto& target : targets) {
+      runs += target->runs();
+    }
+    return runs;
+  }
+
+  bool IsPartitioned(std::size_t gateway) {
+    return fleet.Metrics(gateway).find("gentian_partitioned_from_targets 1") !=
+           std::string::npos;
+  }
+
+  io_pool target_pool{2};
+  std::vector<std::unique_ptr<fake_target>> targets;
+  std::vector<std::unique_ptr<cuttable_link>> links;
+  gateway_fleet fleet;
+};
+
+}  // namespace
+
+// Guards against callers that are refused because their gateway, but no other
+// one, is cut off from the targets.
+Test(partition, requests_go_through_another_gateway, .timeout = 120) {
+  for (const bool resets : {true, false}) {
+    partition subject;
+    for (const auto& link : subject.links) {
+      link->Cut(resets);
+    }
+    // The gateway notices while it serves.
+    subject.CountServed(0, 10);
+    const int before = subject.Runs();
+    constexpr int kRequests = 30;
+    const int served = subject.CountServed(0, kRequests);
+    cr_assert(served == kRequests, "resets %d: served %d", resets ? 1 : 0,
+              served);
+    cr_assert(subject.Runs() - before == kRequests, "each runs once");
+    cr_assert(subject.CountServed(1, kRequests) == kRequests);
+  }
+}
+
+// Guards against a detour that is never left, and against one that is taken
+// because single targets fail.
+Test(partition, the_direct_path_is_used_when_it_is_back, .timeout = 120) {
+  partition subject;
+  subject.targets.back()->Stop();
+  subject.links.back()->Cut(true);
+  constexpr int kRequests = 20;
+  cr_assert(subject.CountServed(0, kRequests) >= kRequests - 1);
+  cr_assert(!subject.IsPartitioned(0));
+  for (const auto& link : subject.links) {
+    link->Cut(true);
+  }
+  cr_assert(WaitFor([&] {
+    subject.IsServed(0, "/once/x");
+    return subject.IsPartitioned(0);
+  }));
+  cr_assert(subject.CountServed(0, kRequests) == kRequests);
+  for (int i = 0; i < kTargets - 1; ++i) {
+    subject.links[static_cast<std::size_t>(i)]->Restore();
+  }
+  cr_assert(WaitFor([&] { return !subject.IsPartitioned(0); }));
+  cr_assert(subject.CountServed(0, kRequests) == kRequests);
+}
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -135,14 +135,31 @@
             milliseconds deadline,
             answer_handler handler) override {
     const bool lost = store_.is_unresponsive();
-    const kv_answer answer = lost ? kv_answer() : store_.Answer(operation);
+    kv_answer answer = lost ? kv_answer() : store_.Answer(operation);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      for (kv_entry& entry : answer.entries) {
+        const auto found = replaced_.find(entry.key);
+        if (found != replaced_.end()) {
+          entry.value = found->second;
+        }
+      }
+    }
     pool_.After(lost ? deadline : milliseconds(1),
                 [handler = std::move(handler), answer] { handler(answer); });
   }
 
+  /** Shows the daemon another value under a key than the other daemons see. */
+  void Replace(const std::string& key, const std::string& value) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    replaced_[key] = value;
+  }
+
  private:
   fake_metadata_store& store_;
   io_pool& pool_;
+  std::mutex mutex_;
+  std::map<std::string, std::string> replaced_;
 };
 
 /** HTTP server in place of a target: counts the requests that it receives and
