Send requests through another gateway while all targets are out of reach

Cause: nothing told a gateway without paths from targets that have failed, and nothing led from it to a gateway that reaches them. Class: a partial partition that is taken for the failure of the other side. While partitioned, requests go through tunnel_server at another gateway, in another failure domain first; the TCP connection to the target is carried unchanged, so that admission, retries, limits and 'at most once' stay where they are. A tunnel is opened to a listed target by its ID only; how a connection ends is passed on; a refused tunnel counts as not sent. A gateway that stops waits for the tunnels that it carries.

--- a/source/gentian_gateway/member_record.cc
+++ b/source/gentian_gateway/member_record.cc
@@ -13,7 +13,8 @@
               {"failure_domain", member.failure_domain},
               {"caller_address", member.caller_address},
               {"peer_address", member.peer_address},
-              {"stopping", member.stopping}}
+              {"stopping", member.stopping},
+              {"tunnel_address", member.tunnel_address}}
       .dump();
 }
 
@@ -23,9 +24,10 @@
     return std::nullopt;
   }
   try {
-    return member_record{stored.at("host"), stored.at("failure_domain"),
-                         stored.at("caller_address"), stored.at("peer_address"),
-                         stored.at("stopping")};
+    return member_record{
+        stored.at("host"),           stored.at("failure_domain"),
+        stored.at("caller_address"), stored.at("peer_address"),
+        stored.at("stopping"),       stored.value("tunnel_address", "")};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/source/gentian_gateway/member_record.h
+++ b/source/gentian_gateway/member_record.h
@@ -16,6 +16,9 @@
   std::string peer_address;
   /** The daemon accepts no new callers and will exit. */
   bool stopping = false;
+  /** Where other daemons open tunnels to targets, `ip:port`; empty if it opens
+      none. */
+  std::string tunnel_address{};
 };
 
 /** Key prefix of all records that gateways and turn stores keep, so that one
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -92,6 +92,15 @@
   return found == known_.end() ? nullptr : &found->second;
 }
 
+std::vector<const known_target*> target_table::All() const {
+  std::vector<const known_target*> all;
+  all.reserve(known_.size());
+  for (const auto& [id, target] : known_) {
+    all.push_back(&target);
+  }
+  return all;
+}
+
 std::vector<const known_target*> target_table::Serving(
     const std::string& service) const {
   std::vector<const known_target*> serving;
@@ -197,6 +206,15 @@
   }
 }
 
+void target_table::ForgetFailures() {
+  for (auto& [id, target] : known_) {
+    target.failures = 0;
+    if (target.avoid_until != steady_time::max()) {
+      target.avoid_until = steady_time();
+    }
+  }
+}
+
 void target_table::ReportReplaced(const std::string& id) {
   if (known_target* target = FindMutable(id)) {
     target->avoid_until = steady_time::max();
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -72,6 +72,9 @@
   /** A target by identifier, draining or not; nullptr if it is unknown. */
   const known_target* FindListed(const std::string& id) const;
 
+  /** All targets, draining or not. */
+  std::vector<const known_target*> All() const;
+
   /** Targets of a service that are not draining. */
   std::vector<const known_target*> Serving(const std::string& service) const;
 
@@ -99,6 +102,8 @@
   bool HasAnsweredAfter(const std::string& id,
                         std::uint64_t started_at_ms,
                         steady_time time) const;
+  /** Forgets all failures: they were not the targets'. */
+  void ForgetFailures();
   /** Records that another target answered at this target's address. */
   void ReportReplaced(const std::string& id);
 
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -11,6 +11,7 @@
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/history_service.h"
+#include "gentian_gateway_daemon/path_service.h"
 #include "gentian_gateway_daemon/stream_origin_service.h"
 #include "gentian_gateway_daemon/target_limit_service.h"
 #include "gentian_gateway_daemon/turn_service.h"
@@ -29,6 +30,7 @@
   turn_service& turns;
   history_service& histories;
   stream_origin_service& origins;
+  path_service& paths;
   http_client& targets;
 };
 
@@ -117,6 +119,7 @@
   void EndAnswer();
   void OnWholeAnswer();
   void OnFailure(http_failure failure, const std::string& message);
+  void OnNotSent(http_failure failure, const std::string& message);
   void OnBroken(const std::string& message);
   void EndAttempt();
   /** @param detail  what the connection reported; empty if nothing */
@@ -225,6 +228,10 @@
   /** The only target that may still run the request, once the route's
       max_targets have been used. */
   std::string bound_target_;
+  /** The tunnel server through which the request was sent; empty if it was sent
+      directly. */
+  std::string tunnel_;
+  int tunnel_failures_ = 0;
   int sends_ = 0;
   int runs_ = 0;
   target_answer answer_;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kConnectTimeout{250};
 // Attempts of one request, including those that the target refused.
 constexpr int kMaxSends = 4;
+// Gateways that were asked for a tunnel in vain, per request.
+constexpr int kMaxTunnelFailures = 4;
 // Possible runs of a repeatable request. Once max_targets targets may have run
 // it, further attempts go to the last of them.
 constexpr int kMaxRuns = 3;
@@ -140,6 +142,9 @@
       events_.last_id().empty() ? call_->last_event_id : events_.last_id();
   http_client_request request;
   request.address = target.record.address;
+  tunnel_ = environment_.paths.TunnelTo(target);
+  request.tunnel = tunnel_;
+  request.tunnel_name = target_;
   request.method = original.method;
   request.target = original.target;
   request.headers = environment_.protocol.TargetHeaders(original, details);
@@ -158,6 +163,7 @@
       route_->kind != route_kind::idempotent || target.IsLimited();
   RecordOrigin(target);
   environment_.state.targets.RequestStarted(target_);
+  environment_.paths.OnSent(target_, tunnel_);
   const std::uint64_t serial = ++attempt_serial_;
   // Handlers of a cancelled attempt must have no effect.
   const auto if_current = [me = shared_from_this(), serial] {
@@ -211,6 +217,7 @@
       environment_.protocol.DecodeAnswer(status, headers).request_id;
   if (call_->request_id.empty() || id == call_->request_id ||
       (id.empty() && is_first)) {
+    environment_.paths.OnAnswer(target_, tunnel_, is_first);
     return true;
   }
   environment_.state.counters.Add("foreign_answer_dropped");
@@ -275,6 +282,7 @@
 
 void gateway_call::OnEnd() {
   EndAttempt();
+  environment_.paths.OnHeard(target_, tunnel_);
   environment_.state.targets.ReportSuccess(target_, BootTimeNow());
   if (answer_.status < kFirstFailureStatus && answer_.is_signed &&
       answer_.is_event_stream) {
@@ -370,20 +378,35 @@
 
 void gateway_call::OnFailure(http_failure failure, const std::string& message) {
   EndAttempt();
-  const steady_time now = BootTimeNow();
-  if (failure == http_failure::not_sent) {
-    environment_.state.targets.ReportFailure(target_, now);
-    RetryElsewhere("not_sent", message);
+  if (failure == http_failure::not_sent || failure == http_failure::no_tunnel) {
+    OnNotSent(failure, message);
     return;
   }
   if (failure == http_failure::broken) {
-    environment_.state.targets.ReportFailure(target_, now);
+    environment_.paths.OnFailed(target_, tunnel_, failure);
+    environment_.state.targets.ReportFailure(target_, BootTimeNow());
     OnBroken(message);
   } else {
     RetryAfterPossibleRun("deadline", message);
   }
 }
 
+void gateway_call::OnNotSent(http_failure failure, const std::string& message) {
+  environment_.paths.OnFailed(target_, tunnel_, failure);
+  if (failure == http_failure::no_tunnel &&
+      ++tunnel_failures_ <= kMaxTunnelFailures) {
+    // Another gateway may reach the target.
+    last_reason_ = "no_tunnel";
+    LogFailedAttempt("no_tunnel", false, message);
+    environment_.state.counters.Add("retried.no_tunnel");
+    --sends_;
+    Dispatch();
+    return;
+  }
+  environment_.state.targets.ReportFailure(target_, BootTimeNow());
+  RetryElsewhere("not_sent", message);
+}
+
 // The target may have ended because of this request. Other gateways may have
 // seen it end targets too, so it is sent again only after they were asked. A
 // request that is not sent again is answered at once.
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -63,6 +63,7 @@
       turns_(pool, store, peer_client_, settings_, state_, incarnation),
       histories_(pool, peer_client_, settings_, state_),
       origins_(pool, peer_client_, settings_, state_),
+      paths_(pool, settings_, state_),
       reader_(
           pool,
           store,
@@ -76,9 +77,9 @@
             limits_.OnRegistry(entries);
             crashes_.OnRegistry(entries);
           }),
-      environment_{settings_,   protocol, state_,        pool,
-                   allowances_, limits_,  crashes_,      turns_,
-                   histories_,  origins_, target_client_},
+      environment_{settings_,   protocol, state_,   pool,
+                   allowances_, limits_,  crashes_, turns_,
+                   histories_,  origins_, paths_,   target_client_},
       callers_(
           pool,
           [this](std::shared_ptr<http_exchange> exchange) {
@@ -109,6 +110,9 @@
 
 result<success> gateway_daemon::Start() {
   result<success> listening = Listen();
+  if (!Failed(listening)) {
+    listening = paths_.Start();
+  }
   if (!Failed(listening)) {
     reader_.Start();
   }
@@ -218,12 +222,15 @@
   callers_.CloseAfterAnswers();
   pool_.After(kListenerCloseDelay, [this] {
     callers_.StopAccepting();
+    paths_.Stop();
     FinishStop();
   });
 }
 
 void gateway_daemon::FinishStop() {
-  if (state_.open_requests > 0 && BootTimeNow() < stop_by_) {
+  const bool in_progress =
+      state_.open_requests > 0 || paths_.busy_tunnels() > 0;
+  if (in_progress && BootTimeNow() < stop_by_) {
     pool_.After(kStopPollInterval, [this] { FinishStop(); });
     return;
   }
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -52,6 +52,7 @@
   turn_service turns_;
   history_service histories_;
   stream_origin_service origins_;
+  path_service paths_;
   state_reader reader_;
   gateway_environment environment_;
   http_server callers_;
--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -18,6 +18,8 @@
   std::string directory_address;
   /** For other daemons, and for metrics. */
   std::string peer_address;
+  /** For tunnels of other daemons to targets. */
+  std::string tunnel_address;
   std::string key_value_address;
   /** Hosts with disks that may be lost at the same time. */
   std::size_t tolerated_losses = 1;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -71,7 +71,8 @@
           [this] {
             return EncodeMember({settings_.host, settings_.failure_domain,
                                  settings_.caller_address,
-                                 settings_.peer_address, state_.stopping});
+                                 settings_.peer_address, state_.stopping,
+                                 settings_.tunnel_address});
           },
           state.counters,
           [this](bool reached, steady_time asked_at) {
--- a/source/gentian_net/byte_stream.cc
+++ b/source/gentian_net/byte_stream.cc
@@ -97,6 +97,12 @@
     SocketOf(stream_).close(ignored);
   }
 
+  void CloseWithReset() override {
+    boost::system::error_code ignored;
+    SocketOf(stream_).set_option(tcp::socket::linger(true, 0), ignored);
+    SocketOf(stream_).close(ignored);
+  }
+
   asio::any_io_executor executor() override { return stream_.get_executor(); }
 
   void SetOptions() {
--- a/source/gentian_net/byte_stream.h
+++ b/source/gentian_net/byte_stream.h
@@ -38,6 +38,8 @@
   virtual bool HasInput() = 0;
   virtual void ShutdownSend() = 0;
   virtual void Close() = 0;
+  /** Closes so that the peer sees a reset instead of an orderly end. */
+  virtual void CloseWithReset() = 0;
   virtual boost::asio::any_io_executor executor() = 0;
 };
 
--- a/source/gentian_net/gentian_net.h
+++ b/source/gentian_net/gentian_net.h
@@ -15,5 +15,6 @@
 #include "gentian_net/link_authenticator.h"
 #include "gentian_net/peer_links.h"
 #include "gentian_net/tls_context.h"
+#include "gentian_net/tunnel_server.h"
 
 #endif  // GENTIAN_NET_GENTIAN_NET_H_
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -12,6 +12,7 @@
 
 #include "gentian_net/connection_cache.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/tunnel_server.h"
 
 namespace gentian {
 
@@ -20,6 +21,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using detail::byte_stream;
+using detail::kMaxTunnelLine;
+using detail::kTunnelOpen;
+using detail::kTunnelRequest;
+using detail::kTunnelUnreachable;
 
 struct http_client::state {
   explicit state(asio::io_context& io) : context(io) {}
@@ -98,13 +103,14 @@
         sent_before_(sent_before) {}
 
   void Start() {
-    const auto endpoint = ParseEndpoint(request_.address);
+    const auto endpoint = ParseEndpoint(
+        request_.tunnel.empty() ? request_.address : request_.tunnel);
     if (!Failed(endpoint)) {
       endpoint_ = ValueOf(endpoint);
     }
     text_ = RequestText(request_);
     if (request_.reuse_connection) {
-      stream_ = owner_->cache.Take(request_.address);
+      stream_ = owner_->cache.Take(CacheKey());
     }
     reused_ = stream_ != nullptr;
     if (!stream_) {
@@ -158,7 +164,7 @@
       silence_timer_->async_wait(
           [me = this->shared_from_this()](error_code failure) {
             if (!failure && !me->sent_) {
-              me->Fail(http_failure::not_sent, "the connection took too long");
+              me->Fail(me->Unsent(), "the connection took too long");
             }
           });
     }
@@ -177,13 +183,63 @@
                          if (me->FailedBeforeSending(failure)) {
                            return;
                          }
-                         me->SendRequest();
+                         if (me->request_.tunnel.empty()) {
+                           me->SendRequest();
+                         } else {
+                           me->OpenTunnel();
+                         }
                        });
   }
 
+  void OpenTunnel() {
+    tunnel_line_ = kTunnelRequest + request_.tunnel_name + "\n";
+    stream_->Write(
+        asio::buffer(tunnel_line_),
+        [me = this->shared_from_this()](error_code failure, std::size_t) {
+          if (!me->FailedBeforeSending(failure)) {
+            me->tunnel_line_.clear();
+            me->ReadTunnelLine();
+          }
+        });
+  }
+
+  void ReadTunnelLine() {
+    stream_->ReadSome(
+        asio::buffer(space_),
+        [me = this->shared_from_this()](error_code failure, std::size_t size) {
+          if (!me->FailedBeforeSending(failure)) {
+            me->OnTunnelLine(size);
+          }
+        });
+  }
+
+  void OnTunnelLine(std::size_t size) {
+    tunnel_line_.append(space_.data(), size);
+    if (tunnel_line_ == kTunnelOpen) {
+      SendRequest();
+    } else if (tunnel_line_.find('\n') == std::string::npos &&
+               tunnel_line_.size() < kMaxTunnelLine) {
+      ReadTunnelLine();
+    } else {
+      Fail(tunnel_line_ == kTunnelUnreachable ? http_failure::not_sent
+                                              : http_failure::no_tunnel,
+           "the tunnel was not opened: " + tunnel_line_);
+    }
+  }
+
+  // How a failure counts before the request is sent.
+  http_failure Unsent() const {
+    return request_.tunnel.empty() ? http_failure::not_sent
+                                   : http_failure::no_tunnel;
+  }
+
+  std::string CacheKey() const {
+    return request_.address + " " + request_.tunnel;
+  }
+
   bool FailedBeforeSending(error_code failure) {
     if (failure && !ended_) {
-      Fail(http_failure::not_sent, failure.message());
+      Fail(Unsent(), failure.message());
     }
     return ended_;
   }
@@ -369,7 +425,7 @@
     if (request_.reuse_connection && parser_->get().keep_alive() &&
         input_.empty() && written_ && foreign_answers_ == 0) {
       owner_->cache.Put(
-          request_.address, stream_,
+          CacheKey(), stream_,
           detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
     } else {
       stream_->Close();
@@ -384,7 +440,9 @@
     End();
     stream_->Close();
     // The server may have run what was sent on the other connection.
-    const bool was_sent = failure == http_failure::not_sent && sent_before_;
+    const bool was_sent = (failure == http_failure::not_sent ||
+                           failure == http_failure::no_tunnel) &&
+                          sent_before_;
     handlers_.on_failure(was_sent ? http_failure::broken : failure, message);
   }
 
@@ -403,6 +461,7 @@
   std::shared_ptr<client_call> again_;
   std::optional<asio::ip::tcp::endpoint> endpoint_;
   std::string text_;
+  std::string tunnel_line_;
   std::shared_ptr<byte_stream> stream_;
   std::optional<asio::steady_timer> deadline_timer_;
   std::optional<asio::steady_timer> silence_timer_;
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -17,6 +17,8 @@
 enum class http_failure {
   /** No byte of the request left this host. */
   not_sent,
+  /** As not_sent: the tunnel server could not be reached, or refused. */
+  no_tunnel,
   /** The connection broke after bytes may have been sent. */
   broken,
   /** No byte came for the silence limit. */
@@ -29,6 +31,11 @@
 struct http_client_request {
   /** `ip:port`. */
   std::string address;
+  /** `ip:port` of a tunnel_server that connects to the server; empty for a
+      direct connection. */
+  std::string tunnel;
+  /** Name by which the tunnel server knows the server. */
+  std::string tunnel_name;
   std::string method = "GET";
   std::string target = "/";
   http_headers headers;
--- /dev/null
+++ b/tests/net/tunnel_test.cc
@@ -0,0 +1,136 @@
+// Tests connections through a tunnel server, between real sockets.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+
+#include "support/raw_connection.h"
+#include "support/scripted_target.h"
+#include "support/synchronous_http.h"
+
+using namespace gentian;
+using gentian::testing::Fetch;
+using gentian::testing::http_outcome;
+using gentian::testing::raw_connection;
+using gentian::testing::scripted_target;
+using gentian::testing::WaitFor;
+
+using step = scripted_target::step;
+using ending = scripted_target::ending;
+
+namespace {
+
+/** A client, a tunnel server, and a server under the name "s". */
+class tunnel_fixture {
+ public:
+  explicit tunnel_fixture(scripted_target::script answers)
+      : server(std::move(answers)),
+        tunnels(pool, [this](const std::string& name) -> result<std::string> {
+          if (name == "s") {
+            return server.address();
+          }
+          if (name == "down") {
+            return std::string("127.0.0.1:1");
+          }
+          return error{error_kind::unavailable, "unknown name", ""};
+        }) {
+    cr_assert(!Failed(tunnels.Listen("127.0.0.1:0")));
+  }
+  ~tunnel_fixture() {
+    pool.Stop();
+    server.Stop();
+  }
+
+  http_outcome Send(const std::string& name = "s") {
+    http_client_request request;
+    request.address = server.address();
+    request.tunnel = tunnels.address();
+    request.tunnel_name = name;
+    request.reuse_connection = true;
+    request.deadline = milliseconds(2'000);
+    return Fetch(client, request);
+  }
+
+  io_pool pool{2};
+  scripted_target server;
+  tunnel_server tunnels;
+  http_client client{pool};
+};
+
+std::string Whole(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+// Guards against bytes that change on the way, and against a new connection for
+// each request.
+Test(tunnel, carries_requests_and_answers, .timeout = 60) {
+  const std::string large(300'000, 'x');
+  std::atomic<int> most{0};
+  tunnel_fixture subject([&](const std::string&, int number) {
+    most = number;
+    return step{Whole(large)};
+  });
+  for (int i = 1; i <= 3; ++i) {
+    const http_outcome outcome = subject.Send();
+    cr_assert(!outcome.failure && outcome.response.body == large);
+    cr_assert(most == i, "one connection");
+  }
+  cr_assert(subject.tunnels.tunnels() == 1);
+}
+
+// Guards against a request that counts as sent although nobody got it.
+Test(tunnel, a_server_that_is_down_has_got_nothing, .timeout = 60) {
+  tunnel_fixture subject([](const std::string&, int) { return step{""}; });
+  cr_assert(subject.Send("down").failure == http_failure::not_sent);
+  cr_assert(subject.Send("other").failure == http_failure::no_tunnel);
+  http_client_request request;
+  request.address = subject.server.address();
+  request.tunnel = "127.0.0.1:1";
+  request.tunnel_name = "s";
+  cr_assert(Fetch(subject.client, request).failure == http_failure::no_tunnel);
+}
+
+// Guards against an answer without a length that looks complete because a reset
+// became an orderly end on the way, and against the opposite.
+Test(tunnel, passes_on_how_a_connection_ends, .timeout = 60) {
+  const std::string open_ended = "HTTP/1.1 200 OK\r\n\r\nall";
+  tunnel_fixture whole([&](const std::string&, int) {
+    return step{open_ended, ending::close};
+  });
+  const http_outcome complete = whole.Send();
+  cr_assert(!complete.failure && complete.response.body == "all");
+  tunnel_fixture cut([&](const std::string&, int) {
+    return step{open_ended, ending::reset};
+  });
+  cr_assert(cut.Send().failure == http_failure::broken);
+}
+
+// Guards against a target that works on for a caller who has left.
+Test(tunnel, a_client_that_leaves_closes_the_server_side, .timeout = 60) {
+  tunnel_fixture subject([](const std::string&, int) { return step{""}; });
+  {
+    const raw_connection client(subject.tunnels.address());
+    client.Write("CONNECT s\n");
+    cr_assert(client.Read(milliseconds(2'000)) == "OK\n");
+    client.Write("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(WaitFor([&] { return subject.tunnels.busy_tunnels() == 1; }));
+  }
+  cr_assert(WaitFor([&] { return subject.tunnels.tunnels() == 0; }));
+}
+
+// Guards against a malformed line that holds a tunnel or ends the process.
+Test(tunnel, malformed_requests_are_closed, .timeout = 60) {
+  tunnel_fixture subject([](const std::string&, int) { return step{""}; });
+  const std::vector<std::string> lines = {
+      "GET / HTTP/1.1\r\n", "CONNECT s\nmore", std::string(2'000, 'x'), "\n",
+      std::string("\xff\xfe\n")};
+  for (const std::string& line : lines) {
+    const raw_connection client(subject.tunnels.address());
+    client.Write(line);
+    cr_assert(client.IsClosedWithin(milliseconds(3'000)));
+  }
+  cr_assert(WaitFor([&] { return subject.tunnels.tunnels() == 0; }));
+}
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -61,6 +61,7 @@
     settings.directory_address = ProcessAddress(18360 + port_offset);
     settings.readiness_address = ProcessAddress(18369 + port_offset);
     settings.peer_address = ProcessAddress(17780 + port_offset);
+    settings.tunnel_address = ProcessAddress(17781 + port_offset);
     settings.withdrawal_bound = withdrawal_bound;
     return settings;
   }
