Take a stream that ends inside an event for one that broke off

Cause: at the end of an answer the partial event was passed on and the stream ended as whole; only a connection that broke counted as broken. Class: the end of the transport is taken for the end of the content. Change: such an answer is handled as broken, however it is framed; the partial event reaches no one, the connection isn't used again, and a counter tells. http_client runs on_end before it keeps a connection, so that the reader can decide. Result: the stream cut at each byte, with a length, with chunks and with its connection, goes on after its last event; errors of the next target (500, 503, 421, unsigned, of another type, no HTTP) neither reach the caller nor end its stream as whole.

--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -281,11 +281,23 @@
 }
 
 void gateway_call::OnEnd() {
+  const bool is_stream = answer_.status < kFirstFailureStatus &&
+                         answer_.is_signed && answer_.is_event_stream;
+  const bool ends_inside_event = is_stream && !events_.partial_event().empty();
+  if (ends_inside_event) {
+    attempt_->CloseAfterAnswer();
+  }
   EndAttempt();
   environment_.paths.OnHeard(target_, tunnel_);
+  if (ends_inside_event) {
+    // However the answer was framed, its target broke it off.
+    environment_.state.counters.Add("stream_ended_inside_event");
+    environment_.state.targets.ReportFailure(target_, BootTimeNow());
+    OnBroken("the stream ended inside an event");
+    return;
+  }
   environment_.state.targets.ReportSuccess(target_, BootTimeNow());
-  if (answer_.status < kFirstFailureStatus && answer_.is_signed &&
-      answer_.is_event_stream) {
+  if (is_stream) {
     OnStreamEnd();
   } else {
     OnWholeAnswer();
@@ -306,9 +318,6 @@
     exchange_->StartChunks(answer_headers_);
     phase_ = phase::streaming;
   }
-  if (!events_.partial_event().empty()) {
-    exchange_->SendChunk(events_.partial_event());
-  }
   if (route_->keeps_turns && !call_->request_id.empty()) {
     SaveTurn();
   } else {
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include "gentian_log/gentian_log.h"
-#include "gentian_net/connection_probe.h"
 
 namespace gentian {
 
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -122,6 +122,14 @@
                [me = this->shared_from_this()] { me->StartOnStrand(); });
   }
 
+  void CloseAfterAnswer() override {
+    if (again_) {
+      again_->CloseAfterAnswer();
+    } else {
+      keeps_connection_ = false;
+    }
+  }
+
   void Cancel() override {
     asio::post(stream_->executor(), [me = this->shared_from_this()] {
       if (me->again_) {
@@ -420,17 +428,18 @@
 
   void Complete() {
     End();
+    handlers_.on_end();
     // After an answer that came before the whole request was written, the
     // server still reads the rest of that request.
     if (request_.reuse_connection && parser_->get().keep_alive() &&
-        input_.empty() && written_ && foreign_answers_ == 0) {
+        keeps_connection_ && input_.empty() && written_ &&
+        foreign_answers_ == 0) {
       owner_->cache.Put(
           CacheKey(), stream_,
           detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
     } else {
       stream_->Close();
     }
-    handlers_.on_end();
   }
 
   void Fail(http_failure failure, const std::string& message) {
@@ -471,6 +480,7 @@
   bool reused_ = false;
   bool sent_ = false;
   bool written_ = false;
+  bool keeps_connection_ = true;
   bool header_read_ = false;
   /** The answer that is being read belongs to another request. */
   bool is_foreign_ = false;
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -85,6 +85,10 @@
   /** Closes the connection. No handler starts after the strand has seen it.
    */
   virtual void Cancel() = 0;
+
+  /** Closes the connection at the end of the answer, in place of keeping it for
+      another request. Called from a handler. */
+  virtual void CloseAfterAnswer() = 0;
 };
 
 /** An HTTP/1.1 client that keeps connections open for reuse. */
--- /dev/null
+++ b/tests/platform/stream_end_test.cc
@@ -0,0 +1,203 @@
+// Tests how a stream ends: with a length, with chunks or with its connection,
+// whole or broken off, and what comes after a part of it.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <vector>
+
+#include "platform/gateway_fixture.h"
+#include "support/scripted_target.h"
+
+using namespace gentian;
+using gentian::testing::fake_target;
+using gentian::testing::gateway_fixture;
+using gentian::testing::scripted_target;
+using gentian::testing::WaitFor;
+
+using step = scripted_target::step;
+using ending = scripted_target::ending;
+
+namespace {
+
+constexpr const char* kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+constexpr const char* kRest = "id: 2\ndata: b\n\n";
+
+enum class framing { length, chunks, connection };
+
+std::string Head(const std::string& request,
+                 const std::string& status = "200",
+                 bool is_signed = true,
+                 const char* type = "text/event-stream") {
+  return "HTTP/1.1 " + status + " x\r\nRequest-Id: " +
+         scripted_target::FieldOf(request, "Request-Id") + "\r\n" +
+         (is_signed ? "Response-Seal: seal\r\n" : "") +
+         "Content-Type: " + type + "\r\n";
+}
+
+step Stream(const std::string& request, const std::string& text, framing form) {
+  switch (form) {
+    case framing::length:
+      return {Head(request) + "Content-Length: " + std::to_string(text.size()) +
+              "\r\n\r\n" + text};
+    case framing::chunks: {
+      std::string chunks = Head(request) + "Transfer-Encoding: chunked\r\n\r\n";
+      for (const char next : text) {
+        chunks += std::string("1\r\n") + next + "\r\n";
+      }
+      return {chunks + "0\r\n\r\n"};
+    }
+    case framing::connection:
+      return {Head(request) + "\r\n" + text, ending::close};
+  }
+  return {};
+}
+
+struct answer {
+  int status = 0;
+  std::string body;
+  bool is_whole = false;
+};
+
+/** A gateway whose only target for the service "s" is a scripted one. */
+class stream_ends {
+ public:
+  explicit stream_ends(scripted_target::script answers)
+      : target(std::move(answers)),
+        gateway([](const std::shared_ptr<http_exchange>& exchange, int) {
+          fake_target::RespondSealed(exchange, "");
+        }) {
+    gateway.store.Remove("servers/i-1");
+    gateway.RegisterTarget("scripted", target.address(), "v1");
+    cr_assert(WaitFor([this] {
+      const answer got = Send("warm-" + std::to_string(++warm_));
+      return got.status == 200 && !got.body.empty();
+    }));
+  }
+  ~stream_ends() { target.Stop(); }
+
+  answer Send(const std::string& id) {
+    http_client_request request = gateway.Request("/turn/x");
+    request.headers = http_headers();
+    request.headers.Add("Host", "h");
+    request.headers.Add("Request-Id", id);
+    request.headers.Add("X-Api-Key", "k");
+    request.headers.Add("Deadline-Ms", "2000");
+    const auto got = std::make_shared<answer>();
+    const auto done = std::make_shared<std::promise<void>>();
+    http_client_handlers handlers;
+    handlers.on_header = [got](int status, const http_headers&) {
+      got->status = status;
+    };
+    handlers.on_body = [got](std::string_view bytes) { got->body += bytes; };
+    handlers.on_end = [got, done] {
+      got->is_whole = true;
+      done->set_value();
+    };
+    handlers.on_failure = [done](http_failure, const std::string&) {
+      done->set_value();
+    };
+    gateway.client.Send(std::move(request), std::move(handlers));
+    done->get_future().wait();
+    return *got;
+  }
+
+  static bool IsWarm(const std::string& request) {
+    return scripted_target::FieldOf(request, "Request-Id").rfind("warm", 0) ==
+           0;
+  }
+
+  scripted_target target;
+  gateway_fixture gateway;
+
+ private:
+  int warm_ = 0;
+};
+
+}  // namespace
+
+// Guards against a part of an event that reaches the caller, and against a
+// stream that looks complete: cut at each byte, however it is framed.
+Test(stream_ends, a_stream_that_ends_inside_an_event_goes_on, .timeout = 120) {
+  const std::string events = kEvents;
+  const std::size_t first = events.find("id: 2");
+  for (const framing form :
+       {framing::length, framing::chunks, framing::connection}) {
+    std::atomic<std::size_t> cut{0};
+    stream_ends subject([&](const std::string& request, int) {
+      if (stream_ends::IsWarm(request)) {
+        return Stream(request, kEvents, framing::length);
+      }
+      if (scripted_target::FieldOf(request, "Last-Event-Id") == "1") {
+        return Stream(request, kRest, form);
+      }
+      return Stream(request, events.substr(0, cut), form);
+    });
+    for (std::size_t size = first + 1; size < events.size(); ++size) {
+      cut = size;
+      const answer got = subject.Send("r" + std::to_string(size));
+      cr_assert(got.is_whole && got.body == events, "%zu: %s", size,
+                got.body.c_str());
+    }
+    cut = events.size();
+    const answer whole = subject.Send("whole");
+    cr_assert(whole.is_whole && whole.body == events);
+  }
+}
+
+// Guards against a reset that counts as the end of an answer without a length.
+Test(stream_ends, a_reset_is_no_end, .timeout = 60) {
+  std::atomic<int> sends{0};
+  stream_ends subject([&](const std::string& request, int) {
+    if (stream_ends::IsWarm(request)) {
+      return Stream(request, kEvents, framing::length);
+    }
+    if (++sends == 1) {
+      return step{Head(request) + "\r\n" + "id: 1\ndata: a\n\n", ending::reset};
+    }
+    return Stream(request, kRest, framing::connection);
+  });
+  const answer got = subject.Send("r1");
+  cr_assert(got.is_whole && got.body == kEvents, "%s", got.body.c_str());
+  cr_assert(sends == 2);
+}
+
+// Guards against an error of the next target in the middle of a stream, and
+// against a stream that it ends as complete.
+Test(stream_ends, an_error_after_a_part_is_not_passed_on, .timeout = 120) {
+  const std::string text = "the target failed";
+  const std::string length =
+      "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+  const std::vector<std::function<step(const std::string&)>> errors = {
+      [&](const std::string& r) { return step{Head(r, "500") + length}; },
+      [&](const std::string& r) {
+        return step{Head(r, "503", false) + "Not-Run: 1\r\n" + length};
+      },
+      [&](const std::string& r) {
+        return step{Head(r, "200", false) + length};
+      },
+      [&](const std::string& r) {
+        return step{Head(r, "200", true, "text/plain") + length};
+      },
+      [&](const std::string& r) { return step{Head(r, "421") + length}; },
+      [&](const std::string&) {
+        return step{text, ending::close};
+      }};
+  for (std::size_t i = 0; i < errors.size(); ++i) {
+    stream_ends subject([&](const std::string& request, int) {
+      if (stream_ends::IsWarm(request)) {
+        return Stream(request, kEvents, framing::length);
+      }
+      if (!scripted_target::FieldOf(request, "Last-Event-Id").empty()) {
+        return errors[i](request);
+      }
+      return step{Head(request) + "\r\n" + "id: 1\ndata: a\n\nid: 2\nda",
+                  ending::close};
+    });
+    const answer got = subject.Send("r1");
+    cr_assert(got.status == 200);
+    cr_assert(got.body == "id: 1\ndata: a\n\n", "%zu: %s", i, got.body.c_str());
+    cr_assert(!got.is_whole, "%zu", i);
+  }
+}
