Let silent requests leave a lost path once a partition is noticed

Cause: a partition that was noticed changed the way of new requests only. Change: requests that may run again, on direct connections that have been silent for 400 ms, are sent again through a tunnel when a partition is noticed. An answer that still arrives is awaited, and a request that may run only once is never sent again.

--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -119,6 +119,9 @@
   void EndAnswer();
   void OnWholeAnswer();
   void OnFailure(http_failure failure, const std::string& message);
+  void WatchPath();
+  /** All direct connections to targets may be lost. */
+  void OnPartition();
   void OnNotSent(http_failure failure, const std::string& message);
   void OnBroken(const std::string& message);
   void EndAttempt();
@@ -232,6 +235,10 @@
       directly. */
   std::string tunnel_;
   int tunnel_failures_ = 0;
+  /** Number of the watch for a partition; 0 if there is none. */
+  std::uint64_t path_watch_ = 0;
+  /** When the request was sent, or the target was last heard of. */
+  steady_time heard_at_;
   int sends_ = 0;
   int runs_ = 0;
   target_answer answer_;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds kConnectTimeout{250};
 // Attempts of one request, including those that the target refused.
 constexpr int kMaxSends = 4;
+// Silence after which a request on a direct connection is given up once this
+// host is partitioned from the targets.
+constexpr milliseconds kPathSilence{400};
 // Gateways that were asked for a tunnel in vain, per request.
 constexpr int kMaxTunnelFailures = 4;
 // Possible runs of a repeatable request. Once max_targets targets may have run
@@ -198,12 +201,46 @@
       me->OnFailure(failure, message);
     }
   };
+  heard_at_ = BootTimeNow();
   attempt_ = environment_.targets.Send(std::move(request), std::move(handlers));
+  WatchPath();
+}
+
+void gateway_call::WatchPath() {
+  if (tunnel_.empty() && MayRunAgain()) {
+    path_watch_ = environment_.paths.Watch(
+        [me = shared_from_this()] { me->OnPartition(); });
+  }
+}
+
+// An answer that is still on its way over an open connection is awaited, and so
+// is a target that has not been silent for long.
+void gateway_call::OnPartition() {
+  path_watch_ = 0;
+  if (phase_ == phase::ended || !attempt_ ||
+      !environment_.paths.IsPartitioned()) {
+    return;
+  }
+  const milliseconds silence = ToMilliseconds(BootTimeNow() - heard_at_);
+  if (silence < kPathSilence) {
+    const std::uint64_t serial = attempt_serial_;
+    environment_.pool.After(kPathSilence - silence,
+                            [me = shared_from_this(), serial] {
+                              if (me->attempt_serial_ == serial) {
+                                me->OnPartition();
+                              }
+                            });
+    return;
+  }
+  attempt_->Cancel();
+  EndAttempt();
+  RetryAfterPossibleRun("path_lost");
 }
 
 void gateway_call::EndAttempt() {
   ++attempt_serial_;
   attempt_.reset();
+  environment_.paths.Unwatch(path_watch_);
   environment_.state.targets.RequestEnded(target_);
 }
 
@@ -230,6 +267,7 @@
 }
 
 void gateway_call::OnHeader(int status, const http_headers& headers) {
+  heard_at_ = BootTimeNow();
   answer_ = environment_.protocol.DecodeAnswer(status, headers);
   if (answer_.load) {
     answer_.load->at = BootTimeNow();
@@ -246,6 +284,7 @@
 }
 
 void gateway_call::OnBody(std::string_view bytes) {
+  heard_at_ = BootTimeNow();
   const bool events = answer_.status < kFirstFailureStatus &&
                       answer_.is_signed && answer_.is_event_stream;
   if (!events) {
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -1,6 +1,7 @@
 #include "gentian_gateway_daemon/path_service.h"
 
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "gentian_log/gentian_log.h"
@@ -149,6 +150,17 @@
        {"members", state_.membership.members().size()}});
   // Failures of the path say nothing of the targets.
   state_.targets.ForgetFailures();
+  if (now_partitioned) {
+    const auto watches = std::exchange(watches_, {});
+    for (const auto& [number, on_partition] : watches) {
+      on_partition();
+    }
+  }
+}
+
+std::uint64_t path_service::Watch(std::function<void()> on_partition) {
+  watches_[++last_watch_] = std::move(on_partition);
+  return last_watch_;
 }
 
 void path_service::Tick() {
--- a/source/gentian_gateway_daemon/path_service.h
+++ b/source/gentian_gateway_daemon/path_service.h
@@ -1,6 +1,8 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_PATH_SERVICE_H_
 #define GENTIAN_GATEWAY_DAEMON_PATH_SERVICE_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -48,6 +50,12 @@
                 const std::string& tunnel,
                 http_failure failure);
 
+  /** Has a function run when a partition is noticed.
+
+      @returns  a number for Unwatch */
+  std::uint64_t Watch(std::function<void()> on_partition);
+  void Unwatch(std::uint64_t watch) { watches_.erase(watch); }
+
   bool IsPartitioned() const { return monitor_.IsPartitioned(); }
   /** Tunnels for other gateways over which answers may be on their way. */
   std::size_t busy_tunnels() const { return tunnels_.busy_tunnels(); }
@@ -68,6 +76,8 @@
   system_random random_;
   tunnel_server tunnels_;
   std::map<std::string, steady_time> avoided_tunnels_;
+  std::uint64_t last_watch_ = 0;
+  std::map<std::uint64_t, std::function<void()>> watches_;
   /** Targets that a tunnel server could not reach, one after the other. */
   std::map<std::string, int> unreachable_;
 };
