Take a target out of use once it says in an answer that it leaves

Cause: the platform's engines now say Server-Leaving: 1 in all their answers when they leave; a gateway that had passed one on went on sending them requests until the registry said so, which a silent or older state of the store delays (DRAIN). Change: the target takes no new requests of this gateway, whatever the registry says, until it starts again; requests under way go on. A value other than 1, a second field, or an answer that is neither signed nor a refusal is ignored. A stream that must stay at a version whose only targets leave is refused. Not done: the other gateways learn it from answers of their own or from the registry, not from this gateway.

--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -73,6 +73,7 @@
       target.no_room_until = steady_time();
       target.failures = 0;
       target.avoid_until = steady_time();
+      target.has_said_leaving = false;
     }
     target.record = std::move(record);
     target.listed_since_outage = true;
@@ -82,9 +83,8 @@
 
 const known_target* target_table::Find(const std::string& id) const {
   const auto found = known_.find(id);
-  return found == known_.end() || found->second.record.draining
-             ? nullptr
-             : &found->second;
+  return found == known_.end() || found->second.IsLeaving() ? nullptr
+                                                            : &found->second;
 }
 
 const known_target* target_table::FindListed(const std::string& id) const {
@@ -105,7 +105,7 @@
     const std::string& service) const {
   std::vector<const known_target*> serving;
   for (const auto& [id, target] : known_) {
-    if (target.record.service == service && !target.record.draining) {
+    if (target.record.service == service && !target.IsLeaving()) {
       serving.push_back(&target);
     }
   }
@@ -114,8 +114,7 @@
 
 bool target_table::HasTarget(const std::string& service) const {
   return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
-    return entry.second.record.service == service &&
-           !entry.second.record.draining;
+    return entry.second.record.service == service && !entry.second.IsLeaving();
   });
 }
 
@@ -215,6 +214,11 @@
   }
 }
 
+bool target_table::ReportLeaving(const std::string& id) {
+  known_target* target = FindMutable(id);
+  return target != nullptr && !std::exchange(target->has_said_leaving, true);
+}
+
 void target_table::ReportReplaced(const std::string& id) {
   if (known_target* target = FindMutable(id)) {
     target->avoid_until = steady_time::max();
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -36,9 +36,14 @@
   steady_time answered_at;
   /** No request is sent before this time unless no other target is left. */
   steady_time avoid_until;
+  /** It has said in an answer that it leaves. Its registration may say so
+     later, or not at all. */
+  bool has_said_leaving = false;
   /** It was listed after the last outage of the key-value service. */
   bool listed_since_outage = true;
 
+  /** True if it takes no new requests. */
+  bool IsLeaving() const { return record.draining || has_said_leaving; }
   bool IsLimited() const { return limit && limit->rate; }
   /** True if its limit is known to leave no room for a request. */
   bool HasNoRoom(steady_time now) const {
@@ -66,7 +71,7 @@
   /** True if a target of the service takes requests. */
   bool HasTarget(const std::string& service) const;
 
-  /** A target by identifier; nullptr if it is unknown or draining. */
+  /** A target by identifier; nullptr if it is unknown or leaving. */
   const known_target* Find(const std::string& id) const;
 
   /** A target by identifier, draining or not; nullptr if it is unknown. */
@@ -75,7 +80,7 @@
   /** All targets, draining or not. */
   std::vector<const known_target*> All() const;
 
-  /** Targets of a service that are not draining. */
+  /** Targets of a service that are not leaving. */
   std::vector<const known_target*> Serving(const std::string& service) const;
 
   /** True if a target is known, draining or not. */
@@ -104,6 +109,10 @@
                         steady_time time) const;
   /** Forgets all failures: they were not the targets'. */
   void ForgetFailures();
+  /** Records that this start of the target has said that it leaves.
+
+      @returns  true if that is new */
+  bool ReportLeaving(const std::string& id);
   /** Records that another target answered at this target's address. */
   void ReportReplaced(const std::string& id);
 
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -278,6 +278,13 @@
   if (!answer_.wrong_target && (answer_.is_signed || answer_.rate_limit)) {
     environment_.limits.OnAnswer(target_, answer_.rate_limit);
   }
+  if (answer_.is_leaving && !answer_.wrong_target &&
+      (answer_.is_signed || answer_.not_run) &&
+      environment_.state.targets.ReportLeaving(target_)) {
+    environment_.state.counters.Add("target_said_leaving");
+    Log(log_level::info, "target said that it leaves",
+        {{"target", target_}, {"request", call_->request_id}});
+  }
   if (events_sent_ == 0) {
     answer_headers_ = environment_.protocol.AnswerHeaders(headers);
   }
--- a/source/gentian_gateway_daemon/target_answer.h
+++ b/source/gentian_gateway_daemon/target_answer.h
@@ -19,6 +19,8 @@
       the target's answer to a request that it ran. */
   bool is_signed = false;
   bool is_event_stream = false;
+  /** The target says that it leaves and takes no new requests. */
+  bool is_leaving = false;
   std::string request_id;
   std::optional<reported_load> load;
   /** Requests per second that the target takes from all gateways together;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -138,6 +138,23 @@
   }
 }
 
+// Guards against a damaged header that takes a target out of use.
+Test(platform_protocol, reads_that_a_target_leaves) {
+  const auto leaves = [](const std::vector<std::string>& values) {
+    http_headers headers;
+    for (const std::string& value : values) {
+      headers.Add("Server-Leaving", value);
+    }
+    return platform_protocol().DecodeAnswer(200, headers).is_leaving;
+  };
+  cr_assert(leaves({"1"}));
+  cr_assert(!leaves({}));
+  cr_assert(!leaves({"1", "1"}));
+  for (const char* other : {"", "0", "2", "true", "1 ", "1,1", "\xff"}) {
+    cr_assert(!leaves({other}), "%s", other);
+  }
+}
+
 // Guards against using malformed entries of the target list.
 Test(platform_protocol, skips_entries_that_name_no_target) {
   const platform_protocol protocol;
