Resume a stream without a record if only one version has served

Cause: a stream without a record was refused even where no other version can have begun it. Change: target_table tells the only version of a service over the last 12 s, longer than callers wait for a stream; a gap in the listings or a shorter time tells nothing. A tunnel server carries 400 tunnels at most, as each holds 32 KB.

--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -16,6 +16,9 @@
 // recovers. A target that left during the outage must not be sent work for
 // longer than two seconds.
 constexpr milliseconds kReregistrationGrace{1'900};
+// Longest time for which callers wait for a stream and its continuation. Their
+// deadlines are a few seconds.
+constexpr milliseconds kMaxStreamAge{12'000};
 constexpr milliseconds kInitialAvoidance{200};
 constexpr milliseconds kMaxAvoidance{2'000};
 constexpr int kMaxDoublings = 4;
@@ -35,6 +38,12 @@
     std::vector<target_record> listing,
     steady_time asked_at) {
   std::vector<std::string> changed;
+  if (!last_listing_ || asked_at - *last_listing_ > kOutageThreshold) {
+    observed_since_ = asked_at;
+  }
+  for (const target_record& record : listing) {
+    versions_[record.service][record.version] = asked_at;
+  }
   if (last_listing_ && asked_at - *last_listing_ > kOutageThreshold) {
     outage_ended_ = asked_at;
     for (auto& [id, target] : known_) {
@@ -81,6 +90,26 @@
   return changed;
 }
 
+std::optional<std::string> target_table::OnlyVersion(const std::string& service,
+                                                     steady_time now) const {
+  const auto found = versions_.find(service);
+  if (!observed_since_ || now - *observed_since_ < kMaxStreamAge ||
+      now - *last_listing_ > kOutageThreshold || found == versions_.end()) {
+    return std::nullopt;
+  }
+  std::optional<std::string> only;
+  for (const auto& [version, listed_at] : found->second) {
+    if (now - listed_at > kMaxStreamAge) {
+      continue;
+    }
+    if (only || version.empty()) {
+      return std::nullopt;
+    }
+    only = version;
+  }
+  return only;
+}
+
 const known_target* target_table::Find(const std::string& id) const {
   const auto found = known_.find(id);
   return found == known_.end() || found->second.IsLeaving() ? nullptr
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -80,6 +80,12 @@
   /** All targets, draining or not. */
   std::vector<const known_target*> All() const;
 
+  /** The software version of a service, if all its targets that could have
+     begun a stream of a caller that still waits had the same one. Nothing if
+     there were several, or if the listings of that time are not known. */
+  std::optional<std::string> OnlyVersion(const std::string& service,
+                                         steady_time now) const;
+
   /** Targets of a service that are not leaving. */
   std::vector<const known_target*> Serving(const std::string& service) const;
 
@@ -120,6 +126,10 @@
   known_target* FindMutable(const std::string& id);
 
   std::map<std::string, known_target> known_;
+  /** When each version of a service was last listed. */
+  std::map<std::string, std::map<std::string, steady_time>> versions_;
+  /** Start of the listings without a gap. */
+  std::optional<steady_time> observed_since_;
   std::optional<steady_time> last_listing_;
   std::optional<steady_time> outage_ended_;
 };
--- a/source/gentian_gateway_daemon/gateway_call_stream.cc
+++ b/source/gentian_gateway_daemon/gateway_call_stream.cc
@@ -38,7 +38,7 @@
 
 void gateway_call::FindOrigin() {
   if (call_->resumed_request.empty()) {
-    Refuse({refusal_reason::stream_origin_unknown, std::nullopt});
+    OnOrigin(std::nullopt);
     return;
   }
   environment_.origins.Find(
@@ -51,8 +51,18 @@
       });
 }
 
+// Without a record, the stream can still have come from one version alone if
+// there was no other.
 void gateway_call::OnOrigin(std::optional<stream_origin> origin) {
   origin_ = std::move(origin);
+  const std::optional<std::string> version =
+      environment_.state.targets.OnlyVersion(service_, BootTimeNow());
+  if (!origin_ && version && route_->services.size() == 1) {
+    environment_.state.counters.Add("stream_origin_only_version");
+    origin_.emplace();
+    origin_->service = service_;
+    origin_->version = *version;
+  }
   if (!origin_ || !IsOriginCertain()) {
     Refuse({refusal_reason::stream_origin_unknown, kOriginRetryAfter});
     return;
--- a/source/gentian_net/tunnel_server.h
+++ b/source/gentian_net/tunnel_server.h
@@ -18,7 +18,8 @@
   milliseconds connect_limit{200};
   /** Time without a byte in either direction after which a tunnel is closed. */
   milliseconds idle_deadline{60'000};
-  std::size_t max_tunnels = 1'000;
+  /** Each holds 32 KB. */
+  std::size_t max_tunnels = 400;
 };
 
 /** Opens TCP connections for hosts that can't reach a server themselves, and
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -198,3 +198,39 @@
   table.ReportFailure("b", At(1));
   cr_assert(SelectTarget(table, demand, At(2))->record.id == "a");
 }
+
+// Guards against a guess at the version of a stream, and against refusing one
+// that only one version can have begun.
+Test(target_table, tells_the_only_version_that_has_served) {
+  const auto versioned = [](const std::string& id, const std::string& version) {
+    target_record record = Target(id);
+    record.version = version;
+    return record;
+  };
+  target_table table;
+  cr_assert(!table.OnlyVersion("model", At(0)));
+  int now = 0;
+  const auto list_until = [&](int end,
+                              const std::vector<target_record>& listing) {
+    for (; now <= end; now += 800) {
+      table.Update(listing, At(now));
+    }
+  };
+  list_until(11'000, {versioned("a", "v1")});
+  cr_assert(!table.OnlyVersion("model", At(now)), "not known for long enough");
+  list_until(14'000, {versioned("a", "v1")});
+  cr_assert(table.OnlyVersion("model", At(now)) == "v1");
+  cr_assert(!table.OnlyVersion("tools", At(now)));
+  list_until(20'000, {versioned("a", "v1"), versioned("b", "v2")});
+  cr_assert(!table.OnlyVersion("model", At(now)));
+  const int alone_since = now;
+  list_until(alone_since + 10'000, {versioned("b", "v2")});
+  cr_assert(!table.OnlyVersion("model", At(now)), "v1 has just left");
+  list_until(alone_since + 14'000, {versioned("b", "v2")});
+  cr_assert(table.OnlyVersion("model", At(now)) == "v2");
+  // A version may have come and gone in an outage of the key-value service.
+  cr_assert(!table.OnlyVersion("model", At(now + 4'000)));
+  now += 4'000;
+  list_until(now + 2'000, {versioned("b", "v2")});
+  cr_assert(!table.OnlyVersion("model", At(now)));
+}
