Tell the time since the epoch in one place

Cause: gateway_call_stream had a copy of crash_service's function. Change: UnixTimeNow in message_time, as std::chrono::milliseconds. Result: crashing_request (5) and stream_versions (7) pass; no behaviour changes.

--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -21,12 +21,6 @@
 // Bounds the times in a message of another gateway, in case it is damaged.
 constexpr milliseconds kMaxTime{900'000};
 
-std::int64_t UnixTimeNow() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 json EncodeCrash(const target_crash& crash, steady_time now) {
   return {{"content", crash.content},
           {"target", crash.target},
@@ -204,7 +198,7 @@
 void crash_service::Publish(const std::string& fingerprint, milliseconds left) {
   publisher_.Publish(
       kBlockedPrefix + fingerprint,
-      json{{"until_unix_ms", UnixTimeNow() + left.count()}}.dump(), left);
+      json{{"until_unix_ms", (UnixTimeNow() + left).count()}}.dump(), left);
 }
 
 void crash_service::Learn(const std::string& fingerprint,
@@ -215,8 +209,8 @@
     state_.counters.Add("blocked_entry_unreadable");
     return;
   }
-  const milliseconds left(record["until_unix_ms"].get<std::int64_t>() -
-                          UnixTimeNow());
+  const milliseconds left =
+      milliseconds(record["until_unix_ms"].get<std::int64_t>()) - UnixTimeNow();
   if (left.count() > 0 && blocked_.Add(fingerprint, left, BootTimeNow())) {
     LogBlock(fingerprint, left, "listing");
   }
--- a/source/gentian_gateway_daemon/gateway_call_stream.cc
+++ b/source/gentian_gateway_daemon/gateway_call_stream.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_gateway_daemon/message_time.h"
 
 namespace gentian {
 
@@ -20,12 +21,6 @@
 // Largest difference between the clocks of two hosts that is allowed for.
 constexpr milliseconds kMaxClockDifference{1'000};
 
-std::int64_t UnixTimeNow() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 bool gateway_call::IsResumable() const {
@@ -112,7 +107,7 @@
   environment_.origins.Record(
       recording_,
       {service_, target.record.version, target.record.id,
-       target.record.started_at_ms, UnixTimeNow()},
+       target.record.started_at_ms, UnixTimeNow().count()},
       [me = shared_from_this()] { me->OnOriginSettled(); });
 }
 
--- a/source/gentian_gateway_daemon/message_time.cc
+++ b/source/gentian_gateway_daemon/message_time.cc
@@ -11,4 +11,9 @@
                     milliseconds(0), most);
 }
 
+milliseconds UnixTimeNow() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/message_time.h
+++ b/source/gentian_gateway_daemon/message_time.h
@@ -14,6 +14,10 @@
                               const char* name,
                               milliseconds most);
 
+/** Time since the Unix epoch on this host's clock, for messages and records that
+    other hosts read. */
+milliseconds UnixTimeNow();
+
 }  // namespace gentian
 
 #endif  // GENTIAN_GATEWAY_DAEMON_MESSAGE_TIME_H_
