Mend two findings of the linter and a name

Cause: a strand was taken by value and a const local kept a move away; AcceptAnswer also notes that the target was reached, which IsOwnAnswer did not say. Change: as the linter asks; no behaviour changes.

--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -107,8 +107,9 @@
   bool WaitForRoom();
   void RefuseWithoutTarget();
   void Send(const known_target& target, milliseconds time_left);
-  /** True if an answer that came on the connection is one to this request. */
-  bool IsOwnAnswer(int status, const http_headers& headers, bool is_first);
+  /** True if an answer that came on the connection is one to this request;
+      then its target is reachable. */
+  bool AcceptAnswer(int status, const http_headers& headers, bool is_first);
   void OnHeader(int status, const http_headers& headers);
   void OnBody(std::string_view bytes);
   void OnUnusableStream(const char* reason);
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -176,7 +176,7 @@
   handlers.is_own = [me = shared_from_this(), if_current](
                         int status, const http_headers& headers,
                         bool is_first) {
-    return !if_current() || me->IsOwnAnswer(status, headers, is_first);
+    return !if_current() || me->AcceptAnswer(status, headers, is_first);
   };
   handlers.on_header = [me = shared_from_this(), if_current](
                            int status, const http_headers& headers) {
@@ -247,9 +247,9 @@
 // A target in trouble may send an answer twice. The copy arrives where the next
 // answer is expected, and may be a refusal, which would promise that the next
 // request has not run.
-bool gateway_call::IsOwnAnswer(int status,
-                               const http_headers& headers,
-                               bool is_first) {
+bool gateway_call::AcceptAnswer(int status,
+                                const http_headers& headers,
+                                bool is_first) {
   const std::string id =
       environment_.protocol.DecodeAnswer(status, headers).request_id;
   if (call_->request_id.empty() || id == call_->request_id ||
--- a/source/gentian_gateway_daemon/message_time.h
+++ b/source/gentian_gateway_daemon/message_time.h
@@ -14,8 +14,8 @@
                               const char* name,
                               milliseconds most);
 
-/** Time since the Unix epoch on this host's clock, for messages and records that
-    other hosts read. */
+/** Time since the Unix epoch on this host's clock, for messages and records
+   that other hosts read. */
 milliseconds UnixTimeNow();
 
 }  // namespace gentian
--- a/source/gentian_net/connection_probe.cc
+++ b/source/gentian_net/connection_probe.cc
@@ -19,7 +19,7 @@
 namespace {
 
 struct probe {
-  explicit probe(asio::strand<asio::io_context::executor_type> strand)
+  explicit probe(const asio::strand<asio::io_context::executor_type>& strand)
       : socket(strand), timer(strand) {}
 
   void Finish(bool connected) {
--- a/source/gentian_turns/origin_lookup.cc
+++ b/source/gentian_turns/origin_lookup.cc
@@ -42,7 +42,7 @@
   if (state_ != state::pending || unanswered_.erase(host) == 0) {
     return {};
   }
-  const asks next = AskUpTo(1);
+  asks next = AskUpTo(1);
   if (unanswered_.empty()) {
     state_ = certain_ ? state::absent : state::uncertain;
   }
