Keep a connection before the end of its answer is reported

Change: the connection is kept first, as before; CloseAfterAnswer closes it in place, and a closed one is not taken again.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -125,8 +125,12 @@
   void CloseAfterAnswer() override {
     if (again_) {
       again_->CloseAfterAnswer();
-    } else {
-      keeps_connection_ = false;
+      return;
+    }
+    keeps_connection_ = false;
+    if (ended_) {
+      // It is kept already; a closed one is not taken for another request.
+      stream_->Close();
     }
   }
 
@@ -428,9 +432,9 @@
 
   void Complete() {
     End();
-    handlers_.on_end();
-    // After an answer that came before the whole request was written, the
-    // server still reads the rest of that request.
+    // Kept before on_end runs, so that the next request finds it. After an
+    // answer that came before the whole request was written, the server still
+    // reads the rest of that request.
     if (request_.reuse_connection && parser_->get().keep_alive() &&
         keeps_connection_ && input_.empty() && written_ &&
         foreign_answers_ == 0) {
@@ -440,6 +444,7 @@
     } else {
       stream_->Close();
     }
+    handlers_.on_end();
   }
 
   void Fail(http_failure failure, const std::string& message) {
