Follow a round of a search for an origin by one round

Cause: the timer for slow stores ran on while a round had ended as uncertain and waited for the next one, and each time started one more round, so that questions multiplied while no store could tell. Found by reading the change again. Change: the timer ends with its round.

--- a/source/gentian_gateway_daemon/stream_origin_service.cc
+++ b/source/gentian_gateway_daemon/stream_origin_service.cc
@@ -230,7 +230,9 @@
 void stream_origin_service::ArmSearchTimer(
     const std::shared_ptr<search>& subject) {
   pool_.After(kSlowRead, [this, subject, round = subject->rounds] {
-    if (!subject->handler || round != subject->rounds) {
+    // A round that has ended is followed by the next one.
+    if (!subject->handler || round != subject->rounds ||
+        subject->lookup.current() != origin_lookup::state::pending) {
       return;
     }
     if (BootTimeNow() >= subject->deadline) {
--- a/tests/platform/stream_version_test.cc
+++ b/tests/platform/stream_version_test.cc
@@ -2,8 +2,10 @@
 // gateways, turn stores and HTTP, between callers and targets of two versions.
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <thread>
 
+#include "gentian_gateway_daemon/history_paths.h"
 #include "platform/stream_fixture.h"
 
 using namespace gentian;
@@ -185,3 +187,31 @@
               "%d %s", resumed.status, resumed.body.c_str());
   }
 }
+
+// Guards against a search that floods stores which can't tell: its rounds
+// follow one another, and each asks every store once.
+Test(stream_versions, a_search_asks_each_store_once_a_round, .timeout = 60) {
+  stream_fixture subject(1, 0);
+  std::atomic<int> asked{0};
+  http_server store(subject.fleet.first.pool,
+                    [&](const std::shared_ptr<http_exchange>& exchange) {
+                      asked += exchange->request().Path() == kReadOriginPath;
+                      exchange->Respond({503, http_headers(), ""});
+                    });
+  cr_assert(!Failed(store.Listen("127.0.0.1:0")));
+  for (const char* host : {"store-1", "store-2"}) {
+    subject.fleet.first.store.Put(
+        RunningStoreKey(host),
+        EncodeTurnStore({host, host, store.address(), "1", false}));
+  }
+  subject.AddTarget("old", "v1");
+  subject.AwaitUse();
+  cr_assert(WaitFor([&] {
+    return subject.fleet.Metrics(0).find("turn_stores_accepting 2\n") !=
+           std::string::npos;
+  }));
+  cr_assert(subject.Send(subject.Resume(0, "r1", "unknown", 2)).status == 503);
+  // A search of 500 ms has nine rounds at most, 60 ms apart.
+  std::this_thread::sleep_for(milliseconds(300));
+  cr_assert(asked >= 2 && asked <= 18, "%d", asked.load());
+}
