--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -4,6 +4,7 @@
 
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -70,6 +71,9 @@
   const std::string& front() const { return front_; }
   pid_t pid() const { return pid_; }
 
+  /** Descriptors that the process may have; 0 for the default. */
+  void SetDescriptors(long most) { descriptors_ = most; }
+
   void Start(bool first_start = true) {
     const bool store = command_.back() == "turn-store";
     const std::string data = folder_ + "/" + name_ + ".data";
@@ -127,6 +131,11 @@
     const pid_t child = fork();
     if (child == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (descriptors_ > 0) {
+        const rlimit most{static_cast<rlim_t>(descriptors_),
+                          static_cast<rlim_t>(descriptors_)};
+        setrlimit(RLIMIT_NOFILE, &most);
+      }
       setenv("GENTIANRUN_NODE_FILE", path.c_str(), 1);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
@@ -204,6 +213,7 @@
   std::string front_;
   std::string ready_;
   std::string directory_;
+  long descriptors_ = 0;
   pid_t pid_ = -1;
 };
 
