--- a/review/5/budget_case.cc
+++ b/review/5/budget_case.cc
@@ -1,19 +1,18 @@
-// Case: the platform's store loses answers and goes down while a gateway gives tokens
-// of budgets back, because a gateway was added and owns their programs now.
+// Case: a gateway is cut off from the platform's store for a moment, while it gives
+// tokens of budgets back, because a gateway was added and owns their programs now.
 #include "../support/fleet.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kPrograms = 24;
+constexpr int kPrograms = 96;
 constexpr int kTokensPerEvent = 8;
 constexpr int kMostEvents = 10;
 constexpr int kMostTokens = kTokensPerEvent * kMostEvents;
 constexpr int kBudget = 16 * kMostTokens;
 constexpr long kEventGapMs = 50;
-constexpr long kOutageMs = 2000;
-constexpr long kLossyMs = 500;
+constexpr long kCutMs = 1800;
 constexpr const char* kHost = "svetlini.example";
 constexpr const char* kKey = "key-of-team-a";
 constexpr const char* kBudgets = "gentianrun/budget/";
@@ -158,67 +157,49 @@
     }
   });
 
-  // From the moment at which the machine has been added, every third write is done
-  // and not answered. Half a second after the first call that gives tokens back,
-  // the store is down: it answers 503.
-  std::atomic<long> lossy_since{-1};
-  std::atomic<long> down_since{-1};
-  std::atomic<int> writes{0};
-  if (given.trouble) {
-    store.SetJudge([&](const std::string& host, const message& call) {
-      if (lossy_since < 0) {
-        return treatment::answered;
-      }
-      if (down_since >= 0 && Now() >= down_since) {
-        return Now() < down_since + kOutageMs ? treatment::busy
-                                              : treatment::answered;
-      }
-      if (call.second != "/kv-txn") {
-        return treatment::answered;
-      }
-      const json body = json::parse(call.body);
-      for (const json& put : body.value("puts", json::array())) {
-        const std::string key = put.at("key").get<std::string>();
-        if (key.rfind(kBudgets, 0) != 0) {
-          continue;
-        }
-        const auto stored = store.List(key);
-        const auto found = stored.find(key);
-        const json next =
-            json::parse(DecodeBase64(put.at("value").get<std::string>()));
-        if (found != stored.end() && down_since < 0 &&
-            json::parse(found->second).at("claimed").get<long>() >
-                next.at("claimed").get<long>()) {
-          down_since = Now() + kLossyMs;
-          record("%s gives tokens back; the store will be down in %ld ms",
-                 host.c_str(), kLossyMs);
-        }
-      }
-      const bool lost = ++writes % 3 == 0;
-      if (lost) {
-        record("the answer to a write of %s is lost", host.c_str());
-      }
-      return lost ? treatment::lost : treatment::answered;
-    });
-  }
+  // The path from front-1 to the store.
+  std::unique_ptr<path_link> path;
+  // The others learn of the added machine when one of them lists the members next.
+  std::atomic<bool> is_added{false};
+  std::atomic<long> listed_at{-1};
+  store.SetJudge([&](const std::string& host, const message& call) {
+    if (is_added && listed_at < 0 && host != "front-1" && host != "front-2" &&
+        call.second.rfind("/kv-range?prefix=gentianrun/members", 0) == 0) {
+      listed_at = Now();
+    }
+    return treatment::answered;
+  });
 
   std::vector<std::unique_ptr<machine>> fronts;
-  for (int i = 0; i < 2; ++i) {
-    const std::string name = "front-" + std::to_string(i + 1);
-    const std::string address =
-        "127.0.0.1:" + std::to_string(FreePort("127.0.0.1"));
+  // The third and the fourth read the store for the others, which follow them.
+  const std::vector<std::pair<std::string, std::string>> hosts = {
+      {"front-1", "trakia"},
+      {"front-2", "trakia"},
+      {"front-4", "kapana"},
+      {"front-5", "maritsa"}};
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    const std::string& name = hosts[i].first;
+    std::string address = "127.0.0.1:" + std::to_string(FreePort("127.0.0.1"));
     store.Serve(name, address);
+    if (i == 0) {
+      path = std::make_unique<path_link>(
+          "127.0.0.1:" + std::to_string(FreePort("127.0.0.1")), address);
+      address = path->address();
+    }
     fronts.push_back(std::make_unique<machine>(
-        name, i == 0 ? "trakia" : "kapana", "127.0.0.1" + std::to_string(i + 1),
+        name, hosts[i].second, "127.0.0.1" + std::to_string(i + 1),
         std::vector<std::string>{given.program, "gateway"}, address,
         given.folder));
   }
-  fronts[0]->Start();
+  for (const std::size_t i : {0, 2, 3}) {
+    fronts[i]->Start();
+  }
   int exit_code = 2;
   std::vector<long> handed(kPrograms, 0);
   std::vector<int> spent(kPrograms, 0);
-  if (fronts[0]->AwaitReady(15000)) {
-    record("front-1 is ready");
+  if (fronts[0]->AwaitReady(15000) && fronts[2]->AwaitReady(15000) &&
+      fronts[3]->AwaitReady(15000)) {
+    record("three gateways are ready");
     Sleep(7000);
     std::atomic<bool> second_ready{false}, pausing{false}, stop{false};
     std::atomic<int> next_turn{0};
@@ -227,14 +208,18 @@
       const int number = ++next_turn;
       char id[32];
       std::snprintf(id, sizeof(id), "%016x", 0x5b290000 + number);
-      const std::size_t front = second_ready ? number % 2 : 0;
+      const std::size_t front =
+          second_ready ? static_cast<std::size_t>(number % 4)
+                       : std::size_t{0} + (number % 3 == 0   ? 0U
+                                           : number % 3 == 1 ? 2U
+                                                             : 3U);
       const int fd = ConnectTo(fronts[front]->front());
       if (fd < 0) {
         return 0;
       }
       connection to(fd);
-      record("program p%02d sends turn %s to front-%zu", program, id,
-             front + 1);
+      record("program p%02d sends turn %s to %s", program, id,
+             fronts[front]->name().c_str());
       const answer out = Exchange(
           to,
           std::string("POST /lohu930/4b HTTP/1.1\r\nHost: ") + kHost +
@@ -262,9 +247,8 @@
     std::vector<std::thread> programs;
     for (int i = 0; i < kPrograms; ++i) {
       programs.emplace_back([&, i] {
-        Sleep(20 * i);
-        // Short turns, one after the other, while the machine is added. Then
-        // the program waits for its tools.
+        // Short turns, one after the other. Then the program waits for its tools,
+        // while the machine is added.
         while (!pausing) {
           turn(i);
           Sleep(300);
@@ -284,18 +268,32 @@
       });
     }
     Sleep(1500);
+    record("the programs wait for their tools");
+    pausing = true;
+    Sleep(300);
     record("front-2 is added");
     fronts[1]->Start();
-    second_ready = fronts[1]->AwaitReady(8000);
-    lossy_since = Now();
-    record("front-2 is ready");
-    while (given.trouble && down_since < 0 && Now() - lossy_since < 4000) {
-      Sleep(5);
+    for (const long end = Now() + 8000; Now() < end; Sleep(2)) {
+      if (!store.List("gentianrun/members/front-2").empty()) {
+        break;
+      }
     }
-    Sleep(700);
-    pausing = true;
-    record("the programs wait for their tools");
-    Sleep(kOutageMs + 2500);
+    is_added = true;
+    record("front-2 has registered");
+    for (const long end = Now() + 3000; Now() < end && listed_at < 0;) {
+      Sleep(1);
+    }
+    if (given.trouble) {
+      record("front-1 is cut off from the store for %ld ms", kCutMs);
+      path->HoldUp();
+      Sleep(kCutMs);
+      path->Heal();
+      record("front-1 reaches the store again");
+    } else {
+      Sleep(kCutMs);
+    }
+    second_ready = fronts[1]->AwaitReady(8000);
+    Sleep(1500);
     events_of_turn = kMostEvents;
     record("the programs go on");
     pausing = false;
@@ -326,7 +324,7 @@
       record("%sprogram p%02d was handed %ld tokens; budget %d, one turn %d",
              broken ? "RULE BROKEN: " : "", i, tokens, kBudget, kMostTokens);
     }
-    std::printf("programs over budget %d of %d, most %ld of %d + %d\n", over,
+    std::printf("programs over budget %d of %d; most %ld of %d + %d\n", over,
                 kPrograms, most, kBudget, kMostTokens);
     exit_code = over > 0 ? 1 : sum > 0 ? 0 : 2;
   } else {
--- a/review/support/net.h
+++ b/review/support/net.h
@@ -382,8 +382,15 @@
     cut_ = true;
     server_.Close();
   }
+  /** Refuses new connections; what comes on open ones is held up until the path
+      heals. */
+  void HoldUp() {
+    held_ = true;
+    server_.Close();
+  }
   void Heal() {
     cut_ = false;
+    held_ = false;
     server_.Open();
   }
 
@@ -408,6 +415,10 @@
         EndWithReset(other);
         break;
       }
+      if (held_) {
+        Sleep(5);
+        continue;
+      }
       if (poll(both, 2, 10) <= 0) {
         continue;
       }
@@ -433,6 +444,7 @@
 
   std::string to_;
   std::atomic<bool> cut_{false};
+  std::atomic<bool> held_{false};
   server server_;
 };
 
