Mark the end of a server's bytes in a tunnel

The kernel closes the sockets of a killed process in order, and over a tunnel an orderly end was the only sign of the end of an answer without a length.

Change: the server's bytes come in frames, an empty one stands for its orderly end, and a tunnel that ends without it breaks the answer off. A gateway registers what it knows of the messages between gateways (peer_protocol); towards one without a version, the tunnel has no frames, only answers with a length or chunks count as whole, and it is asked last. A gateway of the build before opens tunnels without frames here.

--- a/source/gentian_gateway/member_record.cc
+++ b/source/gentian_gateway/member_record.cc
@@ -14,7 +14,8 @@
               {"caller_address", member.caller_address},
               {"peer_address", member.peer_address},
               {"stopping", member.stopping},
-              {"tunnel_address", member.tunnel_address}}
+              {"tunnel_address", member.tunnel_address},
+              {"protocol", member.protocol}}
       .dump();
 }
 
@@ -25,9 +26,13 @@
   }
   try {
     return member_record{
-        stored.at("host"),           stored.at("failure_domain"),
-        stored.at("caller_address"), stored.at("peer_address"),
-        stored.at("stopping"),       stored.value("tunnel_address", "")};
+        stored.at("host"),
+        stored.at("failure_domain"),
+        stored.at("caller_address"),
+        stored.at("peer_address"),
+        stored.at("stopping"),
+        stored.value("tunnel_address", ""),
+        stored.value("protocol", static_cast<int>(peer_protocol::first))};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/source/gentian_gateway/member_record.h
+++ b/source/gentian_gateway/member_record.h
@@ -6,6 +6,17 @@
 
 namespace gentian {
 
+/** What gateways can say to each other. A gateway registers the latest version
+    that it knows, and the others use what came later than theirs only towards
+    those that know it. */
+enum class peer_protocol : int {
+  /** That of records without a version. */
+  first = 1,
+  /** Tunnels whose bytes come in frames. */
+  framed_tunnels = 2,
+  latest = framed_tunnels,
+};
+
 /** The record under which a daemon registers with the others. */
 struct member_record {
   std::string host;
@@ -19,6 +30,13 @@
   /** Where other daemons open tunnels to targets, `ip:port`; empty if it opens
       none. */
   std::string tunnel_address{};
+  /** Number of the latest peer_protocol that the daemon knows; one that runs a
+      later build may register a number that has no name here. */
+  int protocol = static_cast<int>(peer_protocol::latest);
+
+  bool Knows(peer_protocol version) const {
+    return protocol >= static_cast<int>(version);
+  }
 };
 
 /** Key prefix of all records that gateways and turn stores keep, so that one
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -145,9 +145,12 @@
       events_.last_id().empty() ? call_->last_event_id : events_.last_id();
   http_client_request request;
   request.address = target.record.address;
-  tunnel_ = environment_.paths.TunnelTo(target);
+  const member_record* carrier = environment_.paths.TunnelTo(target);
+  tunnel_ = carrier == nullptr ? std::string() : carrier->tunnel_address;
   request.tunnel = tunnel_;
   request.tunnel_name = target_;
+  request.is_tunnel_unframed =
+      carrier != nullptr && !carrier->Knows(peer_protocol::framed_tunnels);
   request.method = original.method;
   request.target = original.target;
   request.headers = environment_.protocol.TargetHeaders(original, details);
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -44,14 +44,15 @@
   tunnels_.StopAccepting();
 }
 
-std::string path_service::TunnelTo(const known_target& target) const {
+const member_record* path_service::TunnelTo(const known_target& target) const {
   if (!monitor_.IsPartitioned()) {
-    return {};
+    return nullptr;
   }
   const steady_time now = BootTimeNow();
   // A partition often takes a whole failure domain, so gateways in others come
-  // first, those near the target before.
-  using rank = std::tuple<bool, bool, std::uint64_t>;
+  // first, those near the target before. Without frames, some answers count as
+  // broken at their end.
+  using rank = std::tuple<bool, bool, bool, std::uint64_t>;
   const member_record* best = nullptr;
   rank best_rank;
   const std::uint64_t seed = StableHash(target.record.id);
@@ -63,6 +64,7 @@
       continue;
     }
     const rank candidate = {
+        !member.Knows(peer_protocol::framed_tunnels),
         member.failure_domain == settings_.failure_domain,
         member.failure_domain != target.record.failure_domain,
         StableHash(member.host, seed)};
@@ -71,7 +73,7 @@
       best_rank = candidate;
     }
   }
-  return best == nullptr ? std::string() : best->tunnel_address;
+  return best;
 }
 
 void path_service::OnSent(const std::string& target,
--- a/source/gentian_gateway_daemon/path_service.h
+++ b/source/gentian_gateway_daemon/path_service.h
@@ -29,9 +29,9 @@
   /** Takes no more tunnels for other gateways. */
   void Stop();
 
-  /** The tunnel server through which to connect to a target; empty if a direct
-      connection is to be used. */
-  std::string TunnelTo(const known_target& target) const;
+  /** The gateway whose tunnel server is to connect to a target; nullptr if a
+      direct connection is to be used. Valid until the members change. */
+  const member_record* TunnelTo(const known_target& target) const;
 
   /** A request was sent.
 
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -12,6 +12,7 @@
 
 #include "gentian_net/connection_cache.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/tunnel_frames.h"
 #include "gentian_net/tunnel_server.h"
 
 namespace gentian {
@@ -21,10 +22,11 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using detail::byte_stream;
+using detail::kFramedTunnelRequest;
 using detail::kMaxTunnelLine;
 using detail::kTunnelOpen;
-using detail::kTunnelRequest;
 using detail::kTunnelUnreachable;
+using detail::kUnframedTunnelRequest;
 
 struct http_client::state {
   explicit state(asio::io_context& io) : context(io) {}
@@ -204,7 +206,9 @@
   }
 
   void OpenTunnel() {
-    tunnel_line_ = kTunnelRequest + request_.tunnel_name + "\n";
+    tunnel_line_ =
+        (IsFramed() ? kFramedTunnelRequest : kUnframedTunnelRequest) +
+        request_.tunnel_name + "\n";
     stream_->Write(
         asio::buffer(tunnel_line_),
         [me = this->shared_from_this()](error_code failure, std::size_t) {
@@ -245,8 +249,13 @@
                                    : http_failure::no_tunnel;
   }
 
+  bool IsFramed() const {
+    return !request_.tunnel.empty() && !request_.is_tunnel_unframed;
+  }
+
   std::string CacheKey() const {
-    return request_.address + " " + request_.tunnel;
+    return request_.address + " " + request_.tunnel +
+           (IsFramed() ? " framed" : "");
   }
 
   bool FailedBeforeSending(error_code failure) {
@@ -307,6 +316,14 @@
   }
 
   void Read() {
+    if (frames_.HasEnded()) {
+      asio::post(stream_->executor(), [me = this->shared_from_this()] {
+        if (!me->ended_) {
+          me->OnReadFailed(asio::error::eof);
+        }
+      });
+      return;
+    }
     stream_->ReadSome(
         asio::buffer(space_),
         [me = this->shared_from_this()](error_code failure, std::size_t size) {
@@ -322,7 +339,8 @@
       return;
     }
     ArmSilenceTimer();
-    input_.append(space_.data(), size);
+    const std::string_view bytes(space_.data(), size);
+    input_ += IsFramed() ? frames_.Feed(bytes) : std::string(bytes);
     Parse();
   }
 
@@ -343,9 +361,15 @@
     Deliver();
   }
 
+  // True if the server, and not only a tunnel to it, has closed in order.
+  bool IsServerEnd(error_code failure) const {
+    return failure == asio::error::eof &&
+           (request_.tunnel.empty() || frames_.HasEnded());
+  }
+
   void OnReadFailed(error_code failure) {
     error_code finish_failure;
-    if (parser_->is_header_done() && failure == asio::error::eof) {
+    if (parser_->is_header_done() && IsServerEnd(failure)) {
       // An answer without a length ends with the connection.
       parser_->put_eof(finish_failure);
       if (!finish_failure && parser_->is_done()) {
@@ -437,7 +461,8 @@
     // reads the rest of that request.
     if (request_.reuse_connection && parser_->get().keep_alive() &&
         keeps_connection_ && input_.empty() && written_ &&
-        foreign_answers_ == 0) {
+        foreign_answers_ == 0 && !frames_.HasEnded() &&
+        frames_.IsBetweenFrames()) {
       owner_->cache.Put(
           CacheKey(), stream_,
           detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
@@ -481,6 +506,8 @@
   std::optional<asio::steady_timer> silence_timer_;
   std::array<char, kReadSize> space_{};
   std::string input_;
+  /** Used for a tunnel whose server sends frames. */
+  detail::tunnel_frame_reader frames_;
   std::optional<response_parser> parser_;
   bool reused_ = false;
   bool sent_ = false;
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -36,6 +36,10 @@
   std::string tunnel;
   /** Name by which the tunnel server knows the server. */
   std::string tunnel_name;
+  /** The tunnel server is of a build that knows no frames. An answer that ends
+      with its connection then counts as broken: the end may be that of the
+      tunnel server. */
+  bool is_tunnel_unframed = false;
   std::string method = "GET";
   std::string target = "/";
   http_headers headers;
--- a/source/gentian_net/tunnel_server.cc
+++ b/source/gentian_net/tunnel_server.cc
@@ -1,5 +1,6 @@
 #include "gentian_net/tunnel_server.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,7 @@
 
 #include "gentian_net/byte_stream.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/tunnel_frames.h"
 
 namespace gentian {
 
@@ -25,6 +27,7 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
+static_assert(kReadSize <= detail::kMaxTunnelFrame);
 constexpr std::chrono::milliseconds kAcceptPause{100};
 // After the last byte of an answer, its client may still send a request.
 constexpr std::chrono::milliseconds kBusyTime{1'000};
@@ -66,7 +69,9 @@
  private:
   /** One direction. */
   struct flow {
-    std::array<char, kReadSize> space{};
+    /** Space before the bytes, for the beginning of a frame. */
+    std::size_t header_size = 0;
+    std::array<char, detail::kTunnelFrameHeader + kReadSize> space{};
   };
 
   void ArmTimer(milliseconds limit) {
@@ -101,13 +106,20 @@
       }
       return;
     }
-    const std::string request = detail::kTunnelRequest;
+    const std::string framed = detail::kFramedTunnelRequest;
+    const std::string unframed = detail::kUnframedTunnelRequest;
+    is_framed_ = line_.rfind(framed, 0) == 0;
     // A client sends nothing else before it has read the answer.
-    if (line_.rfind(request, 0) != 0 || end + 1 != line_.size()) {
+    if ((!is_framed_ && line_.rfind(unframed, 0) != 0) ||
+        end + 1 != line_.size()) {
       Reset();
       return;
     }
-    Open(line_.substr(request.size(), end - request.size()));
+    if (is_framed_) {
+      to_client_.header_size = detail::kTunnelFrameHeader;
+    }
+    const std::size_t start = is_framed_ ? framed.size() : unframed.size();
+    Open(line_.substr(start, end - start));
   }
 
   void Open(std::string name) {
@@ -176,11 +188,12 @@
   }
 
   void Copy(byte_stream& from, byte_stream& to, flow& direction) {
-    from.ReadSome(asio::buffer(direction.space),
-                  [me = shared_from_this(), &from, &to, &direction](
-                      error_code failure, std::size_t size) {
-                    me->OnRead(from, to, direction, failure, size);
-                  });
+    from.ReadSome(
+        asio::buffer(direction.space.data() + direction.header_size, kReadSize),
+        [me = shared_from_this(), &from, &to, &direction](error_code failure,
+                                                          std::size_t size) {
+          me->OnRead(from, to, direction, failure, size);
+        });
   }
 
   void OnRead(byte_stream& from,
@@ -202,7 +215,12 @@
       return;
     }
     Touch(&from == client_.get());
-    to.Write(asio::buffer(direction.space.data(), size),
+    if (direction.header_size > 0) {
+      const detail::tunnel_frame_header header =
+          detail::EncodeTunnelFrame(size);
+      std::copy(header.begin(), header.end(), direction.space.begin());
+    }
+    to.Write(asio::buffer(direction.space.data(), direction.header_size + size),
              [me = shared_from_this(), &from, &to, &direction](
                  error_code write_failure, std::size_t) {
                if (write_failure) {
@@ -217,7 +235,19 @@
   void EndAnswer() {
     awaits_answer_ = false;
     server_->Close();
-    client_->ShutdownSend();
+    if (!is_framed_) {
+      client_->ShutdownSend();
+      return;
+    }
+    end_mark_ = detail::EncodeTunnelFrame(0);
+    client_->Write(asio::buffer(end_mark_),
+                   [me = shared_from_this()](error_code failure, std::size_t) {
+                     if (failure) {
+                       me->Reset();
+                     } else if (!me->closed_) {
+                       me->client_->ShutdownSend();
+                     }
+                   });
   }
 
   // Both connections end with a reset, so that no half of an answer looks
@@ -258,6 +288,9 @@
   std::string line_;
   flow to_server_;
   flow to_client_;
+  /** The server's bytes are sent in frames. */
+  bool is_framed_ = false;
+  detail::tunnel_frame_header end_mark_{};
   bool closed_ = false;
   std::atomic<bool> is_open_{false};
   std::atomic<bool> awaits_answer_{false};
--- a/source/gentian_net/tunnel_server.h
+++ b/source/gentian_net/tunnel_server.h
@@ -25,10 +25,13 @@
 /** Opens TCP connections for hosts that can't reach a server themselves, and
     copies bytes in both directions unchanged.
 
-    A client sends the line `CONNECT name` and reads `OK`, `UNREACHABLE` if the
-    connection failed, or a line with the reason of a refusal. How a
-   connection ends is passed on: an orderly end after all bytes as one, a reset
-   as a reset.
+    A client sends the line `FRAMES name` and reads `OK`, `UNREACHABLE` if the
+    connection failed, or a line with the reason of a refusal. The server's
+   bytes then come in frames (see tunnel_frames.h), of which an empty one stands
+   for the server's orderly end; a reset is passed on as a reset.
+
+    A client of an earlier build sends `CONNECT name` and gets the bytes without
+    frames. It can't tell the end of the server from that of the tunnel.
 */
 class tunnel_server {
  public:
@@ -69,7 +72,8 @@
 /** What a client and a tunnel_server say to each other before the bytes. */
 namespace detail {
 
-constexpr const char* kTunnelRequest = "CONNECT ";
+constexpr const char* kFramedTunnelRequest = "FRAMES ";
+constexpr const char* kUnframedTunnelRequest = "CONNECT ";
 constexpr const char* kTunnelOpen = "OK\n";
 constexpr const char* kTunnelUnreachable = "UNREACHABLE\n";
 constexpr std::size_t kMaxTunnelLine = 512;
--- a/tests/net/tunnel_test.cc
+++ b/tests/net/tunnel_test.cc
@@ -6,6 +6,7 @@
 
 #include "support/raw_connection.h"
 #include "support/scripted_target.h"
+#include "support/scripted_tunnel.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
@@ -13,6 +14,7 @@
 using gentian::testing::http_outcome;
 using gentian::testing::raw_connection;
 using gentian::testing::scripted_target;
+using gentian::testing::scripted_tunnel;
 using gentian::testing::WaitFor;
 
 using step = scripted_target::step;
@@ -134,3 +136,86 @@
   }
   cr_assert(WaitFor([&] { return subject.tunnels.tunnels() == 0; }));
 }
+
+// Guards against an answer without a length that looks complete because the
+// process that carries the tunnel is killed, which closes its sockets in order.
+Test(tunnel, the_end_of_a_tunnel_ends_no_answer, .timeout = 120) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nall";
+  const std::string framed =
+      scripted_tunnel::Frame(answer) + scripted_tunnel::EndMark();
+  std::size_t cut = 0;
+  bool split = false;
+  const scripted_tunnel carrier([&](const std::string&, const std::string&) {
+    if (!split) {
+      return framed.substr(0, cut);
+    }
+    return scripted_tunnel::Frame(answer.substr(0, cut)) +
+           scripted_tunnel::Frame(answer.substr(cut)) +
+           scripted_tunnel::EndMark();
+  });
+  io_pool pool{1};
+  http_client client{pool};
+  http_client_request request;
+  request.address = "127.0.0.1:1";
+  request.tunnel = carrier.address();
+  request.tunnel_name = "s";
+  for (cut = 0; cut < framed.size(); ++cut) {
+    cr_assert(Fetch(client, request).failure == http_failure::broken, "%zu",
+              cut);
+  }
+  cr_assert(Fetch(client, request).response.body == "all");
+  split = true;
+  for (cut = 1; cut < answer.size(); ++cut) {
+    const http_outcome whole = Fetch(client, request);
+    cr_assert(!whole.failure && whole.response.body == "all", "%zu", cut);
+  }
+  pool.Stop();
+}
+
+// Guards against a fleet of two builds in which an answer through a tunnel of
+// the earlier one looks complete, or is refused although its length shows that
+// it is.
+Test(tunnel, without_frames_only_framed_answers_are_whole, .timeout = 60) {
+  std::string answer;
+  std::string line;
+  const scripted_tunnel carrier(
+      [&](const std::string& got, const std::string&) {
+        line = got;
+        return answer;
+      });
+  io_pool pool{1};
+  http_client client{pool};
+  http_client_request request;
+  request.address = "127.0.0.1:1";
+  request.tunnel = carrier.address();
+  request.tunnel_name = "s";
+  request.is_tunnel_unframed = true;
+  answer = Whole("all");
+  cr_assert(Fetch(client, request).response.body == "all");
+  cr_assert(line == "CONNECT s");
+  answer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nall\r\n0\r\n\r\n";
+  cr_assert(Fetch(client, request).response.body == "all");
+  answer = "HTTP/1.1 200 OK\r\n\r\nall";
+  cr_assert(Fetch(client, request).failure == http_failure::broken);
+  pool.Stop();
+}
+
+// Guards against frames that reach a client of the earlier build.
+Test(tunnel, a_client_without_frames_gets_the_bytes_alone, .timeout = 60) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nall";
+  tunnel_fixture subject([&](const std::string&, int) {
+    return step{answer, ending::close};
+  });
+  const raw_connection client(subject.tunnels.address());
+  client.Write("CONNECT s\n");
+  cr_assert(client.Read(milliseconds(2'000)) == "OK\n");
+  client.Write("GET / HTTP/1.1\r\n\r\n");
+  std::string got;
+  for (std::string part = client.Read(milliseconds(2'000)); !part.empty();
+       part = client.Read(milliseconds(2'000))) {
+    got += part;
+  }
+  cr_assert(got == answer, "%s", got.c_str());
+}
--- a/tests/platform/partition_test.cc
+++ b/tests/platform/partition_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/gateway_fleet.h"
 #include "support/cuttable_link.h"
+#include "support/scripted_tunnel.h"
 
 using namespace gentian;
 using gentian::testing::cuttable_link;
@@ -15,6 +16,7 @@
 using gentian::testing::gateway_fixture;
 using gentian::testing::gateway_fleet;
 using gentian::testing::http_outcome;
+using gentian::testing::scripted_tunnel;
 using gentian::testing::WaitFor;
 
 namespace {
@@ -147,3 +149,67 @@
   cr_assert(WaitFor([&] { return !subject.IsPartitioned(0); }));
   cr_assert(subject.CountServed(0, kRequests) == kRequests);
 }
+
+// Guards against a stream that ends as complete because the gateway that
+// carries it to a target, of this build or of the one before, is killed.
+Test(partition, a_stream_outlives_the_gateway_that_carries_it, .timeout = 120) {
+  for (const bool knows_frames : {true, false}) {
+    std::atomic<int> framed{0};
+    std::atomic<int> unframed{0};
+    const scripted_tunnel carrier([&](const std::string& line,
+                                      const std::string& request) {
+      const bool has_frames = line.rfind("FRAMES ", 0) == 0;
+      ++(has_frames ? framed : unframed);
+      const auto field = [&request](const std::string& name) {
+        const std::size_t at = request.find("\r\n" + name + ": ");
+        const std::size_t start = at + name.size() + 4;
+        return at == std::string::npos
+                   ? std::string()
+                   : request.substr(start, request.find("\r\n", start) - start);
+      };
+      const std::string head =
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + field("Request-Id") +
+          "\r\nResponse-Seal: seal\r\n"
+          "Content-Type: text/event-stream\r\n";
+      // The first answer has no length and is cut off between two events.
+      if (field("Last-Event-Id") == "1") {
+        const std::string rest = head +
+                                 "Content-Length: 15\r\n\r\n"
+                                 "id: 2\ndata: b\n\n";
+        return has_frames ? scripted_tunnel::Frame(rest) : rest;
+      }
+      const std::string part = head + "\r\nid: 1\ndata: a\n\n";
+      return has_frames ? scripted_tunnel::Frame(part) : part;
+    });
+    partition subject;
+    member_record other;
+    other.host = "carrier";
+    other.failure_domain = "y";
+    other.caller_address = "127.0.0.1:1";
+    other.peer_address = "127.0.0.1:1";
+    other.tunnel_address = carrier.address();
+    other.protocol = knows_frames ? static_cast<int>(peer_protocol::latest)
+                                  : static_cast<int>(peer_protocol::first);
+    json record = json::parse(EncodeMember(other));
+    if (!knows_frames) {
+      record.erase("protocol");
+      // The other gateway carries nothing.
+      subject.fleet.first.store_client.Replace(MemberKey("host-1"), "{}");
+    }
+    subject.fleet.first.store.Put(MemberKey("carrier"), record.dump());
+    for (const auto& link : subject.links) {
+      link->Cut(true);
+    }
+    cr_assert(WaitFor([&] {
+      subject.IsServed(0, "/once/x");
+      return framed + unframed > 0;
+    }));
+    http_client_request request = subject.fleet.Request(0, "/turn/x");
+    const http_outcome got = Fetch(subject.fleet.first.client, request);
+    cr_assert(!got.failure, "frames %d", knows_frames ? 1 : 0);
+    cr_assert(got.response.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+              "frames %d: %d %s", knows_frames ? 1 : 0, got.response.status,
+              got.response.body.c_str());
+    cr_assert(knows_frames ? unframed == 0 : framed == 0);
+  }
+}
