Keep a claim's write until its outcome is known

A write of a claim is tried twice, and only the outcome of the second try decided whether it may have run: a release whose first try was held up in a cut and whose second try could not connect gave its tokens back to the daemon, and ran when the cut had healed. A conflict of the second try was also taken to prove that the first one had not run, although another daemon may have claimed on top of it.

Change: the write is one object over all its tries and over later requests, repeated unchanged under the same condition, with no other write of the program beside it. Its outcome is applied, not applied, or unknown if another daemon has changed the claim in between; tokens of the last kind are granted by no one. After an outage such writes are repeated, eight each 300 ms.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -1,7 +1,6 @@
 #include "gentian_gateway/budget_ledger.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace gentian {
@@ -95,6 +94,10 @@
   if (entry.writing) {
     return commands;
   }
+  if (entry.write && !entry.waiting.empty()) {
+    commands.writes.push_back(SendWrite(program, entry));
+    return commands;
+  }
   while (!entry.waiting.empty()) {
     const std::int64_t amount = AmountToClaim(entry);
     if (entry.available + amount >= entry.waiting.front().max_tokens) {
@@ -124,11 +127,39 @@
 budget_commands::write budget_ledger::StartWrite(const std::string& program,
                                                  account& entry,
                                                  std::int64_t amount) {
+  entry.write.emplace();
+  entry.write->id = writer_ + "-" + std::to_string(++last_write_);
+  entry.write->expected_version = entry.version;
+  entry.write->amount = amount;
+  return SendWrite(program, entry);
+}
+
+budget_commands::write budget_ledger::SendWrite(const std::string& program,
+                                                account& entry) {
   entry.writing = true;
-  entry.write_id = writer_ + "-" + std::to_string(++last_write_);
-  entry.write_amount = amount;
-  return {program, entry.version,
-          EncodeClaim({entry.claimed + amount, entry.write_id})};
+  const claim_write& write = *entry.write;
+  return {program, write.expected_version,
+          EncodeClaim({entry.claimed + write.amount, write.id})};
+}
+
+std::vector<std::string> budget_ledger::UnresolvedPrograms() const {
+  std::vector<std::string> programs;
+  for (const auto& [program, entry] : accounts_) {
+    if (entry.write && !entry.writing) {
+      programs.push_back(program);
+    }
+  }
+  return programs;
+}
+
+budget_commands budget_ledger::Resolve(const std::string& program) {
+  const auto found = accounts_.find(program);
+  budget_commands commands;
+  if (found != accounts_.end() && found->second.write &&
+      !found->second.writing) {
+    commands.writes.push_back(SendWrite(program, found->second));
+  }
+  return commands;
 }
 
 budget_commands budget_ledger::ReleaseUnused(const std::string& program) {
@@ -138,7 +169,7 @@
     return commands;
   }
   account& entry = found->second;
-  if (entry.available > 0 && !entry.writing && entry.version != 0 &&
+  if (entry.available > 0 && !entry.write && entry.version != 0 &&
       entry.waiting.empty()) {
     // Not to be granted while the release is on its way.
     const std::int64_t released = std::exchange(entry.available, 0);
@@ -159,25 +190,43 @@
   return commands;
 }
 
+budget_ledger::write_outcome budget_ledger::OutcomeOf(
+    const claim_write& write,
+    const std::optional<budget_claim>& stored) {
+  if (stored && stored->write_id == write.id) {
+    return write_outcome::applied;
+  }
+  // Only the tries without an answer can have run before the last one.
+  return write.may_have_run ? write_outcome::unknown
+                            : write_outcome::not_applied;
+}
+
+// Tokens of a write whose outcome stays unknown are lost to the program. They
+// may belong to another daemon now.
+void budget_ledger::ApplyOutcome(account& entry, write_outcome outcome) {
+  const std::int64_t amount = entry.write->amount;
+  entry.write.reset();
+  if (outcome == write_outcome::applied) {
+    entry.own_claimed += amount;
+    entry.available += std::max<std::int64_t>(amount, 0);
+  } else if (outcome == write_outcome::not_applied) {
+    entry.available += std::max<std::int64_t>(-amount, 0);
+  }
+}
+
 budget_commands budget_ledger::OnWriteResolved(
     const std::string& program,
     account& entry,
     std::uint64_t version,
     const std::optional<budget_claim>& stored) {
   entry.writing = false;
-  entry.unanswered_writes = 0;
   entry.version = version;
   entry.claimed = stored ? stored->claimed : 0;
-  const bool took_effect = stored && stored->write_id == entry.write_id;
-  if (took_effect) {
-    entry.own_claimed += entry.write_amount;
-  }
-  // A release has already taken its tokens off.
-  if (took_effect == (entry.write_amount > 0)) {
-    entry.available += std::abs(entry.write_amount);
-  }
-  entry.write_id.clear();
-  if (!took_effect && entry.write_amount < 0 && entry.waiting.empty()) {
+  const bool is_release = entry.write->amount < 0;
+  const write_outcome outcome = OutcomeOf(*entry.write, stored);
+  ApplyOutcome(entry, outcome);
+  if (is_release && outcome == write_outcome::not_applied &&
+      entry.waiting.empty()) {
     // Another daemon has changed the claim in the meantime.
     return ReleaseUnused(program);
   }
@@ -193,7 +242,7 @@
   account& entry = found->second;
   return OnWriteResolved(
       program, entry, version,
-      budget_claim{entry.claimed + entry.write_amount, entry.write_id});
+      budget_claim{entry.claimed + entry.write->amount, entry.write->id});
 }
 
 budget_commands budget_ledger::OnConflict(
@@ -214,16 +263,18 @@
   }
   account& entry = found->second;
   budget_commands commands;
-  if (++entry.unanswered_writes < kMaxUnansweredWrites) {
-    // Repeats the write. If the first attempt took effect, this one conflicts
-    // and finds its own write_id in the stored claim.
-    commands.writes.push_back(
-        {program, entry.version,
-         EncodeClaim({entry.claimed + entry.write_amount, entry.write_id})});
+  entry.write->may_have_run |= may_have_run;
+  if (++entry.write->unanswered < kMaxUnansweredWrites) {
+    // If the first try took effect, this one conflicts and finds its own ID in
+    // the stored claim.
+    commands.writes.push_back(SendWrite(program, entry));
     return commands;
   }
   entry.writing = false;
-  entry.unanswered_writes = 0;
+  entry.write->unanswered = 0;
+  if (!entry.write->may_have_run) {
+    ApplyOutcome(entry, write_outcome::not_applied);
+  }
   if (MayStartUnclaimed(entry)) {
     entry.has_unclaimed_turn = true;
     entry.available -= entry.waiting.front().max_tokens;
@@ -235,15 +286,6 @@
     commands.decisions.push_back({next.ticket, budget_decision::unavailable});
   }
   entry.waiting.clear();
-  if (!may_have_run && entry.write_amount < 0) {
-    entry.available -= entry.write_amount;
-  }
-  if (may_have_run) {
-    // It is unknown whether this write took effect, so this daemon does not
-    // count its tokens as claimed. If the write did take effect, the program
-    // loses them.
-    entry.write_id.clear();
-  }
   return commands;
 }
 
@@ -264,8 +306,15 @@
 std::vector<budget_commands::write> budget_ledger::ReleaseAll() {
   std::vector<budget_commands::write> writes;
   for (auto& [program, entry] : accounts_) {
-    if (entry.available > 0 && !entry.writing && entry.version != 0) {
-      entry.claimed -= entry.available;
+    if (entry.writing || entry.version == 0) {
+      continue;
+    }
+    // If the condition of this write holds, an unresolved one has not run.
+    const std::int64_t unresolved =
+        entry.write ? std::max<std::int64_t>(-entry.write->amount, 0) : 0;
+    entry.write.reset();
+    if (entry.available + unresolved > 0) {
+      entry.claimed -= entry.available + unresolved;
       entry.available = 0;
       writes.push_back(
           {program, entry.version,
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -99,9 +99,21 @@
                              std::uint64_t version,
                              const std::optional<budget_claim>& stored);
 
-  /** Handles a write that was not answered or that the service refused. */
+  /** Handles a write that was not answered or that the service refused.
+
+      A write that may have run can take effect until another one has changed
+      the claim. Its tokens are neither granted nor claimed again before its
+      outcome is known.
+
+      @param may_have_run  of this try alone */
   budget_commands OnNoAnswer(const std::string& program, bool may_have_run);
 
+  /** Programs of which a write has no known outcome and is not on its way. */
+  std::vector<std::string> UnresolvedPrograms() const;
+
+  /** Repeats the write of such a program, which finds out its outcome. */
+  budget_commands Resolve(const std::string& program);
+
   /** Removes the accounts of programs last used before `limit`. */
   void EvictIdle(steady_time limit);
 
@@ -126,6 +138,27 @@
   std::size_t size() const { return accounts_.size(); }
 
  private:
+  /** A write of a claim whose outcome is not known. It is repeated unchanged,
+      so that at most one of its tries takes effect. */
+  struct claim_write {
+    std::string id;
+    std::uint64_t expected_version = 0;
+    /** Tokens that it claims; negative if it releases them. A release takes
+        them from `available` when it starts. */
+    std::int64_t amount = 0;
+    /** A try that had no answer may have run, or may run later. */
+    bool may_have_run = false;
+    /** Tries without an answer, one after the other. */
+    int unanswered = 0;
+  };
+
+  enum class write_outcome {
+    applied,
+    not_applied,
+    /** It may have taken effect before another daemon changed the claim. */
+    unknown,
+  };
+
   struct account {
     std::int64_t budget = 0;
     /** Tokens claimed by all daemons, as of the last stored claim read; other
@@ -138,14 +171,11 @@
     std::int64_t available = 0;
     std::int64_t used = 0;
     std::deque<token_request> waiting;
-    /** Identifies the write in progress, or one whose answer was lost. */
-    std::string write_id;
-    /** Tokens that the write claims; negative if it releases them. */
-    std::int64_t write_amount = 0;
+    std::optional<claim_write> write;
     /** The stored claim was read since the budget was found too small. */
     bool verified = false;
+    /** `write` is on its way. */
     bool writing = false;
-    int unanswered_writes = 0;
     /** As in the last request. */
     bool claim_ahead = false;
     /** A turn was granted before its tokens were claimed, because the
@@ -160,9 +190,14 @@
                                   account& entry,
                                   std::uint64_t version,
                                   const std::optional<budget_claim>& stored);
+  static write_outcome OutcomeOf(const claim_write& write,
+                                 const std::optional<budget_claim>& stored);
+  static void ApplyOutcome(account& entry, write_outcome outcome);
   budget_commands::write StartWrite(const std::string& program,
                                     account& entry,
                                     std::int64_t amount);
+  static budget_commands::write SendWrite(const std::string& program,
+                                          account& entry);
   void GrantWaiting(account& entry, budget_commands& commands);
   static std::int64_t AmountToClaim(const account& entry);
   static bool MayStartUnclaimed(const account& entry);
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -119,6 +119,8 @@
   void Advance();
   void ArmTimer();
   void ReleaseMovedPrograms();
+  /** Repeats writes of claims whose outcome is not known. */
+  void ResolveWrites();
   void ReleaseLaterIfNotOwner(const std::string& program);
   void AnswerRequest(const std::shared_ptr<http_exchange>& exchange,
                      const json& body);
@@ -140,6 +142,8 @@
   steady_time released_at_change_;
   /** When to release the tokens of programs that this daemon doesn't own. */
   std::map<std::string, steady_time> release_at_;
+  /** Program of the write that ResolveWrites repeated last. */
+  std::string resolved_last_;
   bool timer_armed_ = false;
   turn_ticket last_ticket_;
   std::uint64_t last_number_ = 0;
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -1,7 +1,9 @@
 // Implements turn_service: decides turns of the programs that this daemon owns.
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 #include "gentian_gateway_daemon/turn_service.h"
 #include "gentian_log/gentian_log.h"
@@ -27,6 +29,9 @@
 constexpr milliseconds kAdvanceInterval{25};
 constexpr milliseconds kReleaseInterval{300};
 constexpr milliseconds kReleaseDelay{1'500};
+// Writes that are repeated per kReleaseInterval to find out their outcome.
+// After an outage, there may be one for each program.
+constexpr std::size_t kMaxResolvedAtOnce = 8;
 // A program that has been idle for longer has most likely ended.
 constexpr milliseconds kReleaseAge{2'500};
 // A program is usually idle for only a few seconds between two turns. For one
@@ -229,9 +234,30 @@
     }
     next = release_at_.erase(next);
   }
+  ResolveWrites();
   pool_.After(kReleaseInterval, [this] { ReleaseMovedPrograms(); });
 }
 
+void turn_service::ResolveWrites() {
+  if (!state_.store_reached) {
+    return;
+  }
+  const std::vector<std::string> programs = ledger_.UnresolvedPrograms();
+  // Goes on after the program at which the last call has stopped.
+  auto next =
+      std::upper_bound(programs.begin(), programs.end(), resolved_last_);
+  for (std::size_t i = 0; i < std::min(programs.size(), kMaxResolvedAtOnce);
+       ++i) {
+    if (next == programs.end()) {
+      next = programs.begin();
+    }
+    resolved_last_ = *next++;
+    state_.counters.Add("budget_write_repeated");
+    Execute(ledger_.Resolve(resolved_last_));
+    ReleaseLaterIfNotOwner(resolved_last_);
+  }
+}
+
 // A daemon that substitutes for the owner keeps unused tokens for a moment: the
 // next turn often comes to it too, and each release is a write.
 void turn_service::ReleaseLaterIfNotOwner(const std::string& program) {
--- a/tests/gateway/budget_ledger_test.cc
+++ b/tests/gateway/budget_ledger_test.cc
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <utility>
+#include <vector>
 
 #include "gentian_gateway/gentian_gateway.h"
 
@@ -47,6 +49,16 @@
     return ledger.OnConflict(write.program, version_, stored_);
   }
 
+  /** A write that is held up on its way to the store. */
+  void HoldUp(const budget_commands::write& write) { held_.push_back(write); }
+
+  /** Carries out what was held up, each write if its condition still holds. */
+  void RunHeld() {
+    for (const auto& write : std::exchange(held_, {})) {
+      RunUnanswered(write);
+    }
+  }
+
   /** Carries out a write whose answer is lost. */
   void RunUnanswered(const budget_commands::write& write) {
     if (write.expected_version == version_) {
@@ -58,6 +70,7 @@
  private:
   std::uint64_t version_ = 0;
   std::optional<budget_claim> stored_;
+  std::vector<budget_commands::write> held_;
 };
 
 }  // namespace
@@ -327,3 +340,146 @@
     }
   }
 }
+
+// Guards against tokens that are granted twice because a release is held up in
+// a cut from the key-value service: its second try can't connect, and the first
+// one runs when the cut has healed.
+Test(budget_ledger, tokens_of_a_release_that_may_still_run_are_not_granted) {
+  claim_store store;
+  budget_ledger earlier("earlier");
+  cr_assert(store.Run(earlier, earlier.Reserve(Turn(1), At(0))) == 1);
+  store.Run(earlier, earlier.Settle("program", kMaxTurnTokens, 0, At(0)));
+  store.HoldUp(earlier.ReleaseUnused("program").writes.front());
+  cr_assert(earlier.OnNoAnswer("program", true).writes.size() == 1);
+  cr_assert(earlier.OnNoAnswer("program", false).writes.empty());
+  store.RunHeld();
+  budget_ledger next("next");
+  int granted = 0;
+  for (budget_ticket ticket = 2; ticket < 8; ++ticket) {
+    granted += store.Run(next, next.Reserve(Turn(ticket), At(1)));
+    granted += store.Run(earlier, earlier.Reserve(Turn(ticket + 10), At(1)));
+  }
+  cr_assert(granted > 0 && granted * kMaxTurnTokens <= kBudget, "granted %d",
+            granted);
+}
+
+// Guards against a release that counts as failed because another daemon has
+// claimed the released tokens before its second try.
+Test(budget_ledger, a_release_that_another_claim_follows_may_have_run) {
+  claim_store store;
+  budget_ledger earlier("earlier");
+  cr_assert(store.Run(earlier, earlier.Reserve(Turn(1), At(0))) == 1);
+  store.Run(earlier, earlier.Settle("program", kMaxTurnTokens, 0, At(0)));
+  store.RunUnanswered(earlier.ReleaseUnused("program").writes.front());
+  budget_ledger next("next");
+  int granted = store.Run(next, next.Reserve(Turn(2), At(1)));
+  granted += store.Run(earlier, earlier.OnNoAnswer("program", true));
+  for (budget_ticket ticket = 3; ticket < 8; ++ticket) {
+    granted += store.Run(earlier, earlier.Reserve(Turn(ticket), At(1)));
+    granted += store.Run(next, next.Reserve(Turn(ticket + 10), At(1)));
+  }
+  cr_assert(granted * kMaxTurnTokens <= kBudget, "granted %d", granted);
+}
+
+// Guards against tokens that a program loses because the outcome of a write in
+// an outage is never looked for.
+Test(budget_ledger, the_outcome_of_a_write_is_found_out_after_an_outage) {
+  for (const bool took_effect : {false, true}) {
+    for (const bool is_release : {false, true}) {
+      claim_store store;
+      budget_ledger daemon("daemon");
+      budget_commands commands = daemon.Reserve(Turn(1), At(0));
+      if (is_release) {
+        cr_assert(store.Run(daemon, commands) == 1);
+        store.Run(daemon, daemon.Settle("program", kMaxTurnTokens, 0, At(0)));
+        commands = daemon.ReleaseUnused("program");
+      }
+      if (took_effect) {
+        store.RunUnanswered(commands.writes.front());
+      }
+      daemon.OnNoAnswer("program", true);
+      daemon.OnNoAnswer("program", false);
+      cr_assert(daemon.UnresolvedPrograms().size() == 1);
+      store.Run(daemon, daemon.Resolve("program"));
+      cr_assert(daemon.UnresolvedPrograms().empty());
+      int granted = 0;
+      for (budget_ticket ticket = 2; ticket < 8; ++ticket) {
+        granted += store.Run(daemon, daemon.Reserve(Turn(ticket), At(1)));
+      }
+      cr_assert(granted == 3, "took effect %d, release %d: granted %d",
+                took_effect ? 1 : 0, is_release ? 1 : 0, granted);
+    }
+  }
+}
+
+// Guards against a token that is granted twice in any order of tries that are
+// carried out, lost with or without their answer, refused, or held up until
+// later.
+Test(budget_ledger, late_writes_never_grant_a_token_twice) {
+  constexpr std::uint64_t kSeeds = 2'000;
+  constexpr int kSteps = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    seeded_random random(seed);
+    claim_store store;
+    std::array<budget_ledger, 2> ledgers = {budget_ledger("a"),
+                                            budget_ledger("b")};
+    std::int64_t used = 0;
+    std::array<int, 2> running{};
+    budget_ticket ticket = 0;
+    for (int step = 0; step < kSteps; ++step) {
+      const std::size_t i = random.Below(2);
+      budget_commands commands;
+      switch (random.Below(5)) {
+        case 0:
+          commands = ledgers[i].Reserve(Turn(++ticket), At(step));
+          break;
+        case 1:
+          if (running[i] > 0) {
+            --running[i];
+            const auto spent =
+                static_cast<std::int64_t>(random.Below(kMaxTurnTokens + 1));
+            used += spent;
+            commands =
+                ledgers[i].Settle("program", kMaxTurnTokens, spent, At(step));
+          }
+          break;
+        case 2:
+          commands = ledgers[i].ReleaseUnused("program");
+          break;
+        case 3:
+          commands = ledgers[i].Resolve("program");
+          break;
+        default:
+          store.RunHeld();
+          break;
+      }
+      while (true) {
+        for (const auto& decision : commands.decisions) {
+          running[i] += decision.outcome == budget_decision::granted ? 1 : 0;
+        }
+        if (commands.writes.empty()) {
+          break;
+        }
+        const auto write = commands.writes.front();
+        switch (random.Below(6)) {
+          case 0:
+            store.RunUnanswered(write);
+            commands = ledgers[i].OnNoAnswer(write.program, true);
+            break;
+          case 1:
+            store.HoldUp(write);
+            commands = ledgers[i].OnNoAnswer(write.program, true);
+            break;
+          case 2:
+            commands = ledgers[i].OnNoAnswer(write.program, false);
+            break;
+          default:
+            commands = store.Carry(ledgers[i], write);
+            break;
+        }
+      }
+      cr_assert(used + (running[0] + running[1]) * kMaxTurnTokens <= kBudget,
+                "seed %d step %d", static_cast<int>(seed), step);
+    }
+  }
+}
