Read entries of other writers within bounds

Cause: one odd entry among those of the targets can take a gateway's memory or its traffic. The next read of a listing was armed only after this one had been applied.

Change: size and nesting are checked before text is parsed, whole numbers have a range, and an entry that names no target gives a typed error; it is left out, counted and logged once per version. Listings are polled on whatever happens to one of them.

The test skips_entries_that_name_no_target asks the new result type for a failure in place of an empty optional; its entries are the same.

--- a/source/gentian_core/gentian_core.h
+++ b/source/gentian_core/gentian_core.h
@@ -8,6 +8,7 @@
 
 #include "gentian_core/base64.h"
 #include "gentian_core/boot_clock.h"
+#include "gentian_core/bounded_json.h"
 #include "gentian_core/cbor.h"
 #include "gentian_core/counter_set.h"
 #include "gentian_core/error.h"
--- a/source/gentian_gateway/member_record.cc
+++ b/source/gentian_gateway/member_record.cc
@@ -1,5 +1,8 @@
 #include "gentian_gateway/member_record.h"
 
+#include <cstdint>
+#include <limits>
+
 #include "gentian_core/gentian_core.h"
 
 namespace gentian {
@@ -20,19 +23,26 @@
 }
 
 std::optional<member_record> DecodeMember(const std::string& text) {
-  const json stored = json::parse(text, nullptr, false);
-  if (!stored.is_object()) {
+  const result<json> parsed = ParseBoundedJson(text);
+  if (Failed(parsed) || !ValueOf(parsed).is_object()) {
     return std::nullopt;
   }
+  const json& stored = ValueOf(parsed);
+  std::int64_t protocol = static_cast<int>(peer_protocol::first);
+  if (stored.contains("protocol")) {
+    const auto known = FindInteger(stored, "protocol", protocol,
+                                   std::numeric_limits<int>::max());
+    if (!known) {
+      return std::nullopt;
+    }
+    protocol = *known;
+  }
   try {
     return member_record{
-        stored.at("host"),
-        stored.at("failure_domain"),
-        stored.at("caller_address"),
-        stored.at("peer_address"),
-        stored.at("stopping"),
-        stored.value("tunnel_address", ""),
-        stored.value("protocol", static_cast<int>(peer_protocol::first))};
+        stored.at("host"),           stored.at("failure_domain"),
+        stored.at("caller_address"), stored.at("peer_address"),
+        stored.at("stopping"),       stored.value("tunnel_address", ""),
+        static_cast<int>(protocol)};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -203,14 +203,17 @@
 
 void crash_service::Learn(const std::string& fingerprint,
                           const std::string& published) {
-  const json record = json::parse(published, nullptr, false);
-  if (!record.is_object() || !record.contains("until_unix_ms") ||
-      !record["until_unix_ms"].is_number_integer()) {
+  const result<json> record = ParseBoundedJson(published);
+  const std::int64_t now = UnixTimeNow().count();
+  const auto until = Failed(record)
+                         ? std::nullopt
+                         : FindInteger(ValueOf(record), "until_unix_ms", 0,
+                                       now + kMaxTime.count());
+  if (!until) {
     state_.counters.Add("blocked_entry_unreadable");
     return;
   }
-  const milliseconds left =
-      milliseconds(record["until_unix_ms"].get<std::int64_t>()) - UnixTimeNow();
+  const milliseconds left(*until - now);
   if (left.count() > 0 && blocked_.Add(fingerprint, left, BootTimeNow())) {
     LogBlock(fingerprint, left, "listing");
   }
--- a/source/gentian_gateway_daemon/gateway_protocol.h
+++ b/source/gentian_gateway_daemon/gateway_protocol.h
@@ -61,9 +61,9 @@
   virtual std::string DrainStatus(bool completed) const = 0;
 
   virtual std::string TargetsPrefix() const = 0;
-  /** Decodes an entry of TargetsPrefix; nothing if it is not usable. */
-  virtual std::optional<target_record> DecodeTarget(
-      const kv_entry& entry) const = 0;
+  /** Decodes an entry of TargetsPrefix. Any program may have written it; one
+      that names no target to use gives the reason. */
+  virtual result<target_record> DecodeTarget(const kv_entry& entry) const = 0;
 
   /** Paths of the readiness check and of the directory of daemon addresses. */
   virtual std::string ReadinessPath() const = 0;
--- a/source/gentian_gateway_daemon/message_time.cc
+++ b/source/gentian_gateway_daemon/message_time.cc
@@ -7,8 +7,10 @@
 milliseconds ReadMilliseconds(const json& message,
                               const char* name,
                               milliseconds most) {
-  return std::clamp(milliseconds(message.at(name).get<milliseconds::rep>()),
-                    milliseconds(0), most);
+  // Clamped before it is converted: a whole number can't hold each double.
+  const double value = message.at(name).get<double>();
+  return milliseconds(static_cast<milliseconds::rep>(
+      std::clamp(value, 0.0, static_cast<double>(most.count()))));
 }
 
 milliseconds UnixTimeNow() {
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -128,9 +128,9 @@
   listing& subject = listings_[index];
   RecordReachability(subject, answer);
   duration delay = RetryDelay(subject.failures);
-  if (answer.outcome == kv_answer::status::ok) {
+  const bool is_read = answer.outcome == kv_answer::status::ok;
+  if (is_read) {
     subject.failures = 0;
-    ApplyAnswer(index, answer, asked_at);
     delay = std::max<duration>(kMinRetryDelay,
                                subject.interval - (BootTimeNow() - asked_at));
   } else {
@@ -140,7 +140,11 @@
   if (!state_.relays.IsReader()) {
     delay = std::max<duration>(delay, kMinDirectInterval);
   }
+  // The polling goes on even if an exception ends the handling of this answer.
   pool_.After(delay, [this, index] { Poll(index); });
+  if (is_read) {
+    ApplyAnswer(index, answer, asked_at);
+  }
 }
 
 void state_reader::ApplyAnswer(std::size_t index,
@@ -253,13 +257,26 @@
 void state_reader::ApplyTargets(const std::vector<kv_entry>& entries,
                                 steady_time asked_at) {
   std::vector<target_record> records;
+  std::map<std::string, std::uint64_t> odd_entries;
   for (const kv_entry& entry : entries) {
-    if (auto record = protocol_.DecodeTarget(entry)) {
-      records.push_back(std::move(*record));
-    } else {
-      state_.counters.Add("target_entry_unreadable");
+    result<target_record> record = protocol_.DecodeTarget(entry);
+    if (!Failed(record)) {
+      records.push_back(std::move(ValueOf(record)));
+      continue;
+    }
+    state_.counters.Add("target_entry_unreadable");
+    odd_entries[entry.key] = entry.version;
+    const auto logged = odd_target_entries_.find(entry.key);
+    if (logged == odd_target_entries_.end() ||
+        logged->second != entry.version) {
+      Log(log_level::warning, "entry of a target left out",
+          {{"key", entry.key},
+           {"entry_version", entry.version},
+           {"reason", ErrorOf(record).message},
+           {"remedy", ErrorOf(record).remedy}});
     }
   }
+  odd_target_entries_ = std::move(odd_entries);
   for (const std::string& id :
        state_.targets.Update(std::move(records), asked_at)) {
     const bool usable = state_.targets.Find(id) != nullptr;
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -109,6 +109,8 @@
   /** The registry has changed since that read began. */
   bool refresh_again_ = false;
   std::uint64_t configuration_version_ = 0;
+  /** Versions of the entries that name no target, by key. */
+  std::map<std::string, std::uint64_t> odd_target_entries_;
   lease_registration registration_;
   state_relay relay_;
 };
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -28,6 +28,18 @@
 constexpr milliseconds kMaxWait{30'000};
 constexpr milliseconds kMaxAge{3'600'000};
 
+// Reads what Publish writes.
+std::optional<double> DecodeRate(const std::string& text) {
+  const result<json> record = ParseBoundedJson(text);
+  if (Failed(record) || !ValueOf(record).is_object()) {
+    return std::nullopt;
+  }
+  const json rate = ValueOf(record).value("rate", json());
+  return rate.is_number() && rate.get<double>() >= 0
+             ? std::optional(rate.get<double>())
+             : std::nullopt;
+}
+
 }  // namespace
 
 target_limit_service::target_limit_service(http_client& peers,
@@ -189,9 +201,8 @@
       continue;
     }
     const std::string target = entry.key.substr(prefix.size());
-    const json record = json::parse(entry.value, nullptr, false);
-    if (!record.is_object() || !record.contains("rate") ||
-        !record["rate"].is_number()) {
+    const std::optional<double> rate = DecodeRate(entry.value);
+    if (!rate) {
       state_.counters.Add("limit_entry_unreadable");
       continue;
     }
@@ -199,7 +210,7 @@
     const std::optional<target_limit> known = state_.targets.Limit(target);
     if (listed_.count(target) == 0) {
       // The record is new; how old the target's statement is isn't known.
-      Learn(target, {record["rate"].get<double>(), BootTimeNow()}, "listing");
+      Learn(target, {rate, BootTimeNow()}, "listing");
     } else if (known && !known->rate && Paces(target)) {
       publisher_.Remove(entry.key, entry.version);
     }
--- a/source/gentian_net/http_message.cc
+++ b/source/gentian_net/http_message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace gentian {
 
@@ -53,21 +54,12 @@
 }
 
 result<json> ParseJsonBody(const std::string& text) {
-  bool too_deep = false;
-  const auto limit_depth = [&](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > kMaxJsonDepth;
-    return !too_deep;
-  };
-  try {
-    json parsed = json::parse(text, limit_depth);
-    if (too_deep) {
-      return Malformed("the body is nested too deeply");
-    }
-    return parsed;
-  } catch (const json::exception&) {
-    // The exception text can quote the body, which may hold a prompt.
-    return Malformed("the body is not valid JSON");
+  result<json> parsed = ParseBoundedJson(
+      text, {std::numeric_limits<std::size_t>::max(), kMaxJsonDepth});
+  if (Failed(parsed)) {
+    return Malformed("the body can't be used: " + ErrorOf(parsed).message);
   }
+  return parsed;
 }
 
 }  // namespace gentian
--- a/source/gentian_turns/turn_store_record.cc
+++ b/source/gentian_turns/turn_store_record.cc
@@ -1,5 +1,7 @@
 #include "gentian_turns/turn_store_record.h"
 
+#include "gentian_core/gentian_core.h"
+
 namespace gentian {
 
 std::string RunningStoreKey(const std::string& host) {
@@ -20,10 +22,11 @@
 }
 
 std::optional<turn_store_record> DecodeTurnStore(const std::string& text) {
-  const json stored = json::parse(text, nullptr, false);
-  if (!stored.is_object()) {
+  const result<json> parsed = ParseBoundedJson(text);
+  if (Failed(parsed) || !ValueOf(parsed).is_object()) {
     return std::nullopt;
   }
+  const json& stored = ValueOf(parsed);
   try {
     return turn_store_record{stored.at("host"), stored.at("failure_domain"),
                              stored.at("address"), stored.at("incarnation"),
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -162,10 +162,10 @@
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
       R"("state":"ready","seq":3,"born":17,"version":"v2"})";
   const auto target = protocol.DecodeTarget({"servers/i-7", good, 1});
-  cr_assert(target.has_value());
-  cr_assert(target->id == "i-7");
-  cr_assert(target->started_at_ms == 17);
-  cr_assert(target->version == "v2");
+  cr_assert(!Failed(target));
+  cr_assert(ValueOf(target).id == "i-7");
+  cr_assert(ValueOf(target).started_at_ms == 17);
+  cr_assert(ValueOf(target).version == "v2");
   for (const char* bad :
        {"", "[]", "{}", "\xff\xfe", R"({"service":1})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
@@ -178,7 +178,8 @@
         R"("state":"ready","seq":3,"version":2})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
         R"("state":"ready","seq":3})"}) {
-    cr_assert(!protocol.DecodeTarget({"servers/i-7", bad, 1}), "%s", bad);
+    cr_assert(Failed(protocol.DecodeTarget({"servers/i-7", bad, 1})), "%s",
+              bad);
   }
 }
 
