Read the targets again before a stream without a record goes on

Change: the list is read by a call that is sent after the request came, and has to name one version only. Calls that come during a read share the next one. If it can't be read in time, the stream is refused and the caller begins anew.

--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -12,6 +12,7 @@
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/history_service.h"
 #include "gentian_gateway_daemon/path_service.h"
+#include "gentian_gateway_daemon/state_reader.h"
 #include "gentian_gateway_daemon/stream_origin_service.h"
 #include "gentian_gateway_daemon/target_limit_service.h"
 #include "gentian_gateway_daemon/turn_service.h"
@@ -31,6 +32,7 @@
   history_service& histories;
   stream_origin_service& origins;
   path_service& paths;
+  state_reader& reader;
   http_client& targets;
 };
 
@@ -144,6 +146,17 @@
   bool ResumesEarlier() const;
   void FindOrigin();
   void OnOrigin(std::optional<stream_origin> origin);
+  /** Finds the origin of a stream without a record, if only one version can
+      have begun it.
+
+      @param is_read  the targets were read after the request had come */
+  void OnTargetsRead(bool is_read);
+  /** The only version that can have begun a stream of the service, as far as
+      the last listing tells. */
+  std::optional<std::string> OnlyVersion() const;
+  /** Longest time to look for the origin of a stream. */
+  milliseconds MaxOriginSearch() const;
+  void ResumeStream();
   /** True if no listed restart contradicts which software began the stream. */
   bool IsOriginCertain() const;
   bool HasTarget() const;
@@ -211,6 +224,8 @@
 
   /** The software that began the stream: nothing else may continue it. */
   std::optional<stream_origin> origin_;
+  /** The targets are read again to find the origin. */
+  bool awaits_targets_ = false;
   std::shared_ptr<stream_origin_service::recording> recording_;
   /** The record of the origin is durable, or can't become so. */
   bool is_origin_settled_ = true;
--- a/source/gentian_gateway_daemon/gateway_call_stream.cc
+++ b/source/gentian_gateway_daemon/gateway_call_stream.cc
@@ -38,7 +38,7 @@
   }
   environment_.origins.Find(
       call_->request_id, {TeamName(), call_->resumed_request},
-      std::min(kMaxOriginSearch, TimeLeft(BootTimeNow()) / kOriginSearchShare),
+      MaxOriginSearch(),
       [me = shared_from_this()](std::optional<stream_origin> origin) {
         if (me->phase_ != phase::ended) {
           me->OnOrigin(std::move(origin));
@@ -46,18 +46,51 @@
       });
 }
 
+milliseconds gateway_call::MaxOriginSearch() const {
+  return std::min(kMaxOriginSearch,
+                  TimeLeft(BootTimeNow()) / kOriginSearchShare);
+}
+
+std::optional<std::string> gateway_call::OnlyVersion() const {
+  return route_->services.size() == 1
+             ? environment_.state.targets.OnlyVersion(service_, BootTimeNow())
+             : std::nullopt;
+}
+
 // Without a record, the stream can still have come from one version alone if
-// there was no other.
+// there was no other. This gateway may have been cut off, or have stood still,
+// while targets of another version joined and began the stream.
 void gateway_call::OnOrigin(std::optional<stream_origin> origin) {
   origin_ = std::move(origin);
+  if (origin_ || !OnlyVersion()) {
+    ResumeStream();
+    return;
+  }
+  awaits_targets_ = true;
+  environment_.reader.ReadTargets(
+      [me = shared_from_this()](bool is_read) { me->OnTargetsRead(is_read); });
+  environment_.pool.After(MaxOriginSearch(), [me = shared_from_this()] {
+    me->OnTargetsRead(false);
+  });
+}
+
+void gateway_call::OnTargetsRead(bool is_read) {
+  if (phase_ == phase::ended || !std::exchange(awaits_targets_, false)) {
+    return;
+  }
   const std::optional<std::string> version =
-      environment_.state.targets.OnlyVersion(service_, BootTimeNow());
-  if (!origin_ && version && route_->services.size() == 1) {
-    environment_.state.counters.Add("stream_origin_only_version");
+      is_read ? OnlyVersion() : std::nullopt;
+  environment_.state.counters.Add(version ? "stream_origin_only_version"
+                                          : "stream_origin_not_certain");
+  if (version) {
     origin_.emplace();
     origin_->service = service_;
     origin_->version = *version;
   }
+  ResumeStream();
+}
+
+void gateway_call::ResumeStream() {
   if (!origin_ || !IsOriginCertain()) {
     Refuse({refusal_reason::stream_origin_unknown, kOriginRetryAfter});
     return;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -77,9 +77,9 @@
             limits_.OnRegistry(entries);
             crashes_.OnRegistry(entries);
           }),
-      environment_{settings_,   protocol, state_,   pool,
-                   allowances_, limits_,  crashes_, turns_,
-                   histories_,  origins_, paths_,   target_client_},
+      environment_{settings_, protocol, state_,        pool,       allowances_,
+                   limits_,   crashes_, turns_,        histories_, origins_,
+                   paths_,    reader_,  target_client_},
       callers_(
           pool,
           [this](std::shared_ptr<http_exchange> exchange) {
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -188,6 +188,33 @@
               });
 }
 
+void state_reader::ReadTargets(std::function<void(bool is_read)> handler) {
+  targets_handlers_.push_back(std::move(handler));
+  if (!reading_targets_) {
+    StartTargetsRead();
+  }
+}
+
+void state_reader::StartTargetsRead() {
+  reading_targets_ = true;
+  const steady_time asked_at = BootTimeNow();
+  store_.Call(kv_list{listings_[kTargetsListing].prefix}, kCallTimeout,
+              [this, asked_at, handlers = std::exchange(targets_handlers_, {})](
+                  const kv_answer& answer) {
+                const bool is_read = answer.outcome == kv_answer::status::ok;
+                if (is_read) {
+                  ApplyAnswer(kTargetsListing, answer, asked_at);
+                }
+                reading_targets_ = false;
+                if (!targets_handlers_.empty()) {
+                  StartTargetsRead();
+                }
+                for (const auto& handler : handlers) {
+                  handler(is_read);
+                }
+              });
+}
+
 bool state_reader::AnswerPeer(const std::shared_ptr<http_exchange>& exchange) {
   if (exchange->request().Path() == kRefreshPath) {
     ReadRegistryNow();
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -53,6 +53,13 @@
       this gateway has changed it. */
   void Refresh();
 
+  /** Reads the targets from the key-value service, however this gateway reads
+      them else. Calls that come during a read share the next one.
+
+      @param handler  receives whether they were read by a call that was sent
+                      after this one */
+  void ReadTargets(std::function<void(bool is_read)> handler);
+
   /** Answers a request of another daemon; false if the path belongs to another
       service. */
   bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
@@ -80,6 +87,7 @@
                    const kv_answer& answer,
                    steady_time asked_at);
   void ReadRegistryNow();
+  void StartTargetsRead();
   void RecordReachability(listing& subject, const kv_answer& answer);
 
   void Apply(std::size_t index);
@@ -108,6 +116,10 @@
   bool refreshing_ = false;
   /** The registry has changed since that read began. */
   bool refresh_again_ = false;
+  /** A read of the targets outside of the polling is in progress. */
+  bool reading_targets_ = false;
+  /** Handlers of the next such read. */
+  std::vector<std::function<void(bool is_read)>> targets_handlers_;
   std::uint64_t configuration_version_ = 0;
   /** Versions of the entries that name no target, by key. */
   std::map<std::string, std::uint64_t> odd_target_entries_;
--- a/tests/platform/stream_version_test.cc
+++ b/tests/platform/stream_version_test.cc
@@ -152,6 +152,52 @@
   }
 }
 
+// Guards against a gateway that knows one version only, because it was cut off
+// or stood still while targets of another one joined: it takes up a stream
+// without a record, which may have begun at those.
+Test(stream_versions,
+     a_stale_list_of_targets_names_no_version,
+     .timeout = 120) {
+  stream_fixture subject;
+  stream_target& first = subject.AddTarget("old", "v1");
+  subject.AwaitUse();
+  // One version has served for longer than callers wait for a stream.
+  cr_assert(WaitFor(
+      [&] {
+        static int number = 0;
+        return subject
+                   .Send(subject.Resume(0, "r" + std::to_string(++number),
+                                        "never-seen", 2))
+                   .status == 200;
+      },
+      milliseconds(20'000)));
+  const answer resumed = subject.Send(subject.Resume(0, "s1", "never-seen", 2));
+  cr_assert(resumed.status == 200 && resumed.is_whole);
+  const int before = first.streams();
+  // The gateway has not read the list since.
+  subject.AddTarget("new", "v2");
+  const answer refused = subject.Send(subject.Resume(0, "s2", "never-seen", 2));
+  cr_assert(refused.status == 503, "%d %s", refused.status,
+            refused.body.c_str());
+  cr_assert(first.streams() == before);
+  // Nor can it say what has joined while it doesn't reach the list.
+  subject.fleet.first.store.Remove("servers/new");
+  cr_assert(WaitFor(
+      [&] {
+        static int number = 0;
+        return subject
+                   .Send(subject.Resume(0, "t" + std::to_string(++number),
+                                        "never-seen", 2))
+                   .status == 200;
+      },
+      milliseconds(20'000)));
+  const int served = first.streams();
+  subject.fleet.first.store.SetUnavailable(true);
+  cr_assert(subject.Send(subject.Resume(0, "s3", "never-seen", 2)).status ==
+            503);
+  cr_assert(first.streams() == served);
+}
+
 // Guards against callers that wait for a record of their stream while no store
 // can take it.
 Test(stream_versions, a_stream_begins_without_stores, .timeout = 60) {
