Break a stream off at an event that goes back

After an event without an identifier the gateway resumed from an earlier one, so that events came twice.

Change: an event whose identifier is not above the last one is not passed on, and its attempt counts as failed. A stream is resumed only if its last event had an identifier.

--- a/source/gentian_gateway/event_splitter.h
+++ b/source/gentian_gateway/event_splitter.h
@@ -29,8 +29,12 @@
       series of events. */
   bool IsOverflowing() const { return buffer_.size() > kMaxEventBytes; }
 
-  /** Discards a partial event before the stream is resumed from another run. */
-  void DiscardPartialEvent() { buffer_.clear(); }
+  /** Discards what came after the last complete event, before the stream is
+      resumed from another run. */
+  void DiscardPartialEvent() {
+    buffer_.clear();
+    is_out_of_order_ = false;
+  }
 
   /** Bytes after the last complete event. */
   const std::string& partial_event() const { return buffer_; }
@@ -38,11 +42,25 @@
   /** Identifier of the last complete event that has one. */
   const std::string& last_id() const { return last_id_; }
 
+  /** Sets the identifier after which the stream goes on. */
+  void SetLastId(const std::string& id) { last_id_ = id; }
+
+  /** True if an event came whose identifier is not above that of the one
+      before. It and what follows it are not returned. */
+  bool IsOutOfOrder() const { return is_out_of_order_; }
+
+  /** True if what follows the last complete event can be asked for: its data
+      came under an identifier. */
+  bool IsResumable() const { return is_resumable_; }
+
  private:
-  void RecordEventId(std::string_view event);
+  /** Records the identifier; false if it is out of order. */
+  bool RecordEventId(std::string_view event);
 
   std::string buffer_;
   std::string last_id_;
+  bool is_out_of_order_ = false;
+  bool is_resumable_ = true;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -50,6 +50,9 @@
     Refuse({refusal_reason::blocked_request, left});
     return;
   }
+  if (ResumesEarlier()) {
+    events_.SetLastId(call_->last_event_id);
+  }
   deadline_ = arrived_ + std::min(call_->time_left.value_or(route_->timeout),
                                   route_->timeout);
   exchange_->SetDisconnectHandler(
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -114,6 +114,7 @@
   bool AcceptAnswer(int status, const http_headers& headers, bool is_first);
   void OnHeader(int status, const http_headers& headers);
   void OnBody(std::string_view bytes);
+  void OnEvents(event_splitter::chunk part);
   void OnUnusableStream(const char* reason);
   void OnEnd();
   void OnStreamEnd();
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -307,9 +307,17 @@
     OnUnusableStream("event_too_long");
     return;
   }
-  if (part.events == 0) {
-    return;
+  if (part.events > 0) {
+    OnEvents(std::move(part));
+  }
+  if (events_.IsOutOfOrder() && phase_ != phase::ended) {
+    // A target that has begun anew, or repeats what was sent.
+    environment_.state.counters.Add("event_out_of_order");
+    OnUnusableStream("event_out_of_order");
   }
+}
+
+void gateway_call::OnEvents(event_splitter::chunk part) {
   if (events_sent_ == 0) {
     first_event_ = BootTimeNow();
   }
@@ -510,7 +518,7 @@
 
 bool gateway_call::MayRetry() const {
   return TimeLeft(BootTimeNow()).count() > 0 && MayRunAgain() &&
-         runs_ < kMaxRuns;
+         runs_ < kMaxRuns && (events_sent_ == 0 || events_.IsResumable());
 }
 
 void gateway_call::RetryAfterPossibleRun(const char* reason,
--- a/tests/gateway/event_splitter_test.cc
+++ b/tests/gateway/event_splitter_test.cc
@@ -51,3 +51,49 @@
   subject.DiscardPartialEvent();
   cr_assert(!subject.IsOverflowing());
 }
+
+// Guards against an event that comes twice, or out of order, because a target
+// repeats it or begins its stream anew.
+Test(event_splitter, notices_events_out_of_order) {
+  const std::string first = "id: 1\ndata: a\n\n";
+  const std::string second = "id: 2\ndata: b\n\n";
+  const std::string third = "id: 10\ndata: c\n\n";
+  event_splitter sound;
+  cr_assert(sound.Feed(first + second + third).events == 3);
+  cr_assert(!sound.IsOutOfOrder());
+  for (const std::string& repeated : {first, second}) {
+    event_splitter subject;
+    const event_splitter::chunk part =
+        subject.Feed(first + second + repeated + third);
+    cr_assert(part.bytes == first + second && part.events == 2);
+    cr_assert(subject.IsOutOfOrder());
+    // The stream goes on at another run.
+    subject.DiscardPartialEvent();
+    cr_assert(subject.Feed(third).bytes == third && !subject.IsOutOfOrder());
+  }
+  event_splitter resumed;
+  resumed.SetLastId("2");
+  cr_assert(resumed.Feed(first).events == 0 && resumed.IsOutOfOrder());
+  event_splitter names;
+  cr_assert(names.Feed("id: b\ndata: x\n\nid: a\ndata: x\n\n").events == 2);
+  names.Feed("id: a\ndata: x\n\n");
+  cr_assert(names.IsOutOfOrder());
+}
+
+// Guards against an event that comes twice because it had no identifier after
+// which its stream could go on.
+Test(event_splitter, tells_whether_a_stream_can_go_on) {
+  event_splitter subject;
+  cr_assert(subject.IsResumable());
+  subject.Feed("id: 1\ndata: a\n\n");
+  cr_assert(subject.IsResumable());
+  subject.Feed(": comment\n\n");
+  cr_assert(subject.IsResumable());
+  for (const char* unnamed : {"data: b\n\n", "id:\ndata: b\n\n"}) {
+    subject.Feed(unnamed);
+    cr_assert(!subject.IsResumable());
+    cr_assert(subject.last_id() == "1");
+  }
+  subject.Feed("id: 3\ndata: c\n\n");
+  cr_assert(subject.IsResumable());
+}
