Don't take the end of a killed target for the end of its answer

The kernel closes the connections of a killed process in order, and an answer without a length or chunks ends with its connection, so that it looked complete if its target was killed between two events. A plain answer could look complete anywhere in its body.

Change: after an answer that ended with its connection, the gateway connects to the target again before the answer counts as whole. A refused connection means that its process has ended: the answer is broken. Any other failure says nothing and changes nothing. The connection serves the next request.

Result: stream_ends/a_killed_target_does_not_end_a_stream and a_killed_target_does_not_end_an_answer fail without the connection and pass with it. A table of answers that are cut at each byte of their heads, in each framing and by an orderly end or a reset, passed before, too, and stays as a test (an_answer_cut_in_its_head_is_no_answer).

--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -164,6 +164,7 @@
   request.reuse_connection = true;
   request.max_body_bytes =
       route_->kind == route_kind::stream ? kMaxStreamBytes : kMaxAnswerBytes;
+  request.confirm_end = true;
   // A second send would not be counted against the limit.
   request.send_once =
       route_->kind != route_kind::idempotent || target.IsLimited();
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -47,6 +47,9 @@
 constexpr std::size_t kReadSize = 16 * 1024;
 // Answers to other requests on one connection before it counts as broken.
 constexpr int kMaxForeignAnswers = 4;
+// Time to connect to a server that may have ended with its answer. Within a
+// region, a connection or its refusal takes a few milliseconds.
+constexpr milliseconds kConfirmLimit{250};
 // Larger bodies are written without a copy, after the header.
 constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
@@ -373,6 +376,7 @@
       // An answer without a length ends with the connection.
       parser_->put_eof(finish_failure);
       if (!finish_failure && parser_->is_done()) {
+        ends_with_connection_ = true;
         Deliver();
         return;
       }
@@ -422,11 +426,47 @@
     }
     if (is_foreign_) {
       AwaitNextAnswer();
+    } else if (ends_with_connection_ && request_.confirm_end &&
+               request_.tunnel.empty()) {
+      ConfirmEnd();
     } else {
       Complete();
     }
   }
 
+  // The new connection serves the next request.
+  void ConfirmEnd() {
+    keeps_connection_ = false;
+    stream_->Close();
+    auto next = detail::MakeByteStream(
+        asio::ip::tcp::socket(stream_->executor()), nullptr);
+    silence_timer_->expires_after(kConfirmLimit);
+    silence_timer_->async_wait([next](error_code failure) {
+      if (!failure) {
+        next->Close();
+      }
+    });
+    next->Connect(*endpoint_,
+                  [me = this->shared_from_this(), next](error_code failure) {
+                    me->OnEndConfirmed(next, failure);
+                  });
+  }
+
+  // A server that can't be reached may go on; only a refusal shows its end.
+  void OnEndConfirmed(const std::shared_ptr<byte_stream>& next,
+                      error_code failure) {
+    if (ended_) {
+      next->Close();
+    } else if (failure == asio::error::connection_refused) {
+      Fail(http_failure::broken, "the server ended with its answer");
+    } else {
+      if (!failure && request_.reuse_connection && !owner_->tls) {
+        owner_->cache.Put(CacheKey(), next);
+      }
+      Complete();
+    }
+  }
+
   void AwaitNextAnswer() {
     if (++foreign_answers_ > kMaxForeignAnswers) {
       Fail(http_failure::broken, "answers to other requests came");
@@ -513,6 +553,7 @@
   bool sent_ = false;
   bool written_ = false;
   bool keeps_connection_ = true;
+  bool ends_with_connection_ = false;
   bool header_read_ = false;
   /** The answer that is being read belongs to another request. */
   bool is_foreign_ = false;
--- a/tests/platform/stream_end_test.cc
+++ b/tests/platform/stream_end_test.cc
@@ -79,8 +79,9 @@
 
   /** @param last_event  of the stream that is resumed; empty if none is */
   answer Send(const std::string& id,
-              const std::string& last_event = {}) {
-    http_client_request request = gateway.Request("/turn/x");
+              const std::string& last_event = {},
+              const std::string& path = "/turn/x") {
+    http_client_request request = gateway.Request(path);
     request.headers = http_headers();
     request.headers.Add("Host", "h");
     request.headers.Add("Request-Id", id);
@@ -264,3 +265,96 @@
   cr_assert(!got.is_whole && got.body == "data: a\n\n", "%s", got.body.c_str());
   cr_assert(sends == 1);
 }
+
+// Guards against an answer whose head breaks off and that reaches the caller as
+// a whole one with an empty or short body: cut at each byte, in each framing,
+// with an orderly end and with a reset.
+Test(stream_ends, an_answer_cut_in_its_head_is_no_answer, .timeout = 300) {
+  const std::string body = "answer";
+  const std::vector<std::string> framings = {
+      "Content-Length: 6\r\n\r\n" + body,
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n",
+      "Connection: close\r\n\r\n" + body};
+  const auto whole = [](const std::string& request, const std::string& rest) {
+    return Head(request, "200", true, "text/plain") + rest;
+  };
+  for (const ending end : {ending::close, ending::reset}) {
+    for (const std::string& rest : framings) {
+      std::atomic<std::size_t> cut{0};
+      stream_ends subject([&](const std::string& request, int) {
+        if (stream_ends::IsWarm(request)) {
+          return Stream(request, kEvents, framing::length);
+        }
+        const std::string text = whole(request, rest);
+        return step{text.substr(0, cut), end};
+      });
+      const std::string sample = whole("\r\nRequest-Id: c000\r\n", rest);
+      const std::size_t head = sample.find("\r\n\r\n") + 4;
+      const bool has_end = rest.find("close") == std::string::npos;
+      const std::size_t last = has_end ? sample.size() - 1 : head - 1;
+      // Resets are sent after a delay each.
+      const std::size_t stride = end == ending::reset ? 5 : 1;
+      for (std::size_t size = 0; size <= last; size += stride) {
+        cut = size;
+        std::string id = std::to_string(size);
+        id = "c" + std::string(3 - id.size(), '0') + id;
+        const answer got = subject.Send(id, "", "/once/" + id);
+        cr_assert(got.status != 200 || !got.is_whole, "cut %zu: %d '%s'", size,
+                  got.status, got.body.c_str());
+        // The target has not ended because of the request.
+        cr_assert(subject.Send("warm-" + id).status == 200);
+      }
+      cut = sample.size();
+      const answer got = subject.Send("cend", "", "/once/cend");
+      const bool is_reset = end == ending::reset && !has_end;
+      cr_assert((got.status == 200 && got.body == body) != is_reset);
+    }
+  }
+}
+
+// Guards against a stream that ends early and looks complete: its answer has no
+// length, and its target is killed between two events, which closes the
+// connection in order.
+Test(stream_ends, a_killed_target_does_not_end_a_stream, .timeout = 60) {
+  std::atomic<bool> kills{false};
+  const auto answers = [&](const std::string& request, int) {
+    if (stream_ends::IsWarm(request)) {
+      return Stream(request, kEvents, framing::length);
+    }
+    if (scripted_target::FieldOf(request, "Last-Event-Id") == "1") {
+      return Stream(request, kRest, framing::connection);
+    }
+    return step{Head(request) + "\r\nid: 1\ndata: a\n\n",
+                kills ? ending::killed : ending::close};
+  };
+  stream_ends subject(answers);
+  const answer sound = subject.Send("r0");
+  cr_assert(sound.is_whole && sound.body == "id: 1\ndata: a\n\n");
+  scripted_target second(answers);
+  subject.gateway.RegisterTarget("second", second.address(), "v1");
+  cr_assert(WaitFor([&] {
+    static int number = 0;
+    return subject.Send("warm-" + std::to_string(++number) + "b").is_whole &&
+           second.requests() > 0;
+  }));
+  kills = true;
+  const answer got = subject.Send("r1");
+  cr_assert(got.is_whole && got.body == kEvents, "%s", got.body.c_str());
+  second.Stop();
+}
+
+// Guards against the same for an answer that is no stream.
+Test(stream_ends, a_killed_target_does_not_end_an_answer, .timeout = 60) {
+  std::atomic<bool> kills{false};
+  stream_ends subject([&](const std::string& request, int) {
+    if (stream_ends::IsWarm(request)) {
+      return Stream(request, kEvents, framing::length);
+    }
+    return step{Head(request, "200", true, "text/plain") + "\r\npart",
+                kills ? ending::killed : ending::close};
+  });
+  const answer sound = subject.Send("r0", "", "/once/x");
+  cr_assert(sound.status == 200 && sound.body == "part");
+  kills = true;
+  cr_assert(subject.Send("r1", "", "/once/x").status == 502);
+}
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <mutex>
 #include <stdexcept>
@@ -22,7 +23,14 @@
 class scripted_target {
  public:
   /** How a connection ends after the bytes. */
-  enum class ending { keep_open, close, reset };
+  enum class ending {
+    keep_open,
+    close,
+    reset,
+    /** Takes no connections any more and closes in order, as the kernel does
+        for a process that is killed. */
+    killed,
+  };
   struct step {
     std::string bytes;
     ending end = ending::keep_open;
@@ -55,6 +63,8 @@
 
   const std::string& address() const { return address_; }
 
+  int requests() const { return requests_; }
+
   /** Closes all connections and takes no more. */
   void Stop() {
     if (!accepting_.joinable()) {
@@ -123,10 +133,14 @@
         }
         input.append(space.data(), static_cast<std::size_t>(count));
       }
+      ++requests_;
       const step next = answers_(input.substr(0, end + 2), number);
       input.erase(0, end + 4 + body);
       ::send(peer, next.bytes.data(), next.bytes.size(), MSG_NOSIGNAL);
-      if (next.end == ending::close) {
+      if (next.end == ending::close || next.end == ending::killed) {
+        if (next.end == ending::killed) {
+          ::shutdown(socket_, SHUT_RDWR);
+        }
         ::shutdown(peer, SHUT_RDWR);
         return;
       }
@@ -151,6 +165,7 @@
   int socket_;
   std::string address_;
   std::thread accepting_;
+  std::atomic<int> requests_{0};
   std::mutex mutex_;
   std::vector<int> peers_;
   std::vector<std::thread> threads_;
