Add a fault soak of real processes

Nothing here ran gateways and turn stores as processes with faults that overlap.

Change: gentian_soak runs them under load of callers that keep connections and resume streams, with targets of several software versions behind links that can be cut. By a seed it kills, freezes, stops, cuts, crashes targets, damages answers and replaces software, and it can replace the product's own build host by host. A judge holds what callers got against what targets wrote: order, versions and ends of streams, requests that ran twice or ran and were reported as not run, answers to other requests, bytes without one.

--- /dev/null
+++ b/tests/soak/disturbances.cc
@@ -0,0 +1,306 @@
+#include "disturbances.h"
+
+#include <csignal>
+#include <utility>
+
+namespace gentian::soak {
+
+namespace {
+
+constexpr milliseconds kFirst{500};
+constexpr milliseconds kMinGap{150};
+constexpr milliseconds kMaxGap{1'500};
+constexpr milliseconds kStopLimit{9'000};
+constexpr milliseconds kPollInterval{50};
+constexpr milliseconds kReplaceGap{400};
+
+}  // namespace
+
+const std::vector<disturbances::kind>& disturbances::Table() {
+  static const std::vector<kind> table = {
+      {"kill_gateway", &disturbances::KillGateway, 14},
+      {"kill_most_gateways", &disturbances::KillMostGateways, 4},
+      {"freeze_gateway", &disturbances::FreezeGateway, 10},
+      {"stop_gateway", &disturbances::StopGateway, 10},
+      {"cut_targets", &disturbances::CutTargets, 10},
+      {"hold_targets", &disturbances::HoldTargets, 6},
+      {"reset_targets", &disturbances::ResetTargets, 8},
+      {"cut_store", &disturbances::CutStore, 8},
+      {"kill_turn_store", &disturbances::KillTurnStore, 6},
+      {"crash_engines", &disturbances::CrashEngines, 8},
+      {"pause_engine", &disturbances::PauseEngine, 4},
+      {"damage_answers", &disturbances::DamageAnswers, 6},
+      {"release", &disturbances::Release, 6}};
+  return table;
+}
+
+std::vector<std::string> disturbances::Kinds() {
+  std::vector<std::string> names;
+  for (const kind& next : Table()) {
+    names.emplace_back(next.name);
+  }
+  return names;
+}
+
+disturbances::disturbances(deployment& subject,
+                           std::uint64_t seed,
+                           std::string binary,
+                           std::function<void(const std::string&)> log)
+    : subject_(subject),
+      random_(seed),
+      binary_(std::move(binary)),
+      log_(std::move(log)),
+      started_at_(BootTimeNow()) {}
+
+void disturbances::Plan(milliseconds length,
+                        const std::set<std::string>& kinds) {
+  std::vector<const kind*> chosen;
+  for (const kind& next : Table()) {
+    if (kinds.empty() || kinds.count(next.name) > 0) {
+      chosen.insert(chosen.end(), next.weight, &next);
+    }
+  }
+  if (chosen.empty()) {
+    return;
+  }
+  for (milliseconds at = kFirst; at < length; at += Length(kMinGap, kMaxGap)) {
+    const kind* next = chosen[random_.Below(chosen.size())];
+    After(at, next->name, [this, next] { (this->*next->begin)(); });
+  }
+}
+
+void disturbances::PlanUpgrade(milliseconds start, const std::string& binary) {
+  After(start, "upgrade", [this, binary] {
+    binary_ = binary;
+    for (const auto& store : subject_.stores()) {
+      upgrades_.push_back(store.get());
+    }
+    for (const auto& gateway : subject_.gateways()) {
+      upgrades_.push_back(gateway.get());
+    }
+    UpgradeNext();
+  });
+}
+
+void disturbances::UpgradeNext() {
+  if (upgrades_.empty()) {
+    log_("all hosts run the other build");
+    return;
+  }
+  product_process& host = *upgrades_.back();
+  upgrades_.pop_back();
+  StopAndStart(host,
+               [this] { After(kReplaceGap, "", [this] { UpgradeNext(); }); });
+}
+
+void disturbances::After(milliseconds delay,
+                         std::string what,
+                         std::function<void()> run) {
+  due_.emplace(BootTimeNow() + delay, action{std::move(what), std::move(run)});
+}
+
+void disturbances::Tick() {
+  while (!due_.empty() && due_.begin()->first <= BootTimeNow()) {
+    const action next = std::move(due_.begin()->second);
+    due_.erase(due_.begin());
+    if (!next.what.empty()) {
+      log_(next.what);
+    }
+    next.run();
+  }
+}
+
+void disturbances::EndAll() {
+  due_.clear();
+  for (std::size_t i = 0; i < subject_.gateways().size(); ++i) {
+    subject_.gateways()[i]->Signal(SIGCONT);
+    subject_.SetTargetLinks(i, &link::Heal);
+    subject_.StoreLink(i).Heal();
+  }
+}
+
+milliseconds disturbances::Length(milliseconds least, milliseconds most) {
+  return least + milliseconds(static_cast<milliseconds::rep>(random_.Below(
+                     static_cast<std::uint64_t>((most - least).count()))));
+}
+
+std::optional<std::size_t> disturbances::TakeGateway() {
+  const std::size_t chosen = random_.Below(subject_.gateways().size());
+  return busy_gateways_.insert(chosen).second ? std::optional(chosen)
+                                              : std::nullopt;
+}
+
+void disturbances::Restart(product_process& process) {
+  process.Kill();
+  process.Start(binary_);
+}
+
+void disturbances::RestartWhenEnded(product_process& process,
+                                    steady_time limit,
+                                    std::function<void()> done) {
+  if (process.IsRunning() && BootTimeNow() < limit) {
+    After(kPollInterval, "", [this, &process, limit, done] {
+      RestartWhenEnded(process, limit, done);
+    });
+    return;
+  }
+  if (process.IsRunning()) {
+    log_(process.host() + " did not stop in time");
+  }
+  Restart(process);
+  done();
+}
+
+void disturbances::StopAndStart(product_process& process,
+                                std::function<void()> done) {
+  log_("stop of " + process.host());
+  process.Signal(SIGCONT);
+  process.Signal(SIGTERM);
+  RestartWhenEnded(process, BootTimeNow() + kStopLimit, std::move(done));
+}
+
+void disturbances::KillGateway() {
+  const milliseconds down = Length(milliseconds(200), milliseconds(2'500));
+  if (const auto chosen = TakeGateway()) {
+    subject_.gateways()[*chosen]->Kill();
+    After(down, "start of a killed gateway", [this, chosen] {
+      Restart(*subject_.gateways()[*chosen]);
+      busy_gateways_.erase(*chosen);
+    });
+  }
+}
+
+void disturbances::KillMostGateways() {
+  const milliseconds down = Length(milliseconds(300), milliseconds(1'500));
+  std::vector<std::size_t> killed;
+  for (std::size_t i = 0; i < subject_.gateways().size(); ++i) {
+    if (random_.Below(4) > 0 && busy_gateways_.insert(i).second) {
+      subject_.gateways()[i]->Kill();
+      killed.push_back(i);
+    }
+  }
+  After(down, "start of all killed gateways", [this, killed] {
+    for (const std::size_t i : killed) {
+      Restart(*subject_.gateways()[i]);
+      busy_gateways_.erase(i);
+    }
+  });
+}
+
+void disturbances::FreezeGateway() {
+  const milliseconds length = Length(milliseconds(300), milliseconds(5'000));
+  if (const auto chosen = TakeGateway()) {
+    subject_.gateways()[*chosen]->Signal(SIGSTOP);
+    After(length, "end of a freeze", [this, chosen] {
+      subject_.gateways()[*chosen]->Signal(SIGCONT);
+      busy_gateways_.erase(*chosen);
+    });
+  }
+}
+
+void disturbances::StopGateway() {
+  if (const auto chosen = TakeGateway()) {
+    StopAndStart(*subject_.gateways()[*chosen],
+                 [this, chosen] { busy_gateways_.erase(*chosen); });
+  }
+}
+
+void disturbances::CutTargets() {
+  const milliseconds length = Length(milliseconds(800), milliseconds(6'000));
+  const std::size_t chosen = random_.Below(subject_.gateways().size());
+  subject_.SetTargetLinks(chosen, &link::Cut);
+  After(length, "end of a cut",
+        [this, chosen] { subject_.SetTargetLinks(chosen, &link::Heal); });
+}
+
+void disturbances::HoldTargets() {
+  const milliseconds length = Length(milliseconds(500), milliseconds(4'000));
+  const std::size_t chosen = random_.Below(subject_.gateways().size());
+  subject_.SetTargetLinks(chosen, &link::HoldUp);
+  After(length, "end of a silent cut",
+        [this, chosen] { subject_.SetTargetLinks(chosen, &link::Heal); });
+}
+
+void disturbances::ResetTargets() {
+  subject_.ResetTargetLinks(random_.Below(subject_.gateways().size()));
+}
+
+void disturbances::CutStore() {
+  const milliseconds length = Length(milliseconds(500), milliseconds(4'000));
+  const std::size_t chosen = random_.Below(subject_.gateways().size());
+  if (random_.Below(2) == 0) {
+    subject_.StoreLink(chosen).HoldUp();
+  } else {
+    subject_.StoreLink(chosen).Cut();
+  }
+  After(length, "end of a cut from the store",
+        [this, chosen] { subject_.StoreLink(chosen).Heal(); });
+}
+
+void disturbances::KillTurnStore() {
+  const milliseconds down = Length(milliseconds(300), milliseconds(1'500));
+  const std::size_t chosen = random_.Below(subject_.stores().size());
+  subject_.stores()[chosen]->Kill();
+  After(down, "start of a turn store",
+        [this, chosen] { Restart(*subject_.stores()[chosen]); });
+}
+
+void disturbances::CrashEngines() {
+  const milliseconds down = Length(milliseconds(500), milliseconds(3'000));
+  const std::string service = random_.Below(4) == 0 ? "services" : "models";
+  const std::vector<engine*> running = subject_.Engines(service);
+  constexpr std::size_t kLeft = 2;
+  if (running.size() <= kLeft) {
+    return;
+  }
+  engine* chosen = running[random_.Below(running.size())];
+  const std::string version = chosen->version();
+  subject_.CrashEngine(*chosen);
+  After(down, "start of an engine",
+        [this, service, version] { subject_.StartEngine(service, version); });
+}
+
+void disturbances::PauseEngine() {
+  const milliseconds length = Length(milliseconds(200), milliseconds(1'200));
+  const std::vector<engine*> running = subject_.Engines("models");
+  running[random_.Below(running.size())]->Pause(length);
+}
+
+void disturbances::DamageAnswers() {
+  const milliseconds length = Length(milliseconds(500), milliseconds(3'000));
+  constexpr double kShare = 0.15;
+  for (const char* service : {"models", "services"}) {
+    for (engine* next : subject_.Engines(service)) {
+      next->SetDamagedShare(kShare);
+    }
+  }
+  After(length, "end of damaged answers", [this] {
+    for (const char* service : {"models", "services"}) {
+      for (engine* next : subject_.Engines(service)) {
+        next->SetDamagedShare(0);
+      }
+    }
+  });
+}
+
+void disturbances::Release() {
+  const std::string version = "v" + std::to_string(++last_version_);
+  milliseconds at{0};
+  for (engine* next : subject_.Engines("models")) {
+    if (random_.Below(2) == 0) {
+      continue;
+    }
+    const std::string id = next->id();
+    After(at, "replacement of " + id, [this, id, version] {
+      for (engine* running : subject_.Engines("models")) {
+        if (running->id() == id) {
+          subject_.StartEngine("models", version);
+          subject_.DrainEngine(*running);
+        }
+      }
+    });
+    at += kReplaceGap;
+  }
+}
+
+}  // namespace gentian::soak
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -15,16 +15,17 @@
 
 namespace gentian::testing {
 
-/** A process of the real binary, with its standard output in a file. Killed
-    when the object ends.
+/** A process of the real binary, or of another one, with its standard output in
+    a file. Killed when the object ends.
 */
 class child_process {
  public:
-  explicit child_process(const std::vector<std::string>& arguments)
+  explicit child_process(const std::vector<std::string>& arguments,
+                         const std::string& binary = GENTIAN_BINARY)
       : output_(std::filesystem::temp_directory_path() /
                 ("gentian_child_" + std::to_string(::getpid()) + "_" +
                  std::to_string(++child_count))) {
-    std::vector<std::string> words{GENTIAN_BINARY};
+    std::vector<std::string> words{binary};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> raw;
     raw.reserve(words.size() + 1);
