Start a write without the default constructor of a nested type

Cause: clang does not take a nested type with member initializers for default constructible inside of its enclosing class, so the linter could not parse the file; g++ does. Change: the write is made first and moved into its place.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -127,10 +127,11 @@
 budget_commands::write budget_ledger::StartWrite(const std::string& program,
                                                  account& entry,
                                                  std::int64_t amount) {
-  entry.write.emplace();
-  entry.write->id = writer_ + "-" + std::to_string(++last_write_);
-  entry.write->expected_version = entry.version;
-  entry.write->amount = amount;
+  claim_write started;
+  started.id = writer_ + "-" + std::to_string(++last_write_);
+  started.expected_version = entry.version;
+  started.amount = amount;
+  entry.write = std::move(started);
   return SendWrite(program, entry);
 }
 
