--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -95,6 +95,7 @@
         ->caller_address();
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(options.callers));
   for (int i = 0; i < options.callers; ++i) {
     threads.emplace_back([&, i] {
       constexpr std::uint64_t kSeeds = 1'000;
