Free the read of the targets before its answer is applied

Cause: an exception while the targets are applied would leave the read marked as in progress, and streams without a record would be refused from then on.

--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -201,11 +201,12 @@
   store_.Call(kv_list{listings_[kTargetsListing].prefix}, kCallTimeout,
               [this, asked_at, handlers = std::exchange(targets_handlers_, {})](
                   const kv_answer& answer) {
+                // Before the answer is applied, which may throw an exception.
+                reading_targets_ = false;
                 const bool is_read = answer.outcome == kv_answer::status::ok;
                 if (is_read) {
                   ApplyAnswer(kTargetsListing, answer, asked_at);
                 }
-                reading_targets_ = false;
                 if (!targets_handlers_.empty()) {
                   StartTargetsRead();
                 }
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -53,8 +53,9 @@
       this gateway has changed it. */
   void Refresh();
 
-  /** Reads the targets from the key-value service, however this gateway reads
-      them else. Calls that come during a read share the next one.
+  /** Reads the targets from the key-value service, also if this gateway learns
+      them from others otherwise. Calls that come during a read share the next
+      one.
 
       @param handler  receives whether they were read by a call that was sent
                       after this one */
