Answer requests that meet the end of their connection

What callers saw: a reset or an end in place of an answer, for a request that was sent just before its idle connection was closed, at a stop or at the end of the idle time, or after an answer that did not say that the connection would close.

Cause: an idle connection was closed without a look at what waits in the kernel, and the handler of its timer may run before that of a read that has ended. After CloseAfterAnswers, a connection was closed whose caller had been told nothing.

Change: a connection is idle after 20 ms without input and closes in order; one that was not told serves one more request. For planned stops: busy_connections, EndReceiving, and refusals of requests in part that are made by the server's owner, so that they can name the request.

--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -27,6 +27,11 @@
 constexpr std::chrono::seconds kCommentInterval{1};
 // Time for a caller to read an error while it is still sending its request.
 constexpr std::chrono::seconds kLinger{2};
+// Time for a request to arrive that crosses the end of an idle connection: its
+// caller then reads an end instead of a reset.
+constexpr milliseconds kIdleLinger{200};
+// Time without input before an idle connection is closed.
+constexpr milliseconds kQuietTime{20};
 constexpr milliseconds kNoMemoryRetryAfter{1'000};
 
 error NoMemory() {
@@ -41,6 +46,18 @@
                "send at most " + std::to_string(limit) + " bytes"};
 }
 
+// The request without its body.
+http_request HeaderOf(const http::request<http::string_body>& message) {
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
+  }
+  return request;
+}
+
 class connection : public http_connection,
                    public std::enable_shared_from_this<connection> {
  public:
@@ -83,8 +100,24 @@
   void Drain() override {
     Post([](connection& self) {
       self.draining_ = true;
-      if (!self.answering_ && self.input_.empty()) {
-        self.Close();
+      if (self.IsIdle()) {
+        self.CloseIfQuiet();
+      }
+    });
+  }
+
+  // An answer names its request, which is known once the header has come.
+  // Without an answer, a caller knows that its request was not read.
+  void EndReceiving(const error& reason) override {
+    Post([reason](connection& self) {
+      self.draining_ = true;
+      if (self.answering_ || self.discarding_ || self.closed_) {
+        return;
+      }
+      if (self.parser_ && self.parser_->is_header_done()) {
+        self.RefuseRequest(reason);
+      } else {
+        self.CloseInOrder(kLinger);
       }
     });
   }
@@ -166,6 +199,7 @@
       return;
     }
     closed_ = true;
+    UpdateBusy();
     input_memory_->Resize(0);
     output_memory_->Resize(0);
     receive_timer_.cancel();
@@ -186,6 +220,50 @@
  private:
   using request_parser = http::request_parser<http::string_body>;
 
+  bool IsIdle() const {
+    return !answering_ && !discarding_ && !closed_ && !parser_ &&
+           input_.empty();
+  }
+
+  // A request may have come that is not read yet, or whose read has not been
+  // handled: after a suspension of the process, or as the caller sends it now.
+  void CloseIfQuiet() {
+    is_closing_if_quiet_ = true;
+    ArmReceiveTimer(kQuietTime);
+  }
+
+  void OnReceiveTimeout() {
+    if (!IsIdle()) {
+      Close();
+    } else if (!is_closing_if_quiet_) {
+      CloseIfQuiet();
+    } else if (stream_->HasInput()) {
+      ArmReceiveTimer(limits().header_deadline);
+    } else {
+      CloseInOrder(kIdleLinger);
+    }
+  }
+
+  // The caller reads the end; what it still sends has no reader.
+  void CloseInOrder(milliseconds linger) {
+    discarding_ = true;
+    stream_->ShutdownSend();
+    ArmReceiveTimer(linger);
+    Read();
+  }
+
+  void UpdateBusy() {
+    const bool is_busy = !closed_ && answering_;
+    if (is_busy != is_busy_) {
+      is_busy_ = is_busy;
+      if (is_busy) {
+        ++environment_->busy;
+      } else {
+        --environment_->busy;
+      }
+    }
+  }
+
   bool IsClosing() const { return draining_ || environment_->closing; }
 
   const http_server_limits& limits() const { return *limits_; }
@@ -208,7 +286,7 @@
         [me = shared_from_this(), serial](error_code failure) {
           // A wait that was replaced may already have ended.
           if (!failure && serial == me->receive_timer_serial_) {
-            me->Close();
+            me->OnReceiveTimeout();
           }
         });
   }
@@ -262,6 +340,7 @@
       parser_->body_limit(limits().max_body_bytes);
       sent_continue_ = false;
       header_done_ = false;
+      is_closing_if_quiet_ = false;
       ArmReceiveTimer(limits().header_deadline);
     }
     error_code failure;
@@ -321,6 +400,10 @@
 
   // Answers a request that has not been read to its end.
   void RefuseRequest(const error& reason) {
+    http_request begin;
+    if (parser_ && parser_->is_header_done()) {
+      begin = HeaderOf(parser_->get());
+    }
     parser_.reset();
     input_ = std::string();
     input_memory_->Resize(0);
@@ -328,7 +411,8 @@
     answering_ = true;
     answer_ended_ = false;
     ++serial_;
-    SendWhole(ErrorResponse(reason));
+    UpdateBusy();
+    SendWhole(environment_->make_refusal(begin, reason));
   }
 
   void BeginExchange();
@@ -341,15 +425,15 @@
       input_.shrink_to_fit();
     }
     on_disconnect_ = nullptr;
-    if (!keep_alive_ || IsClosing()) {
-      discarding_ = true;
-      stream_->ShutdownSend();
-      ArmReceiveTimer(kLinger);
-      Read();
+    UpdateBusy();
+    if (has_announced_close_) {
+      CloseInOrder(kLinger);
       return;
     }
     TakeLimits();
-    ArmReceiveTimer(limits().idle_deadline);
+    // A caller that was not told may have sent the next request.
+    is_closing_if_quiet_ = draining_;
+    ArmReceiveTimer(draining_ ? kQuietTime : limits().idle_deadline);
     Parse();
   }
 
@@ -358,7 +442,8 @@
     for (const auto& [name, value] : headers.fields()) {
       message.insert(name, value);
     }
-    message.keep_alive(keep_alive_ && !IsClosing());
+    has_announced_close_ = !keep_alive_ || IsClosing();
+    message.keep_alive(!has_announced_close_);
   }
 
   void ArmCommentTimer() {
@@ -449,6 +534,11 @@
   bool answering_ = false;
   bool answer_ended_ = false;
   bool keep_alive_ = true;
+  /** The header of the answer says that the connection closes. */
+  bool has_announced_close_ = false;
+  /** It is idle, and closes unless input comes soon. */
+  bool is_closing_if_quiet_ = false;
+  bool is_busy_ = false;
   bool draining_ = false;
   bool discarding_ = false;
   bool closed_ = false;
@@ -524,15 +614,9 @@
 
 void connection::BeginExchange() {
   receive_timer_.cancel();
-  http_request request;
   auto message = parser_->release();
   parser_.reset();
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.Add(std::string(field.name_string()),
-                        std::string(field.value()));
-  }
+  http_request request = HeaderOf(message);
   request.body = std::move(message.body());
   keep_alive_ = message.keep_alive();
   request_bytes_ = request.body.size();
@@ -541,6 +625,7 @@
   answering_ = true;
   answer_ended_ = false;
   ++serial_;
+  UpdateBusy();
   auto exchange = std::make_shared<connection_exchange>(
       shared_from_this(), serial_, std::move(request));
   Read();
--- a/source/gentian_net/http_connection.h
+++ b/source/gentian_net/http_connection.h
@@ -20,6 +20,9 @@
   virtual void Start() = 0;
   /** Ends the connection after the answer that is in progress. */
   virtual void Drain() = 0;
+  /** Answers a request whose header has come with an error; ends a connection
+      without one. */
+  virtual void EndReceiving(const error& reason) = 0;
   /** Ends the connection at once. */
   virtual void Stop() = 0;
 };
@@ -29,11 +32,17 @@
   explicit connection_environment(memory_budget& budget) : memory(budget) {}
 
   http_server::handler on_request;
+  http_server::refusal_maker make_refusal = [](const http_request&,
+                                               const error& reason) {
+    return ErrorResponse(reason);
+  };
   memory_budget& memory;
   /** Replaced as a whole; read through std::atomic_load. */
   std::shared_ptr<const http_server_limits> limits;
   /** Set once the server wants its callers to connect elsewhere. */
   std::atomic<bool> closing{false};
+  /** Connections on which a request is answered. */
+  mutable std::atomic<std::size_t> busy{0};
 };
 
 /** @param on_closed  runs once, when the connection has ended */
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -120,6 +120,10 @@
                     std::make_shared<const http_server_limits>(limits));
 }
 
+void http_server::SetRefusalMaker(refusal_maker make) {
+  state_->environment->make_refusal = std::move(make);
+}
+
 result<success> http_server::Bind(const std::string& address) {
   return BindAcceptor(state_->acceptor, address);
 }
@@ -159,6 +163,16 @@
   }
 }
 
+std::size_t http_server::busy_connections() const {
+  return state_->environment->busy;
+}
+
+void http_server::EndReceiving(const error& reason) {
+  for (const auto& [id, connection] : state_->CloseAcceptor()) {
+    connection->EndReceiving(reason);
+  }
+}
+
 void http_server::Stop() {
   for (const auto& [id, connection] : state_->CloseAcceptor()) {
     connection->Stop();
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -70,6 +70,10 @@
 class http_server {
  public:
   using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+  /** Makes the answer to a request that is refused before it was received as a
+      whole. Its header is empty if that has not come. */
+  using refusal_maker =
+      std::function<http_response(const http_request& begin, const error&)>;
 
   /** @param tls  nothing for plain HTTP
       @param on_request  runs on I/O threads
@@ -88,6 +92,10 @@
   */
   void SetLimits(const http_server_limits& limits);
 
+  /** Replaces ErrorResponse for refused requests. Precondition: the server does
+      not listen yet. */
+  void SetRefusalMaker(refusal_maker make);
+
   /** Binds to `ip:port`; port 0 picks a free one. Connections wait until
       Serve is called.
   */
@@ -115,6 +123,14 @@
   */
   void StopAccepting();
 
+  /** Connections on which a request is answered, or its answer is still being
+      written. */
+  std::size_t busy_connections() const;
+
+  /** Answers requests whose header has come, but not their body, with an error,
+      and closes the other connections on which nothing is answered. */
+  void EndReceiving(const error& reason);
+
   /** Closes everything at once. */
   void Stop();
 
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -248,6 +248,72 @@
   cr_assert(!outcome.get().failure);
 }
 
+// Guards against a request that gets a reset in place of an answer because it
+// waits in the kernel when its idle connection is closed.
+Test(http, a_request_that_meets_a_stop_is_answered, .timeout = 30) {
+  io_pool pool(1);
+  http_server server(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond({200, http_headers(), "whole"});
+  });
+  cr_assert(!Failed(server.Listen(kAnyPort)));
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const raw_connection caller(server.address());
+  caller.Write(request);
+  cr_assert(caller.Read(milliseconds(5'000)).rfind("HTTP/1.1 200", 0) == 0);
+  std::atomic<bool> is_held{false};
+  std::atomic<bool> has_stopped{false};
+  pool.After(milliseconds(0), [&] {
+    is_held = true;
+    cr_assert(WaitFor([&has_stopped] { return has_stopped.load(); }));
+  });
+  cr_assert(WaitFor([&is_held] { return is_held.load(); }));
+  caller.Write(request);
+  server.StopAccepting();
+  has_stopped = true;
+  cr_assert(caller.Read(milliseconds(5'000)).rfind("HTTP/1.1 200", 0) == 0);
+  server.Stop();
+  pool.Stop();
+}
+
+// Guards against a connection that is closed after an answer whose header did
+// not say so: the caller has sent its next request.
+Test(http, a_caller_that_was_not_told_is_answered, .timeout = 30) {
+  server_fixture fixture;
+  const raw_connection caller(fixture.server.address());
+  caller.Write("GET /quiet HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(WaitFor([&] { return fixture.quiet != nullptr; }));
+  std::string answer = caller.Read(milliseconds(5'000));
+  cr_assert(answer.find("Connection: close") == std::string::npos);
+  fixture.server.CloseAfterAnswers();
+  fixture.quiet->EndStream();
+  while (answer.find("0\r\n\r\n") == std::string::npos) {
+    const std::string more = caller.Read(milliseconds(5'000));
+    cr_assert(!more.empty());
+    answer += more;
+  }
+  caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer = caller.Read(milliseconds(5'000));
+  cr_assert(answer.rfind("HTTP/1.1 200", 0) == 0);
+  cr_assert(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a stop that leaves a caller without an answer: its request has
+// come in part, or its answer is not written yet.
+Test(http, connections_are_busy_until_their_answer_is_written, .timeout = 30) {
+  server_fixture fixture;
+  const raw_connection sending(fixture.server.address());
+  sending.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1");
+  const raw_connection waiting(fixture.server.address());
+  waiting.Write("GET /quiet HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(WaitFor([&] { return fixture.quiet != nullptr; }));
+  cr_assert(fixture.server.busy_connections() == 1);
+  fixture.server.EndReceiving(
+      error{error_kind::draining, "stopping", "go elsewhere"});
+  cr_assert(sending.Read(milliseconds(5'000)).rfind("HTTP/1.1 503", 0) == 0);
+  fixture.quiet->EndStream();
+  cr_assert(WaitFor([&] { return fixture.server.busy_connections() == 0; }));
+}
+
 // Guards against a parser that depends on where the network cuts the bytes.
 Test(event_stream, events_are_found_at_every_cut) {
   const std::string text =
