Ask for the time left of a planned stop before a request is sent

What callers saw: requests that came late in the grace of a planned stop were passed on and cut off without an answer when the process ended, among them ones that may run once only (LOST).

Cause: only the end of the process knew its deadline; a request was taken, queued, sent and sent again until then, and what was open was dropped.

Change: planned_stop is asked when a request comes and before each send. What can't be expected to end in time is refused at once with 503 (`stopping`). At the end, what is at work gets 502 and a request whose header has come 503. The listener closes after a third of a short grace. The soak judges connections that end without an answer, and has callers whose requests come late.

--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -20,6 +20,7 @@
 #include "gentian_gateway/member_record.h"
 #include "gentian_gateway/owner_of.h"
 #include "gentian_gateway/path_monitor.h"
+#include "gentian_gateway/planned_stop.h"
 #include "gentian_gateway/recent_answers.h"
 #include "gentian_gateway/relay_tree.h"
 #include "gentian_gateway/request_fingerprint.h"
--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -66,7 +66,7 @@
   return OwnerOf("crashes " + request.origin, state_.membership.members(),
                  [this](const member_record& member) {
                    return member.host == settings_.host
-                              ? !state_.stopping
+                              ? !state_.stop.HasBegun()
                               : !peers_.IsAvoided(member.peer_address);
                  });
 }
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -33,6 +33,7 @@
 void gateway_call::Start() {
   arrived_ = BootTimeNow();
   ++environment_.state.open_requests;
+  environment_.open_calls[this] = weak_from_this();
   call_ = environment_.protocol.DecodeCall(exchange_->request());
   if (!call_) {
     Refuse({refusal_reason::malformed, std::nullopt});
@@ -55,6 +56,10 @@
   }
   deadline_ = arrived_ + std::min(call_->time_left.value_or(route_->timeout),
                                   route_->timeout);
+  if (!MayBeSentBeforeStop()) {
+    Refuse({refusal_reason::stopping, kStoppingRetryAfter});
+    return;
+  }
   exchange_->SetDisconnectHandler(
       [me = shared_from_this()] { me->OnDisconnect(); });
   TakeAllowance();
@@ -337,6 +342,23 @@
   Finish("caller_gone");
 }
 
+bool gateway_call::MayBeSentBeforeStop() const {
+  const steady_time now = BootTimeNow();
+  return environment_.state.stop.MaySend(route_->name, TimeLeft(now),
+                                         MayRunAgain(), now);
+}
+
+void gateway_call::EndForStop() {
+  const std::shared_ptr<gateway_call> me = shared_from_this();
+  if (attempt_) {
+    attempt_->Cancel();
+    EndAttempt();
+    RecordPossibleRun("stopping", {});
+  }
+  Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
+                   : refusal{refusal_reason::stopping, kStoppingRetryAfter});
+}
+
 void gateway_call::ReturnAllowance() {
   if (charged_team_) {
     environment_.allowances.Return(*charged_team_, allowance_holder_);
@@ -369,6 +391,7 @@
   gateway_state& state = environment_.state;
   const steady_time now = BootTimeNow();
   --state.open_requests;
+  environment_.open_calls.erase(this);
   EndTurn();
   state.counters.Add("requests_ended." + outcome);
   state.metrics.AddLatency(route_ == nullptr ? "unrouted" : "request",
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_CALL_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,12 @@
 
 namespace gentian {
 
+class gateway_call;
+
+/** Requests that have no whole answer yet. */
+using open_call_set =
+    std::map<const gateway_call*, std::weak_ptr<gateway_call>>;
+
 /** Shared by all requests of a daemon. */
 struct gateway_environment {
   const gateway_settings& settings;
@@ -34,6 +41,7 @@
   path_service& paths;
   state_reader& reader;
   http_client& targets;
+  open_call_set& open_calls;
 };
 
 /** Handles one request of a caller, from its arrival to the end of its
@@ -46,6 +54,9 @@
 
   void Start();
 
+  /** Answers the request because the process ends. */
+  void EndForStop();
+
  private:
   /** The loaded history of the turn that the request continues from. */
   struct continuation {
@@ -83,6 +94,8 @@
   static constexpr const char* kAnswered = "answered";
   // For a service without a usable target; the next poll may find one.
   static constexpr milliseconds kNoTargetRetryAfter{300};
+  // Other gateways take the request.
+  static constexpr milliseconds kStoppingRetryAfter{50};
 
   // Admission.
   std::optional<refusal> Authorize();
@@ -128,6 +141,8 @@
   void OnUnusableAnswer(const char* reason);
   void OnEnd();
   void OnStreamEnd();
+  /** Records how long the target took. */
+  void RecordDuration();
   void FinishStream();
   void SaveTurn();
   void EndAnswer();
@@ -185,6 +200,8 @@
 
   // Ends.
   void OnDisconnect();
+  /** False if the process stops before an answer can be expected. */
+  bool MayBeSentBeforeStop() const;
   void Refuse(refusal answer);
   void ReturnAllowance();
   void EndTurn();
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -50,6 +50,11 @@
          std::nullopt});
     return;
   }
+  if (!MayBeSentBeforeStop()) {
+    Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
+                     : refusal{refusal_reason::stopping, kStoppingRetryAfter});
+    return;
+  }
   // Keys and routes may have changed while the request was queued.
   if (const auto refused = Authorize()) {
     Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
@@ -406,6 +411,7 @@
 
 void gateway_call::OnStreamEnd() {
   ++runs_;
+  RecordDuration();
   if (!held_events_.empty()) {
     ends_after_held_ = true;
     return;
@@ -413,6 +419,11 @@
   FinishStream();
 }
 
+void gateway_call::RecordDuration() {
+  environment_.state.stop.OnAnswered(
+      route_->name, ToMilliseconds(BootTimeNow() - choice_.sent_at));
+}
+
 void gateway_call::FinishStream() {
   if (phase_ != phase::streaming) {
     exchange_->StartChunks(answer_headers_);
@@ -461,6 +472,7 @@
 
 void gateway_call::OnWholeAnswer() {
   ++runs_;
+  RecordDuration();
   environment_.crashes.OnAnswered(fingerprint_);
   http_response response;
   response.status = answer_.status;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -20,8 +20,8 @@
 // listener. Until then it answers new requests and closes their connections.
 constexpr milliseconds kListenerCloseDelay{2'500};
 constexpr milliseconds kStopPollInterval{50};
-// Unfinished requests are abandoned this long before the forced end.
-constexpr milliseconds kStopMargin{500};
+// Of the time until the forced end.
+constexpr int kListenerCloseShare = 3;
 
 // Limits that apply until a configuration is loaded.
 http_server_limits CallerLimits() {
@@ -77,9 +77,9 @@
             limits_.OnRegistry(entries);
             crashes_.OnRegistry(entries);
           }),
-      environment_{settings_, protocol, state_,        pool,       allowances_,
-                   limits_,   crashes_, turns_,        histories_, origins_,
-                   paths_,    reader_,  target_client_},
+      environment_{settings_, protocol, state_,         pool,       allowances_,
+                   limits_,   crashes_, turns_,         histories_, origins_,
+                   paths_,    reader_,  target_client_, open_calls_},
       callers_(
           pool,
           [this](std::shared_ptr<http_exchange> exchange) {
@@ -108,7 +108,38 @@
 
 gateway_daemon::~gateway_daemon() = default;
 
+// Answers a request that has not come as a whole. No call exists for it.
+http_response gateway_daemon::RefuseUnread(const http_request& begin,
+                                           const error& reason) {
+  refusal answer{refusal_reason::malformed, reason.retry_after};
+  switch (reason.kind) {
+    case error_kind::too_large:
+      answer.reason = refusal_reason::too_large;
+      break;
+    case error_kind::overloaded:
+      answer.reason = refusal_reason::no_memory;
+      break;
+    case error_kind::draining:
+      answer.reason = refusal_reason::stopping;
+      break;
+    default:
+      break;
+  }
+  state_.counters.Add(std::string("refused.") + NameOf(answer.reason));
+  const std::optional<caller_call> call = protocol_.DecodeCall(begin);
+  const std::string request_id = call ? call->request_id : std::string();
+  Log(log_level::info, "unfinished request refused",
+      {{"request", request_id},
+       {"outcome", NameOf(answer.reason)},
+       {"detail", reason.message}});
+  return protocol_.Refuse(answer, request_id);
+}
+
 result<success> gateway_daemon::Start() {
+  callers_.SetRefusalMaker(
+      [this](const http_request& begin, const error& reason) {
+        return RefuseUnread(begin, reason);
+      });
   result<success> listening = Listen();
   if (!Failed(listening)) {
     listening = paths_.Start();
@@ -216,16 +247,17 @@
 }
 
 void gateway_daemon::Stop(std::function<void()> on_stopped) {
-  if (state_.stopping) {
+  if (state_.stop.HasBegun()) {
     return;
   }
   Log(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
   on_stopped_ = std::move(on_stopped);
-  state_.stopping = true;
-  stop_by_ = BootTimeNow() + settings_.stop_grace - kStopMargin;
+  state_.stop.Begin(BootTimeNow(), settings_.stop_grace);
   reader_.AnnounceStop();
   callers_.CloseAfterAnswers();
-  pool_.After(kListenerCloseDelay, [this] {
+  const milliseconds delay =
+      std::min(kListenerCloseDelay, settings_.stop_grace / kListenerCloseShare);
+  pool_.After(delay, [this] {
     callers_.StopAccepting();
     paths_.Stop();
     FinishStop();
@@ -233,14 +265,25 @@
 }
 
 void gateway_daemon::FinishStop() {
-  const bool in_progress =
-      state_.open_requests > 0 || paths_.busy_tunnels() > 0;
-  if (in_progress && BootTimeNow() < stop_by_) {
+  const std::size_t busy_connections = callers_.busy_connections();
+  const bool in_progress = busy_connections > 0 || state_.open_requests > 0 ||
+                           paths_.busy_tunnels() > 0;
+  if (in_progress && BootTimeNow() < state_.stop.ends_at()) {
     pool_.After(kStopPollInterval, [this] { FinishStop(); });
     return;
   }
   Log(log_level::info, "stopped",
-      {{"abandoned_requests", state_.open_requests}});
+      {{"ended_requests", open_calls_.size()},
+       {"busy_connections", busy_connections}});
+  // Callers must not be left without an answer.
+  const open_call_set unfinished = open_calls_;
+  for (const auto& [key, unfinished_call] : unfinished) {
+    if (const auto call = unfinished_call.lock()) {
+      call->EndForStop();
+    }
+  }
+  callers_.EndReceiving(error{error_kind::draining, "this host is stopping",
+                              "send the request to another host"});
   turns_.Release();
   reader_.Deregister();
   // Time to send the last response bytes and the deregistration.
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -25,7 +25,9 @@
   /** Starts the listeners and the polling of the key-value service. */
   result<success> Start();
 
-  /** Finishes the requests in progress and takes no new callers.
+  /** Finishes the requests in progress and takes no new callers. What can't be
+      expected to end in the grace time is refused at once; what has not ended
+      then is answered.
 
       @param on_stopped  runs once nothing is in progress, at the latest
                          shortly before the grace time ends */
@@ -37,6 +39,7 @@
   void AnswerReadiness(http_exchange& exchange) const;
   void AnswerDirectory(http_exchange& exchange) const;
   void AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
+  http_response RefuseUnread(const http_request& begin, const error& reason);
   void FinishStop();
 
   io_pool& pool_;
@@ -54,12 +57,12 @@
   stream_origin_service origins_;
   path_service paths_;
   state_reader reader_;
+  open_call_set open_calls_;
   gateway_environment environment_;
   http_server callers_;
   http_server readiness_;
   http_server directory_;
   http_server peers_;
-  steady_time stop_by_;
   std::function<void()> on_stopped_;
 };
 
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -25,7 +25,9 @@
   }
 
   /** True if callers may be sent here. */
-  bool CanServe(steady_time now) const { return !stopping && IsFresh(now); }
+  bool CanServe(steady_time now) const {
+    return !stop.HasBegun() && IsFresh(now);
+  }
 
   configuration_holder configuration;
   target_table targets;
@@ -41,7 +43,7 @@
   std::optional<steady_time> registered_at;
   /** True if the key-value service answered the last call. */
   bool store_reached = false;
-  bool stopping = false;
+  planned_stop stop;
   std::size_t open_requests = 0;
   counter_set counters;
   daemon_metrics metrics;
--- a/source/gentian_gateway_daemon/refusal.cc
+++ b/source/gentian_gateway_daemon/refusal.cc
@@ -13,7 +13,7 @@
 };
 
 // Statuses 429 and 503 promise that the request has not run and never will.
-constexpr std::array<reason_row, 22> kReasons = {{
+constexpr std::array<reason_row, 24> kReasons = {{
     {refusal_reason::malformed, "malformed", 400},
     {refusal_reason::too_large, "too_large", 413},
     {refusal_reason::unknown_key, "unknown_key", 401},
@@ -33,6 +33,8 @@
     {refusal_reason::targets_limited, "targets_limited", 503},
     {refusal_reason::blocked_request, "blocked_request", 503},
     {refusal_reason::too_late, "too_late", 503},
+    {refusal_reason::stopping, "stopping", 503},
+    {refusal_reason::no_memory, "no_memory", 503},
     {refusal_reason::target_timeout, "target_timeout", 504},
     {refusal_reason::target_failed, "target_failed", 502},
     {refusal_reason::turn_not_kept, "turn_not_kept", 502},
--- a/source/gentian_gateway_daemon/refusal.h
+++ b/source/gentian_gateway_daemon/refusal.h
@@ -39,6 +39,10 @@
   blocked_request,
   /** The deadline passed before the request reached a target. */
   too_late,
+  /** The process stops before an answer can be expected. */
+  stopping,
+  /** The request is large, and the process has no memory for it now. */
+  no_memory,
   /** From here on the request may have run. */
   target_timeout,
   target_failed,
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -71,7 +71,7 @@
           [this] {
             return EncodeMember({settings_.host, settings_.failure_domain,
                                  settings_.caller_address,
-                                 settings_.peer_address, state_.stopping,
+                                 settings_.peer_address, state_.stop.HasBegun(),
                                  settings_.tunnel_address});
           },
           state.counters,
@@ -370,7 +370,7 @@
 }
 
 void state_reader::AnnounceStop() {
-  assert(state_.stopping);
+  assert(state_.stop.HasBegun());
   registration_.Update();
 }
 
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -43,7 +43,7 @@
   void Start();
 
   /** Marks this daemon's member record as stopping, so that callers are sent
-      elsewhere. Precondition: `gateway_state::stopping`. */
+      elsewhere. Precondition: `planned_stop::HasBegun`. */
   void AnnounceStop();
 
   /** Removes the registration. */
--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -88,7 +88,7 @@
   }
   const follower waiting{exchange, ValueOf(request), BootTimeNow()};
   // A stopping gateway holds nothing back.
-  if (HasNews(waiting.request) || state_.stopping) {
+  if (HasNews(waiting.request) || state_.stop.HasBegun()) {
     Respond(waiting);
     return true;
   }
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -53,10 +53,11 @@
 
 const member_record* target_limit_service::PacerOf(
     const std::string& target) const {
-  return OwnerOf("limit " + target, state_.membership.members(),
-                 [this](const member_record& member) {
-                   return !(state_.stopping && member.host == settings_.host);
-                 });
+  return OwnerOf(
+      "limit " + target, state_.membership.members(),
+      [this](const member_record& member) {
+        return !(state_.stop.HasBegun() && member.host == settings_.host);
+      });
 }
 
 bool target_limit_service::IsSelf(const member_record* pacer) const {
--- a/source/gentian_log/request_history.cc
+++ b/source/gentian_log/request_history.cc
@@ -27,7 +27,7 @@
   const char* meaning;
 };
 
-constexpr std::array<meaning_row, 24> kMeanings = {{
+constexpr std::array<meaning_row, 26> kMeanings = {{
     {"answered", "The target's response was forwarded to the caller."},
     {"caller_gone",
      "The caller closed its connection before the response was complete."},
@@ -78,12 +78,18 @@
      "Not run. Three targets ended while they ran a request with this "
      "fingerprint; look for `request blocked` at other hosts."},
     {"too_late", "Not run. The caller's deadline passed while it waited."},
+    {"stopping",
+     "Not run. The gateway was stopping, and an answer could not be expected "
+     "in time."},
     {"target_failed",
      "May have run. A target failed before its response was complete; look at "
      "other requests to the same target."},
     {"turn_not_kept",
      "Run, and its events were sent, but too few turn stores confirmed the "
      "turn, so the answer was broken off; look for lost turn stores."},
+    {"no_memory",
+     "Not run. The gateway had no memory for a request of this size; see "
+     "`message given up for want of memory`."},
     {"target_timeout",
      "May have run. No complete response arrived before the caller's "
      "deadline."},
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -32,14 +32,17 @@
 
   /** @param withdrawal_bound  see gateway_settings; gateways read listings
                                from each other when they are a third as old */
-  explicit gateway_fixture(fake_target::request_handler handler,
-                           milliseconds withdrawal_bound = kWithdrawalBound)
+  explicit gateway_fixture(
+      fake_target::request_handler handler,
+      milliseconds withdrawal_bound = kWithdrawalBound,
+      milliseconds stop_grace = gateway_settings().stop_grace)
       : target(pool, std::move(handler)) {
     Configure(R"(["k"])");
     RegisterTarget("i-1", target.address(), "v1");
-    daemon = std::make_unique<gateway_daemon>(
-        daemon_pool, store_client, protocol, Settings(0, withdrawal_bound),
-        "start-1");
+    gateway_settings settings = Settings(0, withdrawal_bound);
+    settings.stop_grace = stop_grace;
+    daemon = std::make_unique<gateway_daemon>(daemon_pool, store_client,
+                                              protocol, settings, "start-1");
     cr_assert(!Failed(daemon->Start()));
     cr_assert(WaitFor(
         [this] { return Status(readiness_address, "/readiness") == 200; }));
--- a/tests/process/gateway_soak_test.cc
+++ b/tests/process/gateway_soak_test.cc
@@ -19,6 +19,17 @@
   cr_assert(status == 0, "status %d, %s", status, soak.Output().c_str());
 }
 
+// Guards against requests that get no answer in a planned stop: those that come
+// late in the grace, whose bodies come slowly, or that wait behind others.
+Test(gateway_soak, stops_leave_no_request_without_an_answer, .timeout = 300) {
+  child_process soak(
+      {"--binary", GENTIAN_BINARY, "--seed", "1", "--seconds", "30",
+       "--gateways", "5", "--callers", "24", "--kind", "stop_gateway"},
+      GENTIAN_SOAK_BINARY);
+  const int status = soak.Wait();
+  cr_assert(status == 0, "status %d, %s", status, soak.Output().c_str());
+}
+
 // Guards against what single tests don't combine: streams with a piece missing
 // or twice, or of two versions, or that end early and look complete; requests
 // that run twice, or run and were reported as not run.
--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -22,6 +22,12 @@
 constexpr int kMaxEvents = 16;
 // Of ten requests, those that may run once only.
 constexpr int kOnceShare = 3;
+// One in so many of these has a body that comes slowly, or long work.
+constexpr std::uint64_t kSlowShare = 8;
+constexpr std::uint64_t kLongShare = 8;
+constexpr milliseconds kMaxDelay{2'000};
+// Within the header.
+constexpr std::size_t kFirstPart = 20;
 constexpr int kOk = 200;
 
 // A request for a stream, from its beginning or after event `last`.
@@ -71,7 +77,12 @@
 void caller::Run(const std::function<bool()>& stop) {
   while (!stop()) {
     if (random_.Below(10) < kOnceShare) {
-      RunOnce();
+      const bool is_slow = random_.Below(kSlowShare) == 0;
+      RunOnce(is_slow
+                  ? milliseconds(static_cast<milliseconds::rep>(random_.Below(
+                        static_cast<std::uint64_t>(kMaxDelay.count()))))
+                  : milliseconds(0),
+              random_.Below(kLongShare) == 0);
     } else {
       RunStream();
     }
@@ -121,11 +132,14 @@
   seen_.Count("stream given up");
 }
 
-void caller::RunOnce() {
+void caller::RunOnce(milliseconds delay, bool is_long) {
   const std::string id = NextRequestId();
-  const answer got = Exchange(
-      "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
-      "\r\nX-Api-Key: k\r\nDeadline-Ms: 1500\r\nContent-Length: 2\r\n\r\nhi");
+  const answer got =
+      Exchange(std::string("POST /once/") + (is_long ? "long" : "x") +
+                   " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+                   "\r\nX-Api-Key: k\r\nDeadline-Ms: 1500\r\nContent-Length: "
+                   "2\r\n\r\nhi",
+               delay);
   CheckAnswer(got, id);
   seen_.Count("once answered " + std::to_string(got.status) +
               (got.status == kOk && !got.is_whole ? ", broken off" : ""));
@@ -177,14 +191,30 @@
   input_.clear();
 }
 
-caller::answer caller::Exchange(const std::string& request) {
+caller::answer caller::Exchange(const std::string& request,
+                                milliseconds delay) {
   answer out;
   if (!EnsureConnected()) {
     return out;
   }
-  deadline_ = BootTimeNow() + kPatience;
-  if (SendAll(socket_, request)) {
+  bool is_sent = false;
+  if (delay.count() > 0) {
+    const std::size_t first =
+        random_.Below(2) == 0 ? request.size() - 1 : kFirstPart;
+    is_sent = SendAll(socket_, request.substr(0, first));
+    std::this_thread::sleep_for(delay);
+    is_sent = is_sent && SendAll(socket_, request.substr(first));
+  } else {
+    is_sent = SendAll(socket_, request);
+  }
+  out.sent_at = BootTimeNow();
+  deadline_ = out.sent_at + kPatience;
+  if (is_sent) {
     ReadAnswer(out);
+    if (out.has_ended) {
+      seen_.OnUnanswered({FieldOf(request, "Request-Id"), gateway_, out.sent_at,
+                          BootTimeNow()});
+    }
   }
   if (!out.is_whole || FieldOf(out.head, "Connection") == "close") {
     Disconnect();
@@ -192,15 +222,20 @@
   return out;
 }
 
-bool caller::Fill() {
+bool caller::Fill(answer& out) {
   const milliseconds left = ToMilliseconds(deadline_ - BootTimeNow());
-  return left.count() > 0 && Receive(socket_, input_, left) == read_end::data;
+  if (left.count() <= 0) {
+    return false;
+  }
+  const read_end end = Receive(socket_, input_, left);
+  out.has_ended = end == read_end::closed || end == read_end::reset;
+  return end == read_end::data;
 }
 
 void caller::ReadAnswer(answer& out) {
   std::size_t end = std::string::npos;
   while ((end = input_.find("\r\n\r\n")) == std::string::npos) {
-    if (!Fill()) {
+    if (!Fill(out)) {
       return;
     }
   }
@@ -223,7 +258,7 @@
   }
   const std::size_t size = std::stoul(length);
   while (input_.size() < size) {
-    if (!Fill()) {
+    if (!Fill(out)) {
       return;
     }
   }
@@ -237,14 +272,14 @@
   while (true) {
     std::size_t line = std::string::npos;
     while ((line = input_.find("\r\n")) == std::string::npos) {
-      if (!Fill()) {
+      if (!Fill(out)) {
         return false;
       }
     }
     const std::size_t size = std::stoul(input_, nullptr, kHex);
     const std::size_t whole = line + 2 + size + 2;
     while (input_.size() < whole) {
-      if (!Fill()) {
+      if (!Fill(out)) {
         // A part of a chunk has come to the caller, too.
         out.body += input_.substr(std::min(line + 2, input_.size()), size);
         return false;
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -27,6 +27,13 @@
   /** Sends requests until `stop` holds. */
   void Run(const std::function<bool()>& stop);
 
+  /** Sends a request that may run once only.
+
+      @param delay    between the parts in which it is sent; 0 to send it at
+     once
+      @param is_long  its target works for long */
+  void RunOnce(milliseconds delay, bool is_long);
+
  private:
   /** One answer. */
   struct answer {
@@ -35,19 +42,24 @@
     std::string head;
     std::string body;
     bool is_whole = false;
+    /** The gateway closed the connection. */
+    bool has_ended = false;
+    /** When the last byte of the request was sent. */
+    steady_time sent_at;
   };
 
   void RunStream();
-  void RunOnce();
   std::string NextRequestId();
   bool EnsureConnected();
   void Disconnect();
   /** Sends a request on the open connection, or on a new one. */
-  answer Exchange(const std::string& request);
+  answer Exchange(const std::string& request,
+                  milliseconds delay = milliseconds(0));
   void ReadAnswer(answer& out);
   /** Reads the body of an answer in chunks; false if it breaks off. */
   bool ReadChunks(answer& out);
-  bool Fill();
+  /** Receives more; notes in `out` if the connection has ended. */
+  bool Fill(answer& out);
   void CheckAnswer(const answer& got, const std::string& request);
 
   const std::string name_;
--- a/tests/soak/disturbances.cc
+++ b/tests/soak/disturbances.cc
@@ -45,10 +45,12 @@
 }
 
 disturbances::disturbances(deployment& subject,
+                           judge& seen,
                            std::uint64_t seed,
                            std::string binary,
                            std::function<void(const std::string&)> log)
     : subject_(subject),
+      seen_(seen),
       random_(seed),
       binary_(std::move(binary)),
       log_(std::move(log)),
@@ -115,6 +117,7 @@
 void disturbances::EndAll() {
   due_.clear();
   unfinished_.clear();
+  late_.clear();
   for (const char* service : {"models", "services"}) {
     for (engine* next : subject_.Engines(service)) {
       next->SetEndless(nullptr);
@@ -138,6 +141,10 @@
                                               : std::nullopt;
 }
 
+void disturbances::OnTrouble(std::size_t gateway, milliseconds length) {
+  seen_.OnTrouble(subject_.gateways()[gateway]->caller_address(), length);
+}
+
 void disturbances::Restart(product_process& process) {
   process.Kill();
   process.Start(binary_);
@@ -162,6 +169,11 @@
 void disturbances::StopAndStart(product_process& process,
                                 const std::function<void()>& done) {
   log_("stop of " + process.host());
+  seen_.OnStop(process.caller_address());
+  late_.push_back(std::make_unique<late_callers>(
+      process.caller_address(),
+      process.host() + "-late" + std::to_string(late_.size()), random_.Next(),
+      seen_));
   process.Signal(SIGCONT);
   process.Signal(SIGTERM);
   RestartWhenEnded(process, BootTimeNow() + kStopLimit, done);
@@ -170,6 +182,7 @@
 void disturbances::KillGateway() {
   const milliseconds down = Length(milliseconds(200), milliseconds(2'500));
   if (const auto chosen = TakeGateway()) {
+    OnTrouble(*chosen, down);
     subject_.gateways()[*chosen]->Kill();
     After(down, "start of a killed gateway", [this, chosen] {
       Restart(*subject_.gateways()[*chosen]);
@@ -183,6 +196,7 @@
   std::vector<std::size_t> killed;
   for (std::size_t i = 0; i < subject_.gateways().size(); ++i) {
     if (random_.Below(4) > 0 && busy_gateways_.insert(i).second) {
+      OnTrouble(i, down);
       subject_.gateways()[i]->Kill();
       killed.push_back(i);
     }
@@ -198,6 +212,7 @@
 void disturbances::FreezeGateway() {
   const milliseconds length = Length(milliseconds(300), milliseconds(5'000));
   if (const auto chosen = TakeGateway()) {
+    OnTrouble(*chosen, length);
     subject_.gateways()[*chosen]->Signal(SIGSTOP);
     After(length, "end of a freeze", [this, chosen] {
       subject_.gateways()[*chosen]->Signal(SIGCONT);
@@ -216,6 +231,7 @@
 void disturbances::CutTargets() {
   const milliseconds length = Length(milliseconds(800), milliseconds(6'000));
   const std::size_t chosen = random_.Below(subject_.gateways().size());
+  OnTrouble(chosen, length);
   subject_.SetTargetLinks(chosen, &link::Cut);
   After(length, "end of a cut",
         [this, chosen] { subject_.SetTargetLinks(chosen, &link::Heal); });
@@ -224,18 +240,22 @@
 void disturbances::HoldTargets() {
   const milliseconds length = Length(milliseconds(500), milliseconds(4'000));
   const std::size_t chosen = random_.Below(subject_.gateways().size());
+  OnTrouble(chosen, length);
   subject_.SetTargetLinks(chosen, &link::HoldUp);
   After(length, "end of a silent cut",
         [this, chosen] { subject_.SetTargetLinks(chosen, &link::Heal); });
 }
 
 void disturbances::ResetTargets() {
-  subject_.ResetTargetLinks(random_.Below(subject_.gateways().size()));
+  const std::size_t chosen = random_.Below(subject_.gateways().size());
+  OnTrouble(chosen, milliseconds(0));
+  subject_.ResetTargetLinks(chosen);
 }
 
 void disturbances::CutStore() {
   const milliseconds length = Length(milliseconds(500), milliseconds(4'000));
   const std::size_t chosen = random_.Below(subject_.gateways().size());
+  OnTrouble(chosen, length);
   if (random_.Below(2) == 0) {
     subject_.StoreLink(chosen).HoldUp();
   } else {
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "deployment.h"
+#include "late_callers.h"
 #include "unfinished_bodies.h"
 
 namespace gentian::soak {
@@ -19,6 +20,7 @@
  public:
   /** @param binary  the build that is started after a kill or a stop */
   disturbances(deployment& subject,
+               judge& seen,
                std::uint64_t seed,
                std::string binary,
                std::function<void(const std::string&)> log);
@@ -82,7 +84,11 @@
   void SendUnfinishedBodies();
   void Release();
 
+  /** Something unplanned begins. */
+  void OnTrouble(std::size_t gateway, milliseconds length);
+
   deployment& subject_;
+  judge& seen_;
   seeded_random random_;
   std::string binary_;
   std::function<void(const std::string&)> log_;
@@ -90,6 +96,7 @@
   std::multimap<steady_time, action> due_;
   std::set<std::size_t> busy_gateways_;
   std::vector<std::unique_ptr<unfinished_bodies>> unfinished_;
+  std::vector<std::unique_ptr<late_callers>> late_;
   /** Hosts whose build is still to be replaced, the next one last. */
   std::vector<product_process*> upgrades_;
   int last_version_ = 1;
--- a/tests/soak/engine.cc
+++ b/tests/soak/engine.cc
@@ -15,6 +15,7 @@
 
 constexpr milliseconds kEventGap{20};
 constexpr milliseconds kOnceTime{15};
+constexpr milliseconds kLongTime{1'000};
 constexpr milliseconds kLateCopy{30};
 constexpr milliseconds kTick{5};
 constexpr milliseconds kIdleLimit{5'000};
@@ -135,6 +136,7 @@
     return SendAll(socket, Refusal(kMisdirected, request));
   }
   if (const endless_answer* form = endless_) {
+    seen_.OnBrokenOff(request);
     SendWithoutEnd(socket, *form, request);
     return false;
   }
@@ -142,10 +144,17 @@
     return SendAll(socket, Refusal(kUnavailable, request));
   }
   const damage fault = NextDamage();
-  if (head.find(" /once/") != std::string::npos) {
-    return RunOnce(socket, request, fault);
+  const bool is_open =
+      head.find(" /once/") != std::string::npos
+          ? RunOnce(socket, request,
+                    head.find(" /once/long") != std::string::npos ? kLongTime
+                                                                  : kOnceTime,
+                    fault)
+          : Stream(socket, head, DecodeOrder(body), fault);
+  if (has_crashed_ || (fault != damage::none && fault != damage::late_copy)) {
+    seen_.OnBrokenOff(request);
   }
-  return Stream(socket, head, DecodeOrder(body), fault);
+  return is_open;
 }
 
 bool engine::Work(int socket, milliseconds length) {
@@ -250,9 +259,12 @@
   ResetOnClose(socket);
 }
 
-bool engine::RunOnce(int socket, const std::string& request, damage fault) {
+bool engine::RunOnce(int socket,
+                     const std::string& request,
+                     milliseconds work,
+                     damage fault) {
   seen_.OnRun(request);
-  if (!Work(socket, kOnceTime)) {
+  if (!Work(socket, work)) {
     return false;
   }
   const std::string body = "done " + request;
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -69,7 +69,10 @@
   void SendWithoutEnd(int socket,
                       const endless_answer& form,
                       const std::string& request);
-  bool RunOnce(int socket, const std::string& request, damage fault);
+  bool RunOnce(int socket,
+               const std::string& request,
+               milliseconds work,
+               damage fault);
   bool SendWhole(int socket, const std::string& answer, damage fault);
   /** Waits; false if the client has left or the engine has crashed. */
   bool Work(int socket, milliseconds length);
--- a/tests/soak/judge.cc
+++ b/tests/soak/judge.cc
@@ -6,6 +6,13 @@
 
 namespace {
 
+// The bounds of the deployment, as in the settings of its processes.
+constexpr milliseconds kGrace{8'000};
+constexpr milliseconds kStableWindow{3'000};
+constexpr milliseconds kMaxCrossing{200};
+constexpr milliseconds kEarlyPart{3'000};
+constexpr int kLastShare = 6;
+
 // The software version in an event's data.
 std::string VersionOf(const std::string& event) {
   const std::string name = "data: ";
@@ -71,6 +78,58 @@
   broken_.push_back(rule + ": " + what);
 }
 
+void judge::OnBrokenOff(const std::string& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  broken_off_.insert(request);
+}
+
+void judge::OnTrouble(const std::string& gateway, milliseconds length) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const steady_time now = BootTimeNow();
+  troubles_[gateway].push_back({now, now + length});
+}
+
+void judge::OnStop(const std::string& gateway) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stops_[gateway].push_back(BootTimeNow());
+}
+
+void judge::OnUnanswered(const unanswered_request& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  unanswered_.push_back(request);
+}
+
+// A request that crosses the close of its connection and is not passed on does
+// not count.
+bool judge::IsLost(const unanswered_request& request) const {
+  const auto ran = runs_.find(request.id);
+  if ((ran == runs_.end() &&
+       request.ended_at - request.sent_at <= kMaxCrossing) ||
+      broken_off_.count(request.id) > 0) {
+    return false;
+  }
+  if (const auto found = troubles_.find(request.gateway);
+      found != troubles_.end()) {
+    for (const span& next : found->second) {
+      if (next.begin <= request.ended_at &&
+          request.sent_at <= next.end + kStableWindow) {
+        return false;
+      }
+    }
+  }
+  if (const auto found = stops_.find(request.gateway);
+      found != stops_.end() && ran != runs_.end()) {
+    for (const steady_time stop : found->second) {
+      // Work that was begun early may be cut at the very end.
+      if (request.sent_at <= stop + kEarlyPart &&
+          request.ended_at >= stop + kGrace - kGrace / kLastShare) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void judge::Count(const std::string& outcome) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++counts_[outcome];
@@ -89,6 +148,15 @@
                         std::to_string(refused->second));
     }
   }
+  for (const unanswered_request& next : unanswered_) {
+    if (IsLost(next)) {
+      broken_.push_back(
+          "LOST: " + next.id + " at " + next.gateway + " had no answer " +
+          std::to_string(ToMilliseconds(next.ended_at - next.sent_at).count()) +
+          " ms after its last byte, and ran " +
+          std::to_string(runs_.count(next.id)) + " times");
+    }
+  }
   return broken_;
 }
 
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -7,10 +7,21 @@
 #include <string>
 #include <vector>
 
+#include "gentian_core/gentian_core.h"
 #include "stream_text.h"
 
 namespace gentian::soak {
 
+/** A request whose connection was closed or reset by its gateway. */
+struct unanswered_request {
+  std::string id;
+  /** The address for callers. */
+  std::string gateway;
+  /** When its last byte was sent. */
+  steady_time sent_at;
+  steady_time ended_at;
+};
+
 /** Holds what callers got against what targets ran. Thread-safe. */
 class judge {
  public:
@@ -30,6 +41,19 @@
 
   /** A caller got something that breaks a promise. */
   void Report(const std::string& rule, const std::string& what);
+  /** A target, or its end, cut off its answer to a request. */
+  void OnBrokenOff(const std::string& request);
+  /** Something unplanned happens to a gateway or its links.
+
+      @param gateway  the address for callers
+      @param length   0 for an instant */
+  void OnTrouble(const std::string& gateway, milliseconds length);
+  /** A gateway is asked to stop. */
+  void OnStop(const std::string& gateway);
+  /** The connection of a request that was sent as a whole has ended without a
+      whole answer. */
+  void OnUnanswered(const unanswered_request& request);
+
   /** Counts an outcome for the summary. */
   void Count(const std::string& outcome);
 
@@ -39,7 +63,19 @@
 
  private:
   std::mutex mutex_;
+  struct span {
+    steady_time begin;
+    steady_time end;
+  };
+
+  /** True if the request should have had an answer. */
+  bool IsLost(const unanswered_request& request) const;
+
   std::map<std::string, int> runs_;
+  std::set<std::string> broken_off_;
+  std::map<std::string, std::vector<span>> troubles_;
+  std::map<std::string, std::vector<steady_time>> stops_;
+  std::vector<unanswered_request> unanswered_;
   std::map<std::string, int> refused_;
   std::vector<std::string> broken_;
   std::map<std::string, int> counts_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -88,7 +88,7 @@
     story << ToMilliseconds(BootTimeNow() - begin).count() << " " << what
           << std::endl;
   };
-  disturbances trouble(subject, options.seed, options.binary, log);
+  disturbances trouble(subject, seen, options.seed, options.binary, log);
   trouble.Plan(options.length, options.kinds);
   if (!options.upgrade.empty()) {
     trouble.PlanUpgrade(milliseconds(options.length) / 5, options.upgrade);
@@ -116,6 +116,7 @@
       seen.Report("MEMORY", next->host() + " uses " +
                                 std::to_string(next->ResidentMemory()) +
                                 " bytes of " + std::to_string(next->memory()));
+      seen.OnTrouble(next->caller_address(), milliseconds(0));
       trouble.Restart(*next);
     }
     std::this_thread::sleep_for(kTick);
