--- a/tests/platform/target_limit_test.cc
+++ b/tests/platform/target_limit_test.cc
@@ -131,12 +131,17 @@
         }
         exchange->Respond({200, headers, "whole"});
       });
-  const auto status = [&fleet](std::size_t gateway) {
+  const auto send = [&fleet](std::size_t gateway) {
     return Fetch(fleet.first.client, fleet.Request(gateway, "/once/x"))
-        .response.status;
+        .response;
+  };
+  const auto status = [&send](std::size_t gateway) {
+    return send(gateway).status;
   };
   for (std::size_t i = 0; i < kGateways; ++i) {
-    cr_assert(status(i) == 200);
+    const http_response first = send(i);
+    cr_assert(first.status == 200, "%zu: %d %s", i, first.status,
+              first.body.c_str());
     cr_assert(fleet.Metrics(i).find("limited_targets 1") != std::string::npos);
   }
   limited = false;
