--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -32,7 +32,6 @@
 
 void gateway_call::Start() {
   arrived_ = BootTimeNow();
-  ++environment_.state.open_requests;
   environment_.open_calls[this] = weak_from_this();
   call_ = environment_.protocol.DecodeCall(exchange_->request());
   if (!call_) {
@@ -57,7 +56,7 @@
   deadline_ = arrived_ + std::min(call_->time_left.value_or(route_->timeout),
                                   route_->timeout);
   if (!MayBeSentBeforeStop()) {
-    Refuse({refusal_reason::stopping, kStoppingRetryAfter});
+    RefuseForStop();
     return;
   }
   exchange_->SetDisconnectHandler(
@@ -355,8 +354,14 @@
     EndAttempt();
     RecordPossibleRun("stopping", {});
   }
+  RefuseForStop();
+}
+
+void gateway_call::RefuseForStop() {
+  // Other gateways take the request.
+  constexpr milliseconds kRetryAfter{50};
   Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
-                   : refusal{refusal_reason::stopping, kStoppingRetryAfter});
+                   : refusal{refusal_reason::stopping, kRetryAfter});
 }
 
 void gateway_call::ReturnAllowance() {
@@ -390,7 +395,6 @@
   phase_ = phase::ended;
   gateway_state& state = environment_.state;
   const steady_time now = BootTimeNow();
-  --state.open_requests;
   environment_.open_calls.erase(this);
   EndTurn();
   state.counters.Add("requests_ended." + outcome);
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -94,8 +94,6 @@
   static constexpr const char* kAnswered = "answered";
   // For a service without a usable target; the next poll may find one.
   static constexpr milliseconds kNoTargetRetryAfter{300};
-  // Other gateways take the request.
-  static constexpr milliseconds kStoppingRetryAfter{50};
 
   // Admission.
   std::optional<refusal> Authorize();
@@ -202,6 +200,7 @@
   void OnDisconnect();
   /** False if the process stops before an answer can be expected. */
   bool MayBeSentBeforeStop() const;
+  void RefuseForStop();
   void Refuse(refusal answer);
   void ReturnAllowance();
   void EndTurn();
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -51,8 +51,7 @@
     return;
   }
   if (!MayBeSentBeforeStop()) {
-    Refuse(runs_ > 0 ? refusal{refusal_reason::target_failed, std::nullopt}
-                     : refusal{refusal_reason::stopping, kStoppingRetryAfter});
+    RefuseForStop();
     return;
   }
   // Keys and routes may have changed while the request was queued.
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -222,7 +222,7 @@
     return;
   }
   state_.metrics.SetGauge("open_requests",
-                          static_cast<double>(state_.open_requests));
+                          static_cast<double>(open_calls_.size()));
   state_.metrics.SetGauge(
       "members", static_cast<double>(state_.membership.members().size()));
   state_.metrics.SetGauge(
@@ -250,7 +250,7 @@
   if (state_.stop.HasBegun()) {
     return;
   }
-  Log(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
+  Log(log_level::info, "stopping", {{"open_requests", open_calls_.size()}});
   on_stopped_ = std::move(on_stopped);
   state_.stop.Begin(BootTimeNow(), settings_.stop_grace);
   reader_.AnnounceStop();
@@ -266,8 +266,8 @@
 
 void gateway_daemon::FinishStop() {
   const std::size_t busy_connections = callers_.busy_connections();
-  const bool in_progress = busy_connections > 0 || state_.open_requests > 0 ||
-                           paths_.busy_tunnels() > 0;
+  const bool in_progress =
+      busy_connections > 0 || !open_calls_.empty() || paths_.busy_tunnels() > 0;
   if (in_progress && BootTimeNow() < state_.stop.ends_at()) {
     pool_.After(kStopPollInterval, [this] { FinishStop(); });
     return;
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -44,7 +44,6 @@
   /** True if the key-value service answered the last call. */
   bool store_reached = false;
   planned_stop stop;
-  std::size_t open_requests = 0;
   counter_set counters;
   daemon_metrics metrics;
 };
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -371,7 +371,11 @@
     }
     ArmSilenceTimer();
     const std::string_view bytes(space_.data(), size);
-    input_ += IsFramed() ? frames_.Feed(bytes) : std::string(bytes);
+    if (IsFramed()) {
+      input_ += frames_.Feed(bytes);
+    } else {
+      input_ += bytes;
+    }
     Parse();
   }
 
