One loopback server for the scripted stand-ins of the tests

Cause: scripted_tunnel repeated the listener, the accept loop and the end of scripted_target, and raw_server the listener; partition_test read a header field by hand, and two tests of tunnels and of the ledger repeated their steps. Change: loopback_server and ListenOnLoopback; scripted_target::FieldOf, RequestThrough and SettleRandom in place of the copies. Seeds draw the same numbers in the same order; no assertion changes.

--- a/tests/gateway/budget_ledger_test.cc
+++ b/tests/gateway/budget_ledger_test.cc
@@ -73,6 +73,23 @@
   std::vector<budget_commands::write> held_;
 };
 
+// Ends one of the ledger's running turns, if there is one, with a random number
+// of tokens spent.
+budget_commands SettleRandom(budget_ledger& ledger,
+                             int& running,
+                             std::int64_t& used,
+                             seeded_random& random,
+                             steady_time now) {
+  if (running == 0) {
+    return {};
+  }
+  --running;
+  const auto spent =
+      static_cast<std::int64_t>(random.Below(kMaxTurnTokens + 1));
+  used += spent;
+  return ledger.Settle("program", kMaxTurnTokens, spent, now);
+}
+
 }  // namespace
 
 // Guards against a program that is refused with most of its budget unused,
@@ -307,14 +324,8 @@
           commands = ledgers[i].Reserve(Turn(++ticket), At(step));
           break;
         case 1:
-          if (running[i] > 0) {
-            --running[i];
-            const auto spent =
-                static_cast<std::int64_t>(random.Below(kMaxTurnTokens + 1));
-            used += spent;
-            commands =
-                ledgers[i].Settle("program", kMaxTurnTokens, spent, At(step));
-          }
+          commands =
+              SettleRandom(ledgers[i], running[i], used, random, At(step));
           break;
         default:
           commands = ledgers[i].ReleaseUnused("program");
@@ -434,14 +445,8 @@
           commands = ledgers[i].Reserve(Turn(++ticket), At(step));
           break;
         case 1:
-          if (running[i] > 0) {
-            --running[i];
-            const auto spent =
-                static_cast<std::int64_t>(random.Below(kMaxTurnTokens + 1));
-            used += spent;
-            commands =
-                ledgers[i].Settle("program", kMaxTurnTokens, spent, At(step));
-          }
+          commands =
+              SettleRandom(ledgers[i], running[i], used, random, At(step));
           break;
         case 2:
           commands = ledgers[i].ReleaseUnused("program");
--- a/tests/net/tunnel_test.cc
+++ b/tests/net/tunnel_test.cc
@@ -64,6 +64,14 @@
          "\r\n\r\n" + body;
 }
 
+http_client_request RequestThrough(const scripted_tunnel& carrier) {
+  http_client_request request;
+  request.address = "127.0.0.1:1";
+  request.tunnel = carrier.address();
+  request.tunnel_name = "s";
+  return request;
+}
+
 }  // namespace
 
 // Guards against bytes that change on the way, and against a new connection for
@@ -155,10 +163,7 @@
   });
   io_pool pool{1};
   http_client client{pool};
-  http_client_request request;
-  request.address = "127.0.0.1:1";
-  request.tunnel = carrier.address();
-  request.tunnel_name = "s";
+  http_client_request request = RequestThrough(carrier);
   for (cut = 0; cut < framed.size(); ++cut) {
     cr_assert(Fetch(client, request).failure == http_failure::broken, "%zu",
               cut);
@@ -185,10 +190,7 @@
       });
   io_pool pool{1};
   http_client client{pool};
-  http_client_request request;
-  request.address = "127.0.0.1:1";
-  request.tunnel = carrier.address();
-  request.tunnel_name = "s";
+  http_client_request request = RequestThrough(carrier);
   request.is_tunnel_unframed = true;
   answer = Whole("all");
   cr_assert(Fetch(client, request).response.body == "all");
--- a/tests/platform/partition_test.cc
+++ b/tests/platform/partition_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/gateway_fleet.h"
 #include "support/cuttable_link.h"
+#include "support/scripted_target.h"
 #include "support/scripted_tunnel.h"
 
 using namespace gentian;
@@ -16,6 +17,7 @@
 using gentian::testing::gateway_fixture;
 using gentian::testing::gateway_fleet;
 using gentian::testing::http_outcome;
+using gentian::testing::scripted_target;
 using gentian::testing::scripted_tunnel;
 using gentian::testing::WaitFor;
 
@@ -157,31 +159,27 @@
   for (const bool knows_frames : {true, false}) {
     std::atomic<int> framed{0};
     std::atomic<int> unframed{0};
-    const scripted_tunnel carrier([&](const std::string& line,
-                                      const std::string& request) {
-      const bool has_frames = line.rfind("FRAMES ", 0) == 0;
-      ++(has_frames ? framed : unframed);
-      const auto field = [&request](const std::string& name) {
-        const std::size_t at = request.find("\r\n" + name + ": ");
-        const std::size_t start = at + name.size() + 4;
-        return at == std::string::npos
-                   ? std::string()
-                   : request.substr(start, request.find("\r\n", start) - start);
-      };
-      const std::string head =
-          "HTTP/1.1 200 OK\r\nRequest-Id: " + field("Request-Id") +
-          "\r\nResponse-Seal: seal\r\n"
-          "Content-Type: text/event-stream\r\n";
-      // The first answer has no length and is cut off between two events.
-      if (field("Last-Event-Id") == "1") {
-        const std::string rest = head +
-                                 "Content-Length: 15\r\n\r\n"
-                                 "id: 2\ndata: b\n\n";
-        return has_frames ? scripted_tunnel::Frame(rest) : rest;
-      }
-      const std::string part = head + "\r\nid: 1\ndata: a\n\n";
-      return has_frames ? scripted_tunnel::Frame(part) : part;
-    });
+    const scripted_tunnel carrier(
+        [&](const std::string& line, const std::string& request) {
+          const bool has_frames = line.rfind("FRAMES ", 0) == 0;
+          ++(has_frames ? framed : unframed);
+          const auto field = [&request](const std::string& name) {
+            return scripted_target::FieldOf(request, name);
+          };
+          const std::string head =
+              "HTTP/1.1 200 OK\r\nRequest-Id: " + field("Request-Id") +
+              "\r\nResponse-Seal: seal\r\n"
+              "Content-Type: text/event-stream\r\n";
+          // The first answer has no length and is cut off between two events.
+          if (field("Last-Event-Id") == "1") {
+            const std::string rest = head +
+                                     "Content-Length: 15\r\n\r\n"
+                                     "id: 2\ndata: b\n\n";
+            return has_frames ? scripted_tunnel::Frame(rest) : rest;
+          }
+          const std::string part = head + "\r\nid: 1\ndata: a\n\n";
+          return has_frames ? scripted_tunnel::Frame(part) : part;
+        });
     partition subject;
     member_record other;
     other.host = "carrier";
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -1,17 +1,16 @@
 #ifndef TESTS_SUPPORT_RAW_SERVER_H_
 #define TESTS_SUPPORT_RAW_SERVER_H_
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
-#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
 
+#include "support/loopback_server.h"
+
 namespace gentian::testing {
 
 /** A TCP server that answers with bytes that no HTTP server sends. Takes one
@@ -24,19 +23,7 @@
   /** @param serve  runs on a thread of its own after the connection's first
                     bytes have come */
   explicit raw_server(std::function<void(const sender&)> serve)
-      : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in own{};
-    own.sin_family = AF_INET;
-    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(own);
-    const bool is_bound =
-        ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
-        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size) == 0 &&
-        ::listen(socket_, 1) == 0;
-    if (!is_bound) {
-      throw std::runtime_error("no loopback port is free");
-    }
-    address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+      : socket_(ListenOnLoopback(address_, 1)) {
     thread_ = std::thread([this, serve = std::move(serve)] {
       const int peer = ::accept(socket_, nullptr, nullptr);
       char byte = 0;
@@ -59,8 +46,8 @@
   const std::string& address() const { return address_; }
 
  private:
-  int socket_;
   std::string address_;
+  int socket_;
   std::thread thread_;
 };
 
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -1,20 +1,17 @@
 #ifndef TESTS_SUPPORT_SCRIPTED_TARGET_H_
 #define TESTS_SUPPORT_SCRIPTED_TARGET_H_
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <functional>
-#include <mutex>
-#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
-#include <vector>
+
+#include "support/loopback_server.h"
 
 namespace gentian::testing {
 
@@ -44,52 +41,16 @@
 
   explicit scripted_target(script answers)
       : answers_(std::move(answers)),
-        socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in own{};
-    own.sin_family = AF_INET;
-    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(own);
-    const bool is_bound =
-        ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
-        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size) == 0 &&
-        ::listen(socket_, 16) == 0;
-    if (!is_bound) {
-      throw std::runtime_error("no loopback port is free");
-    }
-    address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
-    accepting_ = std::thread([this] { Accept(); });
-  }
-  ~scripted_target() { Stop(); }
-  scripted_target(const scripted_target&) = delete;
-  scripted_target& operator=(const scripted_target&) = delete;
+        server_([this](int peer) { Serve(peer); }) {}
 
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return server_.address(); }
 
   int requests() const { return requests_; }
   /** Bytes of repeated parts that callers' connections took. */
   std::size_t repeated_bytes() const { return repeated_bytes_; }
 
   /** Closes all connections and takes no more. */
-  void Stop() {
-    if (!accepting_.joinable()) {
-      return;
-    }
-    ::shutdown(socket_, SHUT_RDWR);
-    accepting_.join();
-    ::close(socket_);
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      for (const int peer : peers_) {
-        ::shutdown(peer, SHUT_RDWR);
-      }
-    }
-    for (std::thread& next : threads_) {
-      next.join();
-    }
-    for (const int peer : peers_) {
-      ::close(peer);
-    }
-  }
+  void Stop() { server_.Stop(); }
 
   /** The value of a header field of a request; empty if it is absent. */
   static std::string FieldOf(const std::string& request,
@@ -103,18 +64,6 @@
   }
 
  private:
-  void Accept() {
-    while (true) {
-      const int peer = ::accept(socket_, nullptr, nullptr);
-      if (peer < 0) {
-        return;
-      }
-      const std::lock_guard<std::mutex> lock(mutex_);
-      peers_.push_back(peer);
-      threads_.emplace_back([this, peer] { Serve(peer); });
-    }
-  }
-
   void Serve(int peer) {
     std::string input;
     std::array<char, 4096> space{};
@@ -151,7 +100,7 @@
       }
       if (next.end == ending::close || next.end == ending::killed) {
         if (next.end == ending::killed) {
-          ::shutdown(socket_, SHUT_RDWR);
+          server_.StopListening();
         }
         ::shutdown(peer, SHUT_RDWR);
         return;
@@ -159,29 +108,17 @@
       if (next.end == ending::reset) {
         // The bytes arrive before the reset.
         std::this_thread::sleep_for(std::chrono::milliseconds(30));
-        const linger none{1, 0};
-        ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
-        const std::lock_guard<std::mutex> lock(mutex_);
-        for (int& known : peers_) {
-          if (known == peer) {
-            ::close(peer);
-            known = -1;
-          }
-        }
+        server_.Reset(peer);
         return;
       }
     }
   }
 
   script answers_;
-  int socket_;
-  std::string address_;
-  std::thread accepting_;
   std::atomic<int> requests_{0};
   std::atomic<std::size_t> repeated_bytes_{0};
-  std::mutex mutex_;
-  std::vector<int> peers_;
-  std::vector<std::thread> threads_;
+  /** Last, because its threads use the others. */
+  loopback_server server_;
 };
 
 }  // namespace gentian::testing
--- a/tests/support/scripted_tunnel.h
+++ b/tests/support/scripted_tunnel.h
@@ -1,21 +1,15 @@
 #ifndef TESTS_SUPPORT_SCRIPTED_TUNNEL_H_
 #define TESTS_SUPPORT_SCRIPTED_TUNNEL_H_
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
 #include <functional>
-#include <mutex>
-#include <stdexcept>
 #include <string>
-#include <thread>
 #include <utility>
-#include <vector>
 
 #include "gentian_net/tunnel_frames.h"
+#include "support/loopback_server.h"
 
 namespace gentian::testing {
 
@@ -32,42 +26,9 @@
 
   explicit scripted_tunnel(script answers)
       : answers_(std::move(answers)),
-        socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in own{};
-    own.sin_family = AF_INET;
-    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(own);
-    const bool is_bound =
-        ::bind(socket_, reinterpret_cast<const sockaddr*>(&own), size) == 0 &&
-        ::getsockname(socket_, reinterpret_cast<sockaddr*>(&own), &size) == 0 &&
-        ::listen(socket_, 16) == 0;
-    if (!is_bound) {
-      throw std::runtime_error("no loopback port is free");
-    }
-    address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
-    accepting_ = std::thread([this] { Accept(); });
-  }
-  ~scripted_tunnel() {
-    ::shutdown(socket_, SHUT_RDWR);
-    accepting_.join();
-    ::close(socket_);
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      for (const int peer : peers_) {
-        ::shutdown(peer, SHUT_RDWR);
-      }
-    }
-    for (std::thread& next : threads_) {
-      next.join();
-    }
-    for (const int peer : peers_) {
-      ::close(peer);
-    }
-  }
-  scripted_tunnel(const scripted_tunnel&) = delete;
-  scripted_tunnel& operator=(const scripted_tunnel&) = delete;
+        server_([this](int peer) { Serve(peer); }) {}
 
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return server_.address(); }
 
   /** Bytes in one frame. */
   static std::string Frame(const std::string& bytes) {
@@ -77,18 +38,6 @@
   static std::string EndMark() { return Frame(""); }
 
  private:
-  void Accept() {
-    while (true) {
-      const int peer = ::accept(socket_, nullptr, nullptr);
-      if (peer < 0) {
-        return;
-      }
-      const std::lock_guard<std::mutex> lock(mutex_);
-      peers_.push_back(peer);
-      threads_.emplace_back([this, peer] { Serve(peer); });
-    }
-  }
-
   static std::string ReadUntil(int peer, const std::string& end) {
     std::string input;
     std::array<char, 4096> space{};
@@ -118,12 +67,8 @@
   }
 
   script answers_;
-  int socket_;
-  std::string address_;
-  std::thread accepting_;
-  std::mutex mutex_;
-  std::vector<int> peers_;
-  std::vector<std::thread> threads_;
+  /** Last, because its threads use the script. */
+  loopback_server server_;
 };
 
 }  // namespace gentian::testing
