Show how old each listing of a gateway is, and what its transfers take

Change: listing_monitor records ages, times and bytes by listing in the metrics, and logs when a listing becomes stale or is young again; 'members changed' and 'configuration in force' tell whether the gateway is a reader. No change of logic.

--- a/source/gentian_gateway/listing_content.cc
+++ b/source/gentian_gateway/listing_content.cc
@@ -12,6 +12,14 @@
 
 }  // namespace
 
+std::size_t SizeOf(const std::vector<kv_entry>& entries) {
+  std::size_t bytes = 0;
+  for (const kv_entry& entry : entries) {
+    bytes += entry.key.size() + entry.value.size();
+  }
+  return bytes;
+}
+
 bool listing_content::Put(const kv_entry& entry) {
   const auto [place, is_new] = items_.try_emplace(entry.key);
   item& stored = place->second;
--- a/source/gentian_gateway/listing_content.h
+++ b/source/gentian_gateway/listing_content.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_LISTING_CONTENT_H_
 #define GENTIAN_GATEWAY_LISTING_CONTENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -10,6 +11,9 @@
 
 namespace gentian {
 
+/** Bytes of the keys and values of entries. */
+std::size_t SizeOf(const std::vector<kv_entry>& entries);
+
 /** Changes of a listing since a cursor. */
 struct listing_changes {
   /** Number of the latest change; the cursor for the next changes. */
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -236,6 +236,7 @@
   state_.metrics.SetGauge(
       "messages_without_memory",
       static_cast<double>(pool_.message_memory().taken_back()));
+  reader_.ReportAges();
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
                           static_cast<double>(losses.sampled_out));
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -63,7 +63,9 @@
                   &state_reader::ApplyTargets},
                  {"members", kRegistryPrefix, kMembersInterval,
                   &state_reader::ApplyRegistry}}},
-      contents_(listings_.size()),
+      contents_(
+          {{listings_[0].name}, {listings_[1].name}, {listings_[2].name}}),
+      monitor_(state),
       registration_(
           pool,
           store,
@@ -88,6 +90,7 @@
              state,
              std::move(start),
              contents_,
+             monitor_,
              [this](std::size_t index) { Apply(index); }) {}
 
 void state_reader::Start() {
@@ -106,7 +109,22 @@
   }
 }
 
+void state_reader::ReportAge(std::size_t index) {
+  const auto& asked_at = contents_[index].asked_at;
+  monitor_.OnAge(
+      listings_[index].name,
+      asked_at ? std::optional(BootTimeNow() - *asked_at) : std::nullopt,
+      relay_.IsStale(index));
+}
+
+void state_reader::ReportAges() {
+  for (std::size_t i = 0; i < listings_.size(); ++i) {
+    ReportAge(i);
+  }
+}
+
 void state_reader::Poll(std::size_t index) {
+  ReportAge(index);
   if (state_.relays.IsReader() || relay_.IsStale(index)) {
     Read(index);
   } else {
@@ -150,6 +168,9 @@
 void state_reader::ApplyAnswer(std::size_t index,
                                const kv_answer& answer,
                                steady_time asked_at) {
+  monitor_.OnReceived(listings_[index].name,
+                      listing_monitor::origin::key_value_service,
+                      BootTimeNow() - asked_at, SizeOf(answer.entries));
   shared_listing& own = contents_[index];
   if (!own.asked_at || asked_at >= *own.asked_at) {
     const bool changed = own.content.Update(answer.entries);
@@ -275,6 +296,8 @@
           {{"version", ValueOf(decoded)->version()},
            {"routes", ValueOf(decoded)->content().routes.size()},
            {"teams", ValueOf(decoded)->content().teams.size()},
+           {"bytes", entry.value.size()},
+           {"reads_key_value_service", state_.relays.IsReader()},
            {"read_ms", ToMilliseconds(BootTimeNow() - asked_at).count()}});
       UpdateHolders();
       on_configuration_();
@@ -349,7 +372,8 @@
     Log(log_level::info, "members changed",
         {{"count", membership.members().size()},
          {"listed", listed_count},
-         {"before", before}});
+         {"before", before},
+         {"reads_key_value_service", state_.relays.IsReader()}});
   }
   // After a short outage of all hosts, the first listing still names those that
   // held the shares before.
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -12,6 +12,7 @@
 #include "gentian_gateway_daemon/gateway_protocol.h"
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/lease_registration.h"
+#include "gentian_gateway_daemon/listing_monitor.h"
 #include "gentian_gateway_daemon/state_relay.h"
 
 namespace gentian {
@@ -61,6 +62,9 @@
                       after this one */
   void ReadTargets(std::function<void(bool is_read)> handler);
 
+  /** Brings the metrics of the listings up to date. */
+  void ReportAges();
+
   /** Answers a request of another daemon; false if the path belongs to another
       service. */
   bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
@@ -79,6 +83,7 @@
   };
 
   void Poll(std::size_t index);
+  void ReportAge(std::size_t index);
   void Read(std::size_t index);
   void StartReadingMembers();
   void OnListing(std::size_t index,
@@ -124,6 +129,7 @@
   std::uint64_t configuration_version_ = 0;
   /** Versions of the entries that name no target, by key. */
   std::map<std::string, std::uint64_t> odd_target_entries_;
+  listing_monitor monitor_;
   lease_registration registration_;
   state_relay relay_;
 };
--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -35,6 +35,7 @@
                          gateway_state& state,
                          std::string start,
                          std::vector<shared_listing>& listings,
+                         listing_monitor& monitor,
                          confirmed_handler on_confirmed)
     : pool_(pool),
       peers_(peers, {kAnswerTimeout, kConnectTimeout}),
@@ -42,6 +43,7 @@
       state_(state),
       start_(std::move(start)),
       listings_(listings),
+      monitor_(monitor),
       on_confirmed_(std::move(on_confirmed)) {}
 
 void state_relay::Start() {
@@ -170,7 +172,9 @@
     }
     answer.listings.push_back(std::move(listing));
   }
-  waiting.exchange->Respond({kOk, http_headers(), EncodeRelayAnswer(answer)});
+  std::string body = EncodeRelayAnswer(answer);
+  monitor_.OnPassedOn(body.size());
+  waiting.exchange->Respond({kOk, http_headers(), std::move(body)});
 }
 
 std::string state_relay::SourceAddress() const {
@@ -261,6 +265,10 @@
       // changes are told again.
       continue;
     }
+    if (!relayed.changes.entries.empty()) {
+      monitor_.OnReceived(own.name, listing_monitor::origin::gateway, transit,
+                          SizeOf(relayed.changes.entries));
+    }
     const bool changed = own.content.Apply(relayed.changes);
     position.cursors[i] = relayed.changes.cursor;
     own.asked_at = asked_at;
--- a/source/gentian_gateway_daemon/state_relay.h
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gentian_gateway_daemon/gateway_state.h"
+#include "gentian_gateway_daemon/listing_monitor.h"
 #include "gentian_gateway_daemon/peer_client.h"
 #include "gentian_gateway_daemon/relay_messages.h"
 
@@ -17,9 +18,11 @@
 
 /** The latest content of one listing, and its age. */
 struct shared_listing {
-  listing_content content;
+  /** For logs and metrics. */
+  std::string name;
+  listing_content content{};
   /** When the listing that the content is from was asked for. */
-  std::optional<steady_time> asked_at;
+  std::optional<steady_time> asked_at{};
 };
 
 /** Passes listings of the key-value service on between gateways: answers those
@@ -40,6 +43,7 @@
               gateway_state& state,
               std::string start,
               std::vector<shared_listing>& listings,
+              listing_monitor& monitor,
               confirmed_handler on_confirmed);
 
   void Start();
@@ -96,6 +100,7 @@
   gateway_state& state_;
   const std::string start_;
   std::vector<shared_listing>& listings_;
+  listing_monitor& monitor_;
   confirmed_handler on_confirmed_;
   std::list<follower> followers_;
   bool hold_timer_armed_ = false;
