--- a/source/gentian_decisions/kv_operation.h
+++ b/source/gentian_decisions/kv_operation.h
@@ -96,6 +96,8 @@
   std::vector<kv_entry> entries;
   /** Deleted keys that a watch saw. */
   std::vector<std::string> deleted;
+  /** Revision of the last change that a watch saw; 0 if it saw none. */
+  std::uint64_t last_change = 0;
   /** Revision of the store at the time of the answer. */
   std::uint64_t revision = 0;
   /** Granted lease. */
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -26,7 +26,7 @@
 
   void Put(const std::string& key, const std::string& value) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    items_[key] = {key, value, ++revision_};
+    Write(key, value);
   }
 
   /** The value of a key; empty if it is absent. */
@@ -38,7 +38,7 @@
 
   void Remove(const std::string& key) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    items_.erase(key);
+    Erase(key);
   }
 
   bool is_unresponsive() const { return unresponsive_; }
@@ -93,16 +93,35 @@
       }
       return answer;
     }
-    items_[operation.key] = {operation.key, operation.value, ++revision_};
+    Write(operation.key, operation.value);
     answer.revision = revision_;
     return answer;
   }
 
   kv_answer Do(const kv_delete& operation) {
-    items_.erase(operation.key);
+    Erase(operation.key);
     return Ok();
   }
 
+  kv_answer Do(const kv_watch& operation) {
+    kv_answer answer = Ok();
+    answer.revision = revision_;
+    for (const auto& [revision, key] : changes_) {
+      if (revision <= operation.after_revision ||
+          key.rfind(operation.prefix, 0) != 0) {
+        continue;
+      }
+      answer.last_change = revision;
+      const auto found = items_.find(key);
+      if (found == items_.end()) {
+        answer.deleted.push_back(key);
+      } else if (found->second.version == revision) {
+        answer.entries.push_back(found->second);
+      }
+    }
+    return answer;
+  }
+
   kv_answer Do(const kv_grant_lease&) {
     kv_answer answer = Ok();
     answer.lease = 1;
@@ -117,11 +136,24 @@
     return kv_answer{};
   }
 
+  void Write(const std::string& key, const std::string& value) {
+    items_[key] = {key, value, ++revision_};
+    changes_[revision_] = key;
+  }
+
+  void Erase(const std::string& key) {
+    if (items_.erase(key) > 0) {
+      changes_[++revision_] = key;
+    }
+  }
+
   std::atomic<bool> unavailable_{false};
   std::atomic<bool> unresponsive_{false};
   std::mutex mutex_;
   std::uint64_t revision_ = 0;
   std::map<std::string, kv_entry> items_;
+  /** Keys by the revision of each of their changes. */
+  std::map<std::uint64_t, std::string> changes_;
 };
 
 /** A daemon's connection to a fake_metadata_store. */
@@ -134,8 +166,21 @@
   void Call(const kv_operation& operation,
             milliseconds deadline,
             answer_handler handler) override {
-    const bool lost = store_.is_unresponsive();
+    const bool lost = store_.is_unresponsive() || IsDropped(operation);
     kv_answer answer = lost ? kv_answer() : store_.Answer(operation);
+    if (const auto* watch = std::get_if<kv_watch>(&operation)) {
+      const bool waits = answer.outcome == kv_answer::status::ok &&
+                         answer.last_change == 0 && watch->wait > kWatchTick;
+      if (waits) {
+        kv_watch rest = *watch;
+        rest.wait -= kWatchTick;
+        pool_.After(kWatchTick,
+                    [this, rest, deadline, handler = std::move(handler)] {
+                      Call(rest, deadline, handler);
+                    });
+        return;
+      }
+    }
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       for (kv_entry& entry : answer.entries) {
@@ -143,12 +188,23 @@
         if (found != replaced_.end()) {
           entry.value = found->second;
         }
+        bytes_ += entry.value.size();
       }
     }
     pool_.After(lost ? deadline : milliseconds(1),
                 [handler = std::move(handler), answer] { handler(answer); });
   }
 
+  /** From now on, reads of keys with this prefix end at their deadlines without
+      an answer. */
+  void Drop(const std::string& prefix) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    dropped_ = prefix;
+  }
+
+  /** Bytes of the values that the daemon was sent. */
+  std::size_t bytes() const { return bytes_; }
+
   /** Shows the daemon another value under a key than the other daemons see. */
   void Replace(const std::string& key, const std::string& value) {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -156,10 +212,23 @@
   }
 
  private:
+  static constexpr milliseconds kWatchTick{5};
+
+  bool IsDropped(const kv_operation& operation) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto* list = std::get_if<kv_list>(&operation);
+    const auto* watch = std::get_if<kv_watch>(&operation);
+    return !dropped_.empty() &&
+           ((list != nullptr && list->prefix == dropped_) ||
+            (watch != nullptr && watch->prefix == dropped_));
+  }
+
   fake_metadata_store& store_;
   io_pool& pool_;
   std::mutex mutex_;
   std::map<std::string, std::string> replaced_;
+  std::string dropped_;
+  std::atomic<std::size_t> bytes_{0};
 };
 
 /** HTTP server in place of a target: counts the requests that it receives and
