Send what was queued before an answer is aborted

Cause: http_exchange::Abort closed the connection at once, with the parts of the answer that were queued just before. Change: an aborted answer ends when its output is written, within the limit for that.

--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -194,6 +194,14 @@
     });
   }
 
+  // What was sent before comes to the peer.
+  void CloseAfterOutput() {
+    closes_after_output_ = true;
+    if (!writing_) {
+      Close();
+    }
+  }
+
   void Close() {
     if (closed_) {
       return;
@@ -477,6 +485,10 @@
     if (closed_) {
       return;
     }
+    if (output_.empty() && closes_after_output_) {
+      Close();
+      return;
+    }
     if (output_.empty()) {
       if (answering_ && answer_ended_) {
         FinishExchange();
@@ -528,6 +540,7 @@
   std::uint64_t serial_ = 0;
   bool reading_ = false;
   bool writing_ = false;
+  bool closes_after_output_ = false;
   bool header_done_ = false;
   bool sent_continue_ = false;
   std::uint64_t receive_timer_serial_ = 0;
@@ -555,7 +568,8 @@
   // An exchange that is dropped without an answer, for instance because its
   // handler threw an exception, must not leave the caller waiting.
   ~connection_exchange() override {
-    owner_->PostAnswer(serial_, [](connection& self) { self.Close(); });
+    owner_->PostAnswer(serial_,
+                       [](connection& self) { self.CloseAfterOutput(); });
   }
   connection_exchange(const connection_exchange&) = delete;
   connection_exchange& operator=(const connection_exchange&) = delete;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -335,3 +335,35 @@
   cr_assert(Failed(ParseJsonBody(std::string(100'000, '['))));
   cr_assert(!Failed(ParseJsonBody("[[[[1]]]]")));
 }
+
+// Guards against parts of a stream that are lost because it is broken off right
+// after them.
+Test(http, what_was_sent_before_an_abort_arrives, .timeout = 60) {
+  constexpr std::size_t kBytes = 200'000;
+  io_pool pool(2);
+  http_server server(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->StartChunks(http_headers());
+    exchange->SendChunk(std::string(kBytes, 'x'));
+    exchange->Abort();
+  });
+  cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+  http_client client(pool);
+  for (int i = 0; i < 20; ++i) {
+    std::promise<bool> is_whole;
+    std::size_t received = 0;
+    http_client_request request;
+    request.address = server.address();
+    http_client_handlers handlers;
+    handlers.on_body = [&received](std::string_view bytes) {
+      received += bytes.size();
+    };
+    handlers.on_end = [&is_whole] { is_whole.set_value(true); };
+    handlers.on_failure = [&is_whole](http_failure, const std::string&) {
+      is_whole.set_value(false);
+    };
+    client.Send(std::move(request), std::move(handlers));
+    cr_assert(!is_whole.get_future().get());
+    cr_assert(received == kBytes, "%zu", received);
+  }
+  pool.Stop();
+}
