--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -24,6 +24,7 @@
 #include "gentian_gateway/recent_answers.h"
 #include "gentian_gateway/relay_tree.h"
 #include "gentian_gateway/request_fingerprint.h"
+#include "gentian_gateway/shared_listing.h"
 #include "gentian_gateway/target_limit.h"
 #include "gentian_gateway/target_pacer.h"
 #include "gentian_gateway/target_selector.h"
--- a/source/gentian_gateway/listing_content.cc
+++ b/source/gentian_gateway/listing_content.cc
@@ -3,12 +3,20 @@
 #include <set>
 #include <utility>
 
+#include "gentian_core/hash.h"
+
 namespace gentian {
 
 namespace {
 
 // A daemon that is further behind gets the whole listing.
 constexpr std::size_t kMaxRemovals = 1'000;
+// Stands for the digest 0.
+constexpr std::uint64_t kZeroDigest = 1;
+
+std::uint64_t HashOf(const kv_entry& entry) {
+  return StableHash(entry.value, StableHash(entry.key, entry.version));
+}
 
 }  // namespace
 
@@ -27,15 +35,22 @@
       stored.entry.value == entry.value) {
     return false;
   }
+  if (!is_new) {
+    combined_ ^= HashOf(stored.entry);
+  }
   stored.entry = entry;
   stored.changed_at = ++cursor_;
+  combined_ ^= HashOf(entry);
   return true;
 }
 
 bool listing_content::Remove(const std::string& key) {
-  if (items_.erase(key) == 0) {
+  const auto found = items_.find(key);
+  if (found == items_.end()) {
     return false;
   }
+  combined_ ^= HashOf(found->second.entry);
+  items_.erase(found);
   removals_[++cursor_] = key;
   if (removals_.size() > kMaxRemovals) {
     forgotten_ = removals_.begin()->first;
@@ -102,6 +117,13 @@
   return changes;
 }
 
+std::uint64_t listing_content::digest() const {
+  if (cursor_ == 0) {
+    return 0;
+  }
+  return combined_ == 0 ? kZeroDigest : combined_;
+}
+
 std::vector<kv_entry> listing_content::Entries() const {
   std::vector<kv_entry> entries;
   entries.reserve(items_.size());
--- a/source/gentian_gateway/listing_content.h
+++ b/source/gentian_gateway/listing_content.h
@@ -45,6 +45,10 @@
   /** Number of the latest change; 0 before the first one. */
   std::uint64_t cursor() const { return cursor_; }
 
+  /** The same for two contents with the same keys at the same versions; 0 only
+      before the first change. */
+  std::uint64_t digest() const;
+
   std::vector<kv_entry> Entries() const;
 
  private:
@@ -62,6 +66,8 @@
   /** Removals up to this change are forgotten. */
   std::uint64_t forgotten_ = 0;
   std::uint64_t cursor_ = 0;
+  /** Combined hashes of the keys and versions. */
+  std::uint64_t combined_ = 0;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/peer_client.cc
+++ b/source/gentian_gateway_daemon/peer_client.cc
@@ -17,6 +17,7 @@
   request.body = std::move(body);
   request.deadline = timeouts_.request;
   request.connect_limit = timeouts_.connect;
+  request.silence = timeouts_.silence;
   request.reuse_connection = true;
   return client_.Fetch(std::move(request), std::move(on_answer),
                        std::move(on_failure));
--- a/source/gentian_gateway_daemon/peer_client.h
+++ b/source/gentian_gateway_daemon/peer_client.h
@@ -21,6 +21,8 @@
   struct timeouts {
     milliseconds request;
     milliseconds connect;
+    /** Longest time without a byte of the answer; 0 for no such limit. */
+    milliseconds silence{0};
   };
 
   peer_client(http_client& client, timeouts times)
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -11,14 +11,33 @@
 
 namespace {
 
-// Configuration changes must apply, and a draining target must stop getting
-// requests, within two seconds. The intervals leave time for a lost call, or
-// for followers to turn to another reader.
+// Intervals at which everything is read while changes can't be watched. They
+// leave time for a lost call, or for followers to turn to another reader.
 constexpr milliseconds kConfigurationInterval{800};
 constexpr milliseconds kTargetsInterval{800};
 constexpr milliseconds kMembersInterval{1'000};
-// Interval at which a gateway that follows others looks for stale listings.
-constexpr milliseconds kStaleCheckInterval{200};
+// Bounds the time after which a gateway that follows others looks for stale
+// listings.
+constexpr milliseconds kMinStaleCheck{10};
+constexpr milliseconds kMaxStaleCheck{200};
+// Part of the age from which on a listing is stale for which the service may
+// hold a watch without a change. The answer confirms the listing; the rest is
+// for the answers to followers, which are held as well.
+constexpr double kWatchFraction = 0.4;
+// For a gateway that only makes up for stale sources.
+constexpr milliseconds kNoWait{1};
+// Failures in a row after which a gateway that is no reader asks more rarely.
+constexpr int kQuickRetries = 2;
+// Time for the answer of a watch after its wait.
+constexpr milliseconds kWatchMargin{400};
+// Pause between watches that find changes.
+constexpr milliseconds kChangeInterval{100};
+// Failures in a row after which everything is read at intervals for a while.
+constexpr int kMaxWatchFailures = 2;
+constexpr milliseconds kWatchPause{5'000};
+// Fraction of the withdrawal bound after which a listing is stale. Then there
+// is still time to read it before the configuration is too old.
+constexpr double kStaleFractionOfWithdrawal = 0.36;
 // Interval between reads of a gateway that follows others, while those can't
 // tell: the key-value service may be out of reach of all.
 constexpr milliseconds kMinDirectInterval{1'000};
@@ -33,6 +52,20 @@
 constexpr milliseconds kMaxRetryDelay{400};
 constexpr int kMaxDoublings = 2;
 
+duration Part(double fraction, duration bound) {
+  return std::chrono::duration_cast<duration>(fraction * bound);
+}
+
+// A watch that tells of no change proves it only for the time before this: the
+// service may tell watches nothing for a while before it drops its history.
+constexpr milliseconds kWatchSilence{1'000};
+// Largest part of the withdrawal bound that is given up for that.
+constexpr double kMaxSilenceFraction = 0.25;
+
+duration MaxAge(const gateway_settings& settings) {
+  return Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound);
+}
+
 duration RetryDelay(int failures) {
   return std::min<duration>(
       kMaxRetryDelay,
@@ -63,8 +96,12 @@
                   &state_reader::ApplyTargets},
                  {"members", kRegistryPrefix, kMembersInterval,
                   &state_reader::ApplyRegistry}}},
-      contents_(
-          {{listings_[0].name}, {listings_[1].name}, {listings_[2].name}}),
+      contents_({{listings_[kConfigurationListing].name, MaxAge(settings)},
+                 {listings_[kTargetsListing].name, MaxAge(settings)},
+                 {listings_[kMembersListing].name, MaxAge(settings)}}),
+      silence_(std::min<duration>(
+          kWatchSilence,
+          Part(kMaxSilenceFraction, settings.withdrawal_bound))),
       monitor_(state),
       registration_(
           pool,
@@ -91,7 +128,9 @@
              std::move(start),
              contents_,
              monitor_,
-             [this](std::size_t index) { Apply(index); }) {}
+             [this](std::size_t index, shared_listing::outcome outcome) {
+               OnRelayed(index, outcome);
+             }) {}
 
 void state_reader::Start() {
   Read(kConfigurationListing);
@@ -110,11 +149,8 @@
 }
 
 void state_reader::ReportAge(std::size_t index) {
-  const auto& asked_at = contents_[index].asked_at;
-  monitor_.OnAge(
-      listings_[index].name,
-      asked_at ? std::optional(BootTimeNow() - *asked_at) : std::nullopt,
-      relay_.IsStale(index));
+  monitor_.OnAge(listings_[index].name, contents_[index].Age(BootTimeNow()),
+                 relay_.IsStale(index));
 }
 
 void state_reader::ReportAges() {
@@ -125,61 +161,162 @@
 
 void state_reader::Poll(std::size_t index) {
   ReportAge(index);
-  if (state_.relays.IsReader() || relay_.IsStale(index)) {
+  const duration until_stale = relay_.TimeUntilStale(index);
+  if (state_.relays.IsReader() || until_stale <= duration(0)) {
     Read(index);
   } else {
-    pool_.After(kStaleCheckInterval, [this, index] { Poll(index); });
+    PollAfter(index, std::clamp<duration>(until_stale, kMinStaleCheck,
+                                          kMaxStaleCheck));
   }
 }
 
+void state_reader::PollAfter(std::size_t index, duration delay) {
+  pool_.After(delay, [this, index] { Poll(index); });
+}
+
+// A listing is read as a whole once, and then only what changes in it: whole
+// reads would take all of a small host's time where the listing is large.
 void state_reader::Read(std::size_t index) {
-  const steady_time asked_at = BootTimeNow();
-  store_.Call(kv_list{listings_[index].prefix}, kCallTimeout,
-              [this, index, asked_at](const kv_answer& answer) {
-                OnListing(index, answer, asked_at);
+  const listing& subject = listings_[index];
+  if (subject.followed_to != 0 && BootTimeNow() >= subject.watch_not_before) {
+    Watch(index);
+  } else {
+    List(index);
+  }
+}
+
+void state_reader::List(std::size_t index) {
+  const read_call call{index, BootTimeNow()};
+  store_.Call(
+      kv_list{listings_[index].prefix}, kCallTimeout,
+      [this, call](const kv_answer& answer) { OnListed(call, answer); });
+}
+
+void state_reader::Watch(std::size_t index) {
+  const listing& subject = listings_[index];
+  const milliseconds wait =
+      state_.relays.IsReader()
+          ? ToMilliseconds(Part(kWatchFraction, contents_[index].max_age()))
+          : kNoWait;
+  const read_call call{index, BootTimeNow(), wait, subject.outside_changes};
+  store_.Call(kv_watch{subject.prefix, subject.followed_to, call.wait},
+              call.wait + kWatchMargin, [this, call](const kv_answer& answer) {
+                OnWatched(call, answer);
               });
 }
 
-void state_reader::OnListing(std::size_t index,
-                             const kv_answer& answer,
-                             steady_time asked_at) {
-  listing& subject = listings_[index];
+void state_reader::OnListed(const read_call& call, const kv_answer& answer) {
+  listing& subject = listings_[call.index];
   RecordReachability(subject, answer);
-  duration delay = RetryDelay(subject.failures);
   const bool is_read = answer.outcome == kv_answer::status::ok;
+  duration delay = RetryDelay(subject.failures);
   if (is_read) {
     subject.failures = 0;
-    delay = std::max<duration>(kMinRetryDelay,
-                               subject.interval - (BootTimeNow() - asked_at));
+    const bool can_watch = BootTimeNow() >= subject.watch_not_before;
+    delay = can_watch ? duration(0)
+                      : std::max<duration>(
+                            kMinRetryDelay,
+                            subject.interval - (BootTimeNow() - call.asked_at));
   } else {
     ++subject.failures;
     state_.counters.Add(std::string("listing_failed.") + subject.name);
   }
-  if (!state_.relays.IsReader()) {
+  const bool retries_soon = !is_read && subject.failures <= kQuickRetries;
+  if (!state_.relays.IsReader() && !retries_soon) {
     delay = std::max<duration>(delay, kMinDirectInterval);
   }
   // The polling goes on even if an exception ends the handling of this answer.
-  pool_.After(delay, [this, index] { Poll(index); });
-  if (is_read) {
-    ApplyAnswer(index, answer, asked_at);
+  PollAfter(call.index, delay);
+  if (is_read && ApplyListing(call.index, answer, call.asked_at) !=
+                     shared_listing::outcome::older) {
+    subject.followed_to = answer.revision;
+  }
+}
+
+void state_reader::OnWatched(const read_call& call, const kv_answer& answer) {
+  listing& subject = listings_[call.index];
+  // A revision that goes back is that of a service restored from a backup.
+  if (answer.outcome != kv_answer::status::ok ||
+      answer.revision < subject.followed_to) {
+    OnWatchFailed(call, answer);
+    return;
+  }
+  RecordReachability(subject, answer);
+  subject.failures = 0;
+  subject.watch_failures = 0;
+  const steady_time now = BootTimeNow();
+  const bool has_changes = !answer.entries.empty() || !answer.deleted.empty();
+  PollAfter(call.index, !state_.relays.IsReader() ? kMinDirectInterval
+                        : has_changes             ? kChangeInterval
+                                                  : milliseconds(0));
+  if (call.outside_changes != subject.outside_changes) {
+    // The changes may be older than the content.
+    return;
+  }
+  shared_listing& own = contents_[call.index];
+  // A watch that ends without a change has looked at the end of its wait.
+  const bool has_waited = !has_changes && now - call.asked_at >= call.wait;
+  const shared_listing::reading source{
+      std::max(answer.revision, own.revision()),
+      has_waited ? call.asked_at + call.wait : call.asked_at};
+  // Not the revision of the answer: a service that has told watches nothing for
+  // a while is asked for the same changes again.
+  subject.followed_to = std::max(subject.followed_to, answer.last_change);
+  listing_changes changes;
+  changes.entries = answer.entries;
+  changes.removed = answer.deleted;
+  if (has_changes) {
+    monitor_.OnReceived(subject.name,
+                        listing_monitor::origin::key_value_service,
+                        now - call.asked_at, SizeOf(changes.entries));
+  }
+  Apply(call.index, own.Apply(changes, source, now));
+}
+
+void state_reader::OnWatchFailed(const read_call& call,
+                                 const kv_answer& answer) {
+  listing& subject = listings_[call.index];
+  state_.counters.Add(std::string("watch_ended.") + subject.name);
+  subject.followed_to = 0;
+  // A service that has dropped its history answers; the next watch may hold.
+  if (answer.outcome != kv_answer::status::compacted &&
+      ++subject.watch_failures >= kMaxWatchFailures) {
+    subject.watch_not_before = BootTimeNow() + kWatchPause;
   }
+  PollAfter(call.index, kMinRetryDelay);
 }
 
-void state_reader::ApplyAnswer(std::size_t index,
-                               const kv_answer& answer,
-                               steady_time asked_at) {
+shared_listing::outcome state_reader::ApplyListing(std::size_t index,
+                                                   const kv_answer& answer,
+                                                   steady_time asked_at) {
+  const steady_time now = BootTimeNow();
   monitor_.OnReceived(listings_[index].name,
                       listing_monitor::origin::key_value_service,
-                      BootTimeNow() - asked_at, SizeOf(answer.entries));
-  shared_listing& own = contents_[index];
-  if (!own.asked_at || asked_at >= *own.asked_at) {
-    const bool changed = own.content.Update(answer.entries);
-    own.asked_at = asked_at;
-    Apply(index);
-    relay_.OnListing(index, changed);
+                      now - asked_at, SizeOf(answer.entries));
+  listing_changes whole;
+  whole.complete = true;
+  whole.entries = answer.entries;
+  const shared_listing::outcome outcome =
+      contents_[index].Apply(whole, {answer.revision, asked_at}, now);
+  Apply(index, outcome);
+  return outcome;
+}
+
+void state_reader::OnReadOutside(std::size_t index,
+                                 shared_listing::outcome outcome) {
+  if (outcome == shared_listing::outcome::changed) {
+    ++listings_[index].outside_changes;
+    listings_[index].followed_to = 0;
   }
 }
 
+void state_reader::OnRelayed(std::size_t index,
+                             shared_listing::outcome outcome) {
+  OnReadOutside(index, outcome);
+  // The relay tells its followers itself.
+  ApplyContent(index, outcome);
+}
+
 void state_reader::Refresh() {
   ReadRegistryNow();
   relay_.RequestRefresh();
@@ -200,7 +337,9 @@
               [this, asked_at](const kv_answer& answer) {
                 refreshing_ = false;
                 if (answer.outcome == kv_answer::status::ok) {
-                  ApplyAnswer(kMembersListing, answer, asked_at);
+                  OnReadOutside(
+                      kMembersListing,
+                      ApplyListing(kMembersListing, answer, asked_at));
                 }
                 // After a failure, the next poll brings the change.
                 if (std::exchange(refresh_again_, false)) {
@@ -226,7 +365,9 @@
                 reading_targets_ = false;
                 const bool is_read = answer.outcome == kv_answer::status::ok;
                 if (is_read) {
-                  ApplyAnswer(kTargetsListing, answer, asked_at);
+                  OnReadOutside(
+                      kTargetsListing,
+                      ApplyListing(kTargetsListing, answer, asked_at));
                 }
                 if (!targets_handlers_.empty()) {
                   StartTargetsRead();
@@ -246,9 +387,19 @@
   return relay_.AnswerPeer(exchange);
 }
 
-void state_reader::Apply(std::size_t index) {
-  const shared_listing& own = contents_[index];
-  (this->*listings_[index].apply)(own.content.Entries(), *own.asked_at);
+void state_reader::Apply(std::size_t index, shared_listing::outcome outcome) {
+  ApplyContent(index, outcome);
+  if (outcome == shared_listing::outcome::changed) {
+    relay_.OnChanged(index);
+  }
+}
+
+void state_reader::ApplyContent(std::size_t index,
+                                shared_listing::outcome outcome) {
+  if (outcome != shared_listing::outcome::older) {
+    (this->*listings_[index].apply)(outcome == shared_listing::outcome::changed,
+                                    *contents_[index].asked_at());
+  }
 }
 
 void state_reader::RecordReachability(listing& subject,
@@ -272,14 +423,23 @@
   }
 }
 
-void state_reader::ApplyConfiguration(const std::vector<kv_entry>& entries,
-                                      steady_time asked_at) {
-  for (const kv_entry& entry : entries) {
+void state_reader::ApplyConfiguration(bool has_changed, steady_time asked_at) {
+  const steady_time proven_at = asked_at - silence_;
+  if (!has_changed) {
+    if (is_configuration_read_) {
+      state_.configuration.ConfirmUnchanged(proven_at);
+    }
+    return;
+  }
+  is_configuration_read_ = false;
+  for (const kv_entry& entry :
+       contents_[kConfigurationListing].content().Entries()) {
     if (!protocol_.IsConfiguration(entry)) {
       continue;
     }
     if (entry.version == configuration_version_) {
-      state_.configuration.ConfirmUnchanged(asked_at);
+      is_configuration_read_ = true;
+      state_.configuration.ConfirmUnchanged(proven_at);
       return;
     }
     const result<shared_configuration> decoded =
@@ -290,7 +450,8 @@
            {"remedy", ErrorOf(decoded).remedy}});
       return;
     }
-    if (state_.configuration.Confirm(ValueOf(decoded), asked_at)) {
+    if (state_.configuration.Confirm(ValueOf(decoded), proven_at)) {
+      is_configuration_read_ = true;
       configuration_version_ = entry.version;
       Log(log_level::info, "configuration in force",
           {{"version", ValueOf(decoded)->version()},
@@ -305,11 +466,10 @@
   }
 }
 
-void state_reader::ApplyTargets(const std::vector<kv_entry>& entries,
-                                steady_time asked_at) {
+void state_reader::DecodeTargets() {
   std::vector<target_record> records;
   std::map<std::string, std::uint64_t> odd_entries;
-  for (const kv_entry& entry : entries) {
+  for (const kv_entry& entry : contents_[kTargetsListing].content().Entries()) {
     result<target_record> record = protocol_.DecodeTarget(entry);
     if (!Failed(record)) {
       records.push_back(std::move(ValueOf(record)));
@@ -328,8 +488,15 @@
     }
   }
   odd_target_entries_ = std::move(odd_entries);
+  target_records_ = std::move(records);
+}
+
+void state_reader::ApplyTargets(bool has_changed, steady_time asked_at) {
+  if (has_changed) {
+    DecodeTargets();
+  }
   for (const std::string& id :
-       state_.targets.Update(std::move(records), asked_at)) {
+       state_.targets.Update(target_records_, asked_at)) {
     const bool usable = state_.targets.Find(id) != nullptr;
     Log(log_level::info,
         usable ? "target usable" : "target draining or removed",
@@ -337,8 +504,9 @@
   }
 }
 
-void state_reader::ApplyRegistry(const std::vector<kv_entry>& entries,
-                                 steady_time asked_at) {
+void state_reader::ApplyRegistry(bool /*has_changed*/, steady_time asked_at) {
+  const std::vector<kv_entry> entries =
+      contents_[kMembersListing].content().Entries();
   std::map<std::string, member_record> members;
   for (const kv_entry& entry : entries) {
     if (entry.key.rfind(kMembersPrefix, 0) != 0) {
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -70,38 +70,59 @@
   bool AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
 
  private:
-  /** A key prefix that is polled, and the state of its polling. */
+  /** A key prefix that is followed, and the state of its reading. */
   struct listing {
     const char* name;
     std::string prefix;
+    /** Time between reads while changes can't be watched. */
     duration interval;
-    void (state_reader::*apply)(const std::vector<kv_entry>& entries,
-                                steady_time asked_at);
+    void (state_reader::*apply)(bool has_changed, steady_time asked_at);
     int failures = 0;
     bool reached = false;
     steady_time last_answer{};
+    /** Revision up to which changes are known; 0 if everything has to be
+        read. */
+    std::uint64_t followed_to = 0;
+    /** Changes of the content that came from elsewhere. */
+    std::uint64_t outside_changes = 0;
+    int watch_failures = 0;
+    steady_time watch_not_before{};
+  };
+
+  /** A call that reads a listing. */
+  struct read_call {
+    std::size_t index;
+    steady_time asked_at;
+    /** Time for which the service may wait for a change. */
+    milliseconds wait{0};
+    std::uint64_t outside_changes = 0;
   };
 
   void Poll(std::size_t index);
   void ReportAge(std::size_t index);
   void Read(std::size_t index);
+  void List(std::size_t index);
+  void Watch(std::size_t index);
   void StartReadingMembers();
-  void OnListing(std::size_t index,
-                 const kv_answer& answer,
-                 steady_time asked_at);
-  void ApplyAnswer(std::size_t index,
-                   const kv_answer& answer,
-                   steady_time asked_at);
+  void OnListed(const read_call& call, const kv_answer& answer);
+  void OnWatched(const read_call& call, const kv_answer& answer);
+  void OnWatchFailed(const read_call& call, const kv_answer& answer);
+  void PollAfter(std::size_t index, duration delay);
+  shared_listing::outcome ApplyListing(std::size_t index,
+                                       const kv_answer& answer,
+                                       steady_time asked_at);
+  void OnRelayed(std::size_t index, shared_listing::outcome outcome);
+  void OnReadOutside(std::size_t index, shared_listing::outcome outcome);
   void ReadRegistryNow();
   void StartTargetsRead();
   void RecordReachability(listing& subject, const kv_answer& answer);
 
-  void Apply(std::size_t index);
-  void ApplyConfiguration(const std::vector<kv_entry>& entries,
-                          steady_time asked_at);
-  void ApplyTargets(const std::vector<kv_entry>& entries, steady_time asked_at);
-  void ApplyRegistry(const std::vector<kv_entry>& entries,
-                     steady_time asked_at);
+  void Apply(std::size_t index, shared_listing::outcome outcome);
+  void ApplyContent(std::size_t index, shared_listing::outcome outcome);
+  void ApplyConfiguration(bool has_changed, steady_time asked_at);
+  void ApplyTargets(bool has_changed, steady_time asked_at);
+  void DecodeTargets();
+  void ApplyRegistry(bool has_changed, steady_time asked_at);
   void ApplyMembers(std::map<std::string, member_record> listed,
                     steady_time asked_at);
 
@@ -117,6 +138,8 @@
   std::array<listing, 3> listings_;
   /** The content of each listing. */
   std::vector<shared_listing> contents_;
+  /** Age that a confirmation of the configuration may hide. */
+  duration silence_;
   bool reads_members_ = false;
   /** A read of the registry outside of the polling is in progress. */
   bool refreshing_ = false;
@@ -127,6 +150,9 @@
   /** Handlers of the next such read. */
   std::vector<std::function<void(bool is_read)>> targets_handlers_;
   std::uint64_t configuration_version_ = 0;
+  /** The present content of the configuration's listing is in force. */
+  bool is_configuration_read_ = false;
+  std::vector<target_record> target_records_;
   /** Versions of the entries that name no target, by key. */
   std::map<std::string, std::uint64_t> odd_target_entries_;
   listing_monitor monitor_;
--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -14,18 +14,29 @@
 // An answer is held back for this long if nothing has changed. A follower
 // notices a frozen source soon after.
 constexpr milliseconds kMaxHold{400};
-constexpr milliseconds kAnswerTimeout{700};
+// Longest silence of a source. What takes longer only because there is much of
+// it goes on: begun again, it would take as long, and load the source twice.
+constexpr milliseconds kAnswerSilence{700};
+constexpr milliseconds kAnswerTimeout{5'000};
 constexpr milliseconds kConnectTimeout{150};
+// Bounds the load of changes in quick succession, and of a stopping source,
+// which holds nothing back.
+constexpr milliseconds kMinInterval{50};
 constexpr milliseconds kNextSourceDelay{50};
+// Pause after changes could not be fetched apart.
+constexpr milliseconds kFetchRetryDelay{200};
 // While the key-value service is away, all sources are stale. Gateways that
 // asked them more often would flood the readers.
 constexpr milliseconds kStaleSourceDelay{300};
 // Gateways that were sources once and have left.
 constexpr std::size_t kMaxPositions = 64;
 constexpr milliseconds kIdleInterval{400};
-// Fraction of the withdrawal bound after which a listing is stale. Then there
-// is still time to read it before the configuration is too old.
-constexpr double kStaleFraction = 0.36;
+// Smaller changes are not compressed.
+constexpr std::size_t kMinPackedBytes = 1'024;
+// Larger ones are asked for apart.
+constexpr std::size_t kMaxInlineBytes = 32 * 1024;
+// Followers that are at different changes.
+constexpr std::size_t kMaxPackedChanges = 4;
 
 }  // namespace
 
@@ -38,23 +49,23 @@
                          listing_monitor& monitor,
                          confirmed_handler on_confirmed)
     : pool_(pool),
-      peers_(peers, {kAnswerTimeout, kConnectTimeout}),
+      peers_(peers, {kAnswerTimeout, kConnectTimeout, kAnswerSilence}),
       settings_(settings),
       state_(state),
       start_(std::move(start)),
       listings_(listings),
       monitor_(monitor),
-      on_confirmed_(std::move(on_confirmed)) {}
+      on_confirmed_(std::move(on_confirmed)),
+      is_fetching_(listings.size()),
+      packed_(listings.size()) {}
 
 void state_relay::Start() {
   Follow();
 }
 
-bool state_relay::IsStale(std::size_t index) const {
-  const auto limit = std::chrono::duration_cast<duration>(
-      kStaleFraction * settings_.withdrawal_bound);
-  const auto& asked_at = listings_[index].asked_at;
-  return !asked_at || BootTimeNow() - *asked_at > limit;
+duration state_relay::TimeUntilStale(std::size_t index) const {
+  const std::optional<duration> age = listings_[index].Age(BootTimeNow());
+  return age ? listings_[index].max_age() - *age : duration(0);
 }
 
 bool state_relay::IsAnyStale() const {
@@ -66,12 +77,23 @@
   return false;
 }
 
+// True if the follower's content is known to be this gateway's, or it was told
+// of the last change.
+bool state_relay::IsSame(const relay_request& request,
+                         std::size_t index) const {
+  const listing_content& content = listings_[index].content();
+  const bool is_equal =
+      !request.digests.empty() && request.digests[index] == content.digest();
+  return is_equal || (request.source == start_ &&
+                      request.cursors[index] == content.cursor());
+}
+
 bool state_relay::HasNews(const relay_request& request) const {
   if (request.source != start_) {
     return true;
   }
   for (std::size_t i = 0; i < listings_.size(); ++i) {
-    if (listings_[i].content.cursor() != request.cursors[i]) {
+    if (request.only.value_or(i) == i && !IsSame(request, i)) {
       return true;
     }
   }
@@ -84,7 +106,11 @@
   }
   const result<relay_request> request =
       DecodeRelayRequest(exchange->request().body);
-  if (Failed(request) || ValueOf(request).cursors.size() != listings_.size()) {
+  const bool is_known = !Failed(request) &&
+                        ValueOf(request).cursors.size() == listings_.size() &&
+                        (ValueOf(request).digests.empty() ||
+                         ValueOf(request).digests.size() == listings_.size());
+  if (!is_known) {
     exchange->Respond({kBadRequest, http_headers(), ""});
     return true;
   }
@@ -136,21 +162,21 @@
   }
 }
 
-void state_relay::OnListing(std::size_t index, bool changed) {
-  if (changed) {
-    OnChanged(index, nullptr);
-  }
+void state_relay::OnChanged(std::size_t index) {
+  TellChange(index, nullptr);
 }
 
-void state_relay::OnChanged(std::size_t index,
-                            const source_position* changed_by) {
+void state_relay::TellChange(std::size_t index,
+                             const listing_position* changed_by) {
   // The other sources tell only what has changed for them. They may never have
   // seen an entry that came and went, so they have to tell everything again.
   for (auto& [address, position] : positions_) {
-    if (&position != changed_by && index < position.cursors.size()) {
-      position.cursors[index] = 0;
+    listing_position& subject = position.listings[index];
+    if (&subject != changed_by) {
+      subject = listing_position();
     }
   }
+  packed_[index].clear();
   // The hold timer finds the list empty or with followers that came later.
   for (const follower& waiting : std::exchange(followers_, {})) {
     Respond(waiting);
@@ -158,25 +184,70 @@
 }
 
 void state_relay::Respond(const follower& waiting) {
-  const steady_time now = BootTimeNow();
-  const bool same_source = waiting.request.source == start_;
   relay_answer answer;
   answer.source = start_;
-  answer.held = ToMilliseconds(now - waiting.since);
+  answer.held = ToMilliseconds(BootTimeNow() - waiting.since);
   for (std::size_t i = 0; i < listings_.size(); ++i) {
-    relayed_listing listing;
-    if (listings_[i].asked_at) {
-      listing.changes = listings_[i].content.ChangesAfter(
-          same_source ? waiting.request.cursors[i] : 0);
-      listing.age = ToMilliseconds(now - *listings_[i].asked_at);
-    }
-    answer.listings.push_back(std::move(listing));
+    answer.listings.push_back(waiting.request.only.value_or(i) == i
+                                  ? Describe(waiting.request, i)
+                                  : relayed_listing());
   }
   std::string body = EncodeRelayAnswer(answer);
   monitor_.OnPassedOn(body.size());
   waiting.exchange->Respond({kOk, http_headers(), std::move(body)});
 }
 
+relayed_listing state_relay::Describe(const relay_request& request,
+                                      std::size_t index) {
+  const shared_listing& own = listings_[index];
+  relayed_listing listing;
+  const std::optional<duration> age = own.Age(BootTimeNow());
+  if (!age) {
+    return listing;
+  }
+  listing.age = ToMilliseconds(*age);
+  listing.revision = own.revision();
+  listing.digest = own.content().digest();
+  if (IsSame(request, index)) {
+    listing.changes.cursor = own.content().cursor();
+    return listing;
+  }
+  const std::uint64_t from =
+      request.source == start_ ? request.cursors[index] : 0;
+  listing.changes = own.content().ChangesAfter(from);
+  if (!request.takes_packed) {
+    return listing;
+  }
+  const std::size_t size = SizeOf(listing.changes.entries);
+  listing.is_deferred = size > kMaxInlineBytes && !request.only;
+  if (listing.is_deferred) {
+    listing.changes.entries.clear();
+    listing.changes.removed.clear();
+  } else if (size >= kMinPackedBytes) {
+    listing.packed = Pack(index, from, listing.changes);
+  }
+  return listing;
+}
+
+// Followers mostly ask for the same changes.
+std::shared_ptr<const std::string> state_relay::Pack(
+    std::size_t index,
+    std::uint64_t from,
+    const listing_changes& changes) {
+  std::list<packed_changes>& known = packed_[index];
+  for (const packed_changes& packed : known) {
+    if (packed.from == from && packed.cursor == changes.cursor) {
+      return packed.bytes;
+    }
+  }
+  auto bytes = std::make_shared<const std::string>(PackChanges(changes));
+  known.push_front({from, changes.cursor, bytes});
+  if (known.size() > kMaxPackedChanges) {
+    known.pop_back();
+  }
+  return bytes;
+}
+
 std::string state_relay::SourceAddress() const {
   const std::vector<std::string>& sources = state_.relays.sources();
   if (sources.empty()) {
@@ -189,6 +260,24 @@
              : found->second.peer_address;
 }
 
+state_relay::source_position& state_relay::PositionOf(
+    const std::string& address) {
+  source_position& position = positions_[address];
+  position.listings.resize(listings_.size());
+  return position;
+}
+
+relay_request state_relay::RequestTo(const source_position& position) const {
+  relay_request request;
+  request.source = position.start;
+  request.takes_packed = true;
+  for (std::size_t i = 0; i < listings_.size(); ++i) {
+    request.cursors.push_back(position.listings[i].told);
+    request.digests.push_back(listings_[i].content().digest());
+  }
+  return request;
+}
+
 void state_relay::Follow() {
   const std::string address = SourceAddress();
   const bool needed = !state_.relays.IsReader() || IsAnyStale();
@@ -199,14 +288,11 @@
   if (positions_.size() > kMaxPositions) {
     positions_.clear();
   }
-  source_position& position = positions_[address];
-  position.cursors.resize(listings_.size(), 0);
-  const steady_time sent_at = BootTimeNow();
+  const question asked{address, RequestTo(PositionOf(address)), BootTimeNow()};
   peers_.Post(
-      address, kRelayPath,
-      EncodeRelayRequest({position.start, position.cursors}),
-      [this, address, sent_at](const http_response& response) {
-        OnAnswer(address, sent_at, response);
+      address, kRelayPath, EncodeRelayRequest(asked.request),
+      [this, asked](const http_response& response) {
+        OnAnswer(asked, response);
       },
       [this](http_failure, const std::string&) {
         state_.counters.Add("relay_failed");
@@ -219,64 +305,137 @@
   pool_.After(delay, [this] { Follow(); });
 }
 
-void state_relay::OnAnswer(const std::string& address,
-                           steady_time sent_at,
+result<relay_answer> state_relay::Decode(const http_response& response) const {
+  result<relay_answer> answer = DecodeRelayAnswer(response.body);
+  if (!Failed(answer) &&
+      (response.status != kOk ||
+       ValueOf(answer).listings.size() != listings_.size())) {
+    return error{error_kind::malformed_request,
+                 "a source tells of other listings",
+                 "run the same version on all hosts"};
+  }
+  return answer;
+}
+
+void state_relay::OnAnswer(const question& asked,
                            const http_response& response) {
-  const result<relay_answer> answer = DecodeRelayAnswer(response.body);
-  if (response.status != kOk || Failed(answer) ||
-      ValueOf(answer).listings.size() != listings_.size()) {
+  const result<relay_answer> answer = Decode(response);
+  if (Failed(answer)) {
     state_.counters.Add("relay_answer_unreadable");
     TryNextSource(kNextSourceDelay);
     return;
   }
-  Apply(ValueOf(answer), positions_[address], sent_at);
+  Apply(ValueOf(answer), asked);
   if (!IsAnyStale()) {
-    Follow();
+    const duration pause = asked.sent_at + kMinInterval - BootTimeNow();
+    pool_.After(std::max<duration>(pause, duration(0)), [this] { Follow(); });
     return;
   }
   // The source can't read the key-value service, or has just started.
   state_.counters.Add("relay_stale");
-  Log(log_level::info, "source of listings is stale", {{"source", address}});
+  Log(log_level::info, "source of listings is stale",
+      {{"source", asked.address}});
   TryNextSource(kStaleSourceDelay);
 }
 
-void state_relay::Apply(const relay_answer& answer,
-                        source_position& position,
-                        steady_time sent_at) {
-  position.cursors.resize(listings_.size(), 0);
+void state_relay::Fetch(std::size_t index, const std::string& address) {
+  if (is_fetching_[index]) {
+    return;
+  }
+  is_fetching_[index] = true;
+  const source_position& position = PositionOf(address);
+  question asked{address, RequestTo(position), BootTimeNow()};
+  asked.request.only = index;
+  asked.request.cursors[index] = position.listings[index].cursor;
+  peers_.Post(
+      address, kRelayPath, EncodeRelayRequest(asked.request),
+      [this, index, asked](const http_response& response) {
+        OnFetched(index, asked, response);
+      },
+      [this, index](http_failure, const std::string&) {
+        state_.counters.Add("relay_fetch_failed");
+        pool_.After(kFetchRetryDelay, [this, index] { EndFetch(index); });
+      });
+}
+
+void state_relay::OnFetched(std::size_t index,
+                            const question& asked,
+                            const http_response& response) {
+  const result<relay_answer> answer = Decode(response);
+  if (Failed(answer)) {
+    state_.counters.Add("relay_answer_unreadable");
+    pool_.After(kFetchRetryDelay, [this, index] { EndFetch(index); });
+    return;
+  }
+  Apply(ValueOf(answer), asked);
+  EndFetch(index);
+}
+
+void state_relay::EndFetch(std::size_t index) {
+  is_fetching_[index] = false;
+  // A source that has told of more meanwhile tells it again.
+  for (auto& [address, position] : positions_) {
+    position.listings[index].told = position.listings[index].cursor;
+  }
+}
+
+void state_relay::Apply(const relay_answer& answer, const question& asked) {
+  source_position& position = PositionOf(asked.address);
   if (answer.source != position.start) {
     position.start = answer.source;
-    std::fill(position.cursors.begin(), position.cursors.end(), 0);
+    position.listings.assign(listings_.size(), listing_position());
   }
-  const steady_time now = BootTimeNow();
   // The answer may have been on its way for all of the time for which it was
   // not held back.
-  const duration transit =
-      std::max<duration>(now - sent_at - answer.held, duration(0));
+  const duration transit = std::max<duration>(
+      BootTimeNow() - asked.sent_at - answer.held, duration(0));
   for (std::size_t i = 0; i < listings_.size(); ++i) {
-    const relayed_listing& relayed = answer.listings[i];
-    if (!relayed.age) {
-      continue;
-    }
-    shared_listing& own = listings_[i];
-    const steady_time asked_at = now - *relayed.age - transit;
-    if (own.asked_at && asked_at < *own.asked_at) {
-      // Older than what this gateway knows. The cursor stays, so that the
-      // changes are told again.
-      continue;
-    }
-    if (!relayed.changes.entries.empty()) {
-      monitor_.OnReceived(own.name, listing_monitor::origin::gateway, transit,
-                          SizeOf(relayed.changes.entries));
-    }
-    const bool changed = own.content.Apply(relayed.changes);
-    position.cursors[i] = relayed.changes.cursor;
-    own.asked_at = asked_at;
-    on_confirmed_(i);
-    if (changed) {
-      OnChanged(i, &position);
+    if (answer.listings[i].age) {
+      ApplyListing(i, answer.listings[i], asked, transit);
     }
   }
 }
 
+void state_relay::ApplyListing(std::size_t index,
+                               const relayed_listing& relayed,
+                               const question& asked,
+                               duration transit) {
+  listing_position& position = PositionOf(asked.address).listings[index];
+  shared_listing& own = listings_[index];
+  const steady_time now = BootTimeNow();
+  const shared_listing::reading source{relayed.revision,
+                                       now - *relayed.age - transit};
+  const std::uint64_t cursor = relayed.changes.cursor;
+  const bool is_equal =
+      relayed.digest != 0 && relayed.digest == own.content().digest();
+  if (is_equal) {
+    position = {cursor, cursor};
+    own.Confirm(source, now);
+    on_confirmed_(index, shared_listing::outcome::unchanged);
+    return;
+  }
+  // Changes are told from the cursor that was asked from. The content may have
+  // changed from elsewhere since.
+  const bool is_based =
+      relayed.changes.complete ||
+      (position.cursor != 0 && asked.request.cursors[index] == position.cursor);
+  position.told = cursor;
+  if (own.IsNewerThan(source)) {
+    return;
+  }
+  if (relayed.is_deferred || !is_based) {
+    Fetch(index, asked.address);
+    return;
+  }
+  monitor_.OnReceived(own.name(), listing_monitor::origin::gateway, transit,
+                      SizeOf(relayed.changes.entries));
+  const shared_listing::outcome outcome =
+      own.Apply(relayed.changes, source, now);
+  position.cursor = cursor;
+  on_confirmed_(index, outcome);
+  if (outcome == shared_listing::outcome::changed) {
+    TellChange(index, &position);
+  }
+}
+
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/state_relay.h
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -16,23 +16,18 @@
 
 namespace gentian {
 
-/** The latest content of one listing, and its age. */
-struct shared_listing {
-  /** For logs and metrics. */
-  std::string name;
-  listing_content content{};
-  /** When the listing that the content is from was asked for. */
-  std::optional<steady_time> asked_at{};
-};
-
 /** Passes listings of the key-value service on between gateways: answers those
     that follow this one, and follows another one if this gateway is no reader
-   or can't read. Used on the I/O thread only.
+    or can't read. Used on the I/O thread only.
+
+    One question to the source covers all listings and is held back until
+    something changes. Large changes are named there and asked for apart.
 */
 class state_relay {
  public:
   /** Runs after listing number `index` was confirmed by another gateway. */
-  using confirmed_handler = std::function<void(std::size_t index)>;
+  using confirmed_handler =
+      std::function<void(std::size_t index, shared_listing::outcome outcome)>;
 
   /** @param start         unique for each start of a daemon
       @param listings      the same ones, in the same order, at every gateway
@@ -48,13 +43,16 @@
 
   void Start();
 
-  /** True if the listing is so old that this gateway should read it itself. */
-  bool IsStale(std::size_t index) const;
+  /** Time until a listing is so old that this gateway should read it itself;
+      not positive from then on. */
+  duration TimeUntilStale(std::size_t index) const;
 
-  /** Tells the followers, after this gateway has read a listing itself.
+  bool IsStale(std::size_t index) const {
+    return TimeUntilStale(index) <= duration(0);
+  }
 
-      @param changed  whether its content changed */
-  void OnListing(std::size_t index, bool changed);
+  /** Tells the followers, after this gateway has read a change itself. */
+  void OnChanged(std::size_t index);
 
   /** Asks the sources to read the registry of the key-value service again. */
   void RequestRefresh();
@@ -70,26 +68,60 @@
     steady_time since;
   };
 
-  /** How far a source's changes are known. */
+  /** How far the changes of one listing at a source are known here. */
+  struct listing_position {
+    /** The last change that this gateway has. */
+    std::uint64_t cursor = 0;
+    /** The last change that the source has told of. */
+    std::uint64_t told = 0;
+  };
+
   struct source_position {
     /** The start of the source to which the cursors belong. */
     std::string start;
-    std::vector<std::uint64_t> cursors;
+    std::vector<listing_position> listings;
+  };
+
+  /** Changes as they were packed for a follower. */
+  struct packed_changes {
+    std::uint64_t from = 0;
+    std::uint64_t cursor = 0;
+    std::shared_ptr<const std::string> bytes;
+  };
+
+  /** A question to a source. */
+  struct question {
+    std::string address;
+    relay_request request;
+    steady_time sent_at;
   };
 
   bool HasNews(const relay_request& request) const;
+  bool IsSame(const relay_request& request, std::size_t index) const;
   void Respond(const follower& waiting);
+  relayed_listing Describe(const relay_request& request, std::size_t index);
+  std::shared_ptr<const std::string> Pack(std::size_t index,
+                                          std::uint64_t from,
+                                          const listing_changes& changes);
   void ReleaseHeld();
   void ArmHoldTimer();
 
   void Follow();
-  void OnAnswer(const std::string& address,
-                steady_time sent_at,
-                const http_response& response);
-  void Apply(const relay_answer& answer,
-             source_position& position,
-             steady_time sent_at);
-  void OnChanged(std::size_t index, const source_position* changed_by);
+  void OnAnswer(const question& asked, const http_response& response);
+  result<relay_answer> Decode(const http_response& response) const;
+  void Fetch(std::size_t index, const std::string& address);
+  void OnFetched(std::size_t index,
+                 const question& asked,
+                 const http_response& response);
+  void EndFetch(std::size_t index);
+  relay_request RequestTo(const source_position& position) const;
+  source_position& PositionOf(const std::string& address);
+  void Apply(const relay_answer& answer, const question& asked);
+  void ApplyListing(std::size_t index,
+                    const relayed_listing& relayed,
+                    const question& asked,
+                    duration transit);
+  void TellChange(std::size_t index, const listing_position* changed_by);
   void TryNextSource(duration delay);
   bool IsAnyStale() const;
   std::string SourceAddress() const;
@@ -108,6 +140,10 @@
   std::size_t source_ = 0;
   /** By address. */
   std::map<std::string, source_position> positions_;
+  /** By listing: whether it is being asked for apart. */
+  std::vector<bool> is_fetching_;
+  /** By listing: the last changes that were packed. */
+  std::vector<std::list<packed_changes>> packed_;
 };
 
 }  // namespace gentian
--- a/tests/gateway/listing_content_test.cc
+++ b/tests/gateway/listing_content_test.cc
@@ -39,6 +39,22 @@
   cr_assert(subject.ChangesAfter(changes.cursor).entries.empty());
 }
 
+// Guards against a follower that counts another content as its own.
+Test(listing_content, equal_contents_have_equal_digests) {
+  listing_content one;
+  listing_content other;
+  cr_assert(one.digest() == 0);
+  one.Update({{"a", "1", 1}, {"b", "1", 2}});
+  other.Update({{"b", "1", 2}});
+  cr_assert(one.digest() != other.digest());
+  other.Update({{"b", "1", 2}, {"a", "1", 1}});
+  cr_assert(one.digest() == other.digest() && one.digest() != 0);
+  one.Update({{"a", "1", 3}, {"b", "1", 2}});
+  cr_assert(one.digest() != other.digest());
+  one.Update({});
+  cr_assert(one.digest() != 0);
+}
+
 // Guards against an empty listing that looks like one that was never read.
 Test(listing_content, an_empty_listing_has_been_read) {
   listing_content subject;
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -77,11 +77,13 @@
       });
   cr_assert(!Failed(holder.Listen("127.0.0.1:0")));
   // With a thousand other daemons, this one is unlikely to hold the allowance.
+  std::map<std::string, std::string> others;
   for (int i = 0; i < 1'000; ++i) {
     const std::string host = "other-" + std::to_string(i);
-    subject.store.Put(MemberKey(host),
-                      EncodeMember({host, "z", "", holder.address(), false}));
+    others[MemberKey(host)] =
+        EncodeMember({host, "z", "", holder.address(), false});
   }
+  subject.store.PutAll(others);
   cr_assert(WaitFor([&] {
     return Fetch(subject.client, subject.Request("/once/x")).response.status ==
                200 &&
--- a/tests/platform/listing_age_test.cc
+++ b/tests/platform/listing_age_test.cc
@@ -178,15 +178,18 @@
   relay_answer answer = ValueOf(DecodeRelayAnswer(asked.response.body));
   answer.source = "source";
   constexpr std::uint64_t kLater = 1'000'000;
-  answer.listings[kConfigurationListing].changes.entries = {
+  relayed_listing next;
+  next.changes = answer.listings[kConfigurationListing].changes;
+  next.changes.cursor += 1;
+  next.changes.entries = {
       {"op/config",
        NextConfiguration(subject,
                          [](json& next) {
                            next["tenants"][0]["api_keys"] = {"k", "later"};
                          }),
        kLater}};
-  answer.listings[kConfigurationListing].age = milliseconds(0);
-  answer.listings[kConfigurationListing].changes.cursor += 1;
+  next.age = milliseconds(0);
+  answer.listings[kConfigurationListing] = next;
   http_server source(
       subject.pool,
       [&subject, &answer](const std::shared_ptr<http_exchange>& exchange) {
--- /dev/null
+++ b/tests/platform/metadata_store_test.cc
@@ -0,0 +1,68 @@
+#include <criterion/criterion.h>
+
+#include <future>
+
+#include "platform/platform.h"
+#include "platform/platform_fakes.h"
+
+using namespace gentian;
+
+namespace {
+
+json Event(const char* key, const char* value, int revision) {
+  return {{"key", key}, {"value", EncodeBase64(value)}, {"rev", revision}};
+}
+
+kv_answer Call(const http_server& server,
+               io_pool& pool,
+               const kv_operation& operation) {
+  metadata_store store(pool, server.address());
+  std::promise<kv_answer> done;
+  store.Call(operation, milliseconds(2'000),
+             [&done](const kv_answer& answer) { done.set_value(answer); });
+  return done.get_future().get();
+}
+
+}  // namespace
+
+// Guards against a key that seems to be gone because it was removed before it
+// was written again, or the other way round.
+Test(metadata_store, the_last_of_several_changes_of_a_key_counts) {
+  io_pool pool(2);
+  http_server server(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond(
+        JsonResponse(200, {{"events",
+                            {Event("a", "1", 5),
+                             {{"key", "a"}, {"rev", 6}, {"removed", true}},
+                             Event("a", "2", 7),
+                             Event("b", "1", 8),
+                             {{"key", "b"}, {"rev", 9}, {"removed", true}}}},
+                           {"as_of", 30}}));
+  });
+  cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+  const kv_answer answer = Call(server, pool, kv_watch{"", 4});
+  cr_assert(answer.outcome == kv_answer::status::ok);
+  cr_assert(answer.entries.size() == 1);
+  cr_assert(answer.entries[0].key == "a" && answer.entries[0].value == "2");
+  cr_assert(answer.deleted == std::vector<std::string>{"b"});
+  cr_assert(answer.last_change == 9 && answer.revision == 30);
+  pool.Stop();
+}
+
+// Guards against changes that are missed: pages are no snapshot, so that the
+// changes since the first page have to be read.
+Test(metadata_store, a_listing_of_several_pages_counts_from_the_first) {
+  io_pool pool(2);
+  http_server server(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+    const bool is_first =
+        exchange->request().target.find("after=") == std::string::npos;
+    exchange->Respond(JsonResponse(
+        200, {{"items", {Event(is_first ? "a" : "b", "1", is_first ? 3 : 11)}},
+              {"truncated", is_first},
+              {"as_of", is_first ? 10 : 12}}));
+  });
+  cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+  const kv_answer answer = Call(server, pool, kv_list{""});
+  cr_assert(answer.entries.size() == 2 && answer.revision == 10);
+  pool.Stop();
+}
--- a/tests/platform/platform_fakes.h
+++ b/tests/platform/platform_fakes.h
@@ -29,6 +29,23 @@
     Write(key, value);
   }
 
+  /** Writes several keys, so that no listing shows a part of them. */
+  void PutAll(const std::map<std::string, std::string>& values) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [key, value] : values) {
+      Write(key, value);
+    }
+  }
+
+  /** Writes a key again with the value that it has. */
+  void Touch(const std::string& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = items_.find(key);
+    if (found != items_.end()) {
+      Write(key, std::string(found->second.value));
+    }
+  }
+
   /** The value of a key; empty if it is absent. */
   std::string Value(const std::string& key) {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -207,8 +224,11 @@
 
   /** Shows the daemon another value under a key than the other daemons see. */
   void Replace(const std::string& key, const std::string& value) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    replaced_[key] = value;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      replaced_[key] = value;
+    }
+    store_.Touch(key);
   }
 
  private:
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <thread>
 
+#include "gentian_core/deflate.h"
 #include "gentian_gateway_daemon/relay_messages.h"
 #include "platform/gateway_fixture.h"
 
@@ -197,6 +198,76 @@
   StopPools(subject);
 }
 
+// Guards against listings that wait behind a large change of another one, and
+// against the transfer of what a follower has already.
+Test(relay,
+     tells_large_changes_apart_and_equal_content_not_at_all,
+     .timeout = 60) {
+  gateway_fixture subject(Answer);
+  json large = json::parse(subject.store.Value("op/config"));
+  large["version"] = ++subject.version;
+  large["note"] = std::string(200'000, 'x');
+  subject.store.Put("op/config", large.dump());
+  const auto has_large = [&subject] {
+    relay_request plain{"", kFromStart};
+    return SizeOf(Ask(subject, plain).listings[0].changes.entries) > 200'000;
+  };
+  cr_assert(WaitFor(has_large));
+  relay_request request{"", kFromStart};
+  request.takes_packed = true;
+  const relay_answer told = Ask(subject, request);
+  cr_assert(told.listings[0].is_deferred);
+  cr_assert(told.listings[0].changes.entries.empty());
+  cr_assert(!told.listings[1].changes.entries.empty());
+
+  request.only = 0;
+  http_client_request post = PostRequest(subject.peer_address, kRelayPath,
+                                         EncodeRelayRequest(request));
+  const std::string packed = Fetch(subject.client, post).response.body;
+  cr_assert(packed.size() < 10'000);
+  const relay_answer apart = ValueOf(DecodeRelayAnswer(packed));
+  cr_assert(apart.listings[0].changes.entries.at(0).value == large.dump());
+  cr_assert(!apart.listings[1].age);
+
+  relay_request equal{told.source, kFromStart};
+  for (const relayed_listing& listing : told.listings) {
+    equal.digests.push_back(listing.digest);
+  }
+  const relay_answer same = Ask(subject, equal);
+  cr_assert(same.held > milliseconds(300));
+  cr_assert(same.listings[0].changes.cursor == told.listings[0].changes.cursor);
+}
+
+// Guards against a process that is ended by a packed message that is damaged or
+// far larger than it looks.
+Test(relay_messages, damaged_packed_messages_are_errors) {
+  constexpr std::uint64_t kSeed = 7;
+  constexpr int kChanges = 5'000;
+  relay_answer answer;
+  answer.listings.resize(1);
+  relayed_listing& listing = answer.listings[0];
+  listing.changes = {5, true, {{"key", std::string(4'000, 'v'), 3}}, {}};
+  listing.age = milliseconds(1);
+  listing.packed =
+      std::make_shared<const std::string>(PackChanges(listing.changes));
+  const std::string sound = EncodeRelayAnswer(answer);
+  cr_assert(ValueOf(DecodeRelayAnswer(sound))
+                .listings[0]
+                .changes.entries.at(0)
+                .value == listing.changes.entries.at(0).value);
+  seeded_random random(kSeed);
+  for (int i = 0; i < kChanges; ++i) {
+    std::string damaged = sound;
+    damaged[random.Below(damaged.size())] =
+        static_cast<char>(random.Below(256));
+    DecodeRelayAnswer(damaged);
+  }
+  constexpr std::size_t kMegabytes = 64 * 1024 * 1024;
+  listing.packed =
+      std::make_shared<const std::string>(Deflate(std::string(kMegabytes, 0)));
+  cr_assert(Failed(DecodeRelayAnswer(EncodeRelayAnswer(answer))));
+}
+
 Test(relay, refuses_malformed_requests) {
   gateway_fixture subject(Answer);
   for (const std::string& body :
--- a/tests/platform/target_limit_test.cc
+++ b/tests/platform/target_limit_test.cc
@@ -138,6 +138,9 @@
   const auto status = [&send](std::size_t gateway) {
     return send(gateway).status;
   };
+  // A gateway paces a target only when the others know the same members.
+  constexpr milliseconds kHandover{1'600};
+  std::this_thread::sleep_for(kHandover);
   for (std::size_t i = 0; i < kGateways; ++i) {
     const http_response first = send(i);
     cr_assert(first.status == 200, "%zu: %d %s", i, first.status,
--- a/tests/soak/key_value_server.cc
+++ b/tests/soak/key_value_server.cc
@@ -10,6 +10,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
+constexpr milliseconds kWatchTick{5};
 
 std::string Unescape(const std::string& text) {
   constexpr int kHex = 16;
@@ -66,7 +67,7 @@
 
 void key_value_server::Remove(const std::string& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  revision_ += items_.erase(key);
+  Erase(key);
 }
 
 bool key_value_server::Contains(const std::string& key) {
@@ -78,7 +79,51 @@
                               const std::shared_ptr<http_exchange>& exchange) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Expire();
-  exchange->Respond(Execute(host, exchange->request()));
+  const http_request& request = exchange->request();
+  if (request.Path() == "/kv-watch") {
+    const milliseconds wait(std::stoll(QueryOf(request.target, "wait_ms")));
+    Watch(host, exchange, BootTimeNow() + wait);
+  } else {
+    exchange->Respond(Execute(host, request));
+  }
+}
+
+void key_value_server::Watch(const std::string& host,
+                             const std::shared_ptr<http_exchange>& exchange,
+                             steady_time until) {
+  const std::string& target = exchange->request().target;
+  json events = EventsAfter(host, std::stoull(QueryOf(target, "after")),
+                            QueryOf(target, "prefix"));
+  if (!events.empty() || BootTimeNow() >= until) {
+    exchange->Respond(JsonResponse(
+        kOk, {{"events", std::move(events)}, {"as_of", revision_}}));
+    return;
+  }
+  pool_.After(kWatchTick, [this, host, exchange, until] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Expire();
+    Watch(host, exchange, until);
+  });
+}
+
+json key_value_server::EventsAfter(const std::string& host,
+                                   std::uint64_t revision,
+                                   const std::string& prefix) const {
+  json events = json::array();
+  for (auto next = changes_.upper_bound(revision); next != changes_.end();
+       ++next) {
+    const auto& [changed_at, key] = *next;
+    if (key.rfind(prefix, 0) != 0) {
+      continue;
+    }
+    const auto found = items_.find(key);
+    if (found == items_.end()) {
+      events.push_back({{"key", key}, {"rev", changed_at}, {"removed", true}});
+    } else if (found->second.version == changed_at) {
+      events.push_back(ItemOf(host, key, found->second));
+    }
+  }
+  return events;
 }
 
 http_response key_value_server::Execute(const std::string& host,
@@ -158,7 +203,7 @@
           put.value("lease", std::uint64_t{0}));
   }
   for (const json& key : body.at("remove")) {
-    revision_ += items_.erase(key.get<std::string>());
+    Erase(key.get<std::string>());
   }
   return JsonResponse(kOk, {{"rev", revision_}});
 }
@@ -177,6 +222,13 @@
                              std::string value,
                              std::uint64_t lease) {
   items_[key] = {std::move(value), ++revision_, lease};
+  changes_[revision_] = key;
+}
+
+void key_value_server::Erase(const std::string& key) {
+  if (items_.erase(key) > 0) {
+    changes_[++revision_] = key;
+  }
 }
 
 void key_value_server::Expire() {
@@ -194,8 +246,8 @@
   for (auto next = items_.begin(); next != items_.end();) {
     const auto subject = next++;
     if (subject->second.lease == id) {
-      items_.erase(subject);
-      ++revision_;
+      const std::string key = subject->first;
+      Erase(key);
     }
   }
 }
--- a/tests/soak/key_value_server.h
+++ b/tests/soak/key_value_server.h
@@ -45,11 +45,19 @@
               const std::shared_ptr<http_exchange>& exchange);
   http_response Execute(const std::string& host, const http_request& request);
   http_response List(const std::string& host, const std::string& target);
+  /** Answers a watch, later if nothing has changed. */
+  void Watch(const std::string& host,
+             const std::shared_ptr<http_exchange>& exchange,
+             steady_time until);
+  json EventsAfter(const std::string& host,
+                   std::uint64_t revision,
+                   const std::string& prefix) const;
   http_response Transact(const std::string& host, const json& body);
   json ItemOf(const std::string& host,
               const std::string& key,
               const item& subject) const;
   void Write(const std::string& key, std::string value, std::uint64_t lease);
+  void Erase(const std::string& key);
   void Expire();
   void EndLease(std::uint64_t id);
 
@@ -59,6 +67,8 @@
   std::map<std::string, item> items_;
   std::map<std::uint64_t, lease> leases_;
   std::uint64_t revision_ = 0;
+  /** Keys by the revision of each of their changes. */
+  std::map<std::uint64_t, std::string> changes_;
   std::uint64_t last_lease_ = 0;
   std::vector<std::unique_ptr<http_server>> servers_;
 };
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -3,7 +3,7 @@
 set -eu
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy
   libboost1.81-dev libwebsocketpp-dev nlohmann-json3-dev libcxxopts-dev
-  liblog4cplus-dev libcriterion-dev libssl-dev libxxhash-dev libsqlite3-dev curl openssl)
+  liblog4cplus-dev libcriterion-dev libssl-dev libxxhash-dev libsqlite3-dev zlib1g-dev curl openssl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
