Read each listing before its own bound has passed

Cause: all listings counted as stale at 0.36 of the bound for withdrawn keys, which is 1.8 s on every site, also the targets, which must be known within 2 s on some.

--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -25,6 +25,10 @@
   std::size_t tolerated_losses = 1;
   /** Maximum time for which a withdrawn key is still accepted. */
   milliseconds withdrawal_bound{5'000};
+  /** Maximum time until a change of the configuration applies. */
+  milliseconds configuration_bound{2'000};
+  /** Maximum time for which a target that drains still gets requests. */
+  milliseconds drain_bound{2'000};
   /** Memory that the process may use, in bytes; 0 if it is not known. */
   std::size_t memory = 0;
   /** Time between the stop request and the forced end. */
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -35,8 +35,10 @@
 // Failures in a row after which everything is read at intervals for a while.
 constexpr int kMaxWatchFailures = 2;
 constexpr milliseconds kWatchPause{5'000};
-// Fraction of the withdrawal bound after which a listing is stale. Then there
-// is still time to read it before the configuration is too old.
+// Fraction of a bound after which a listing is stale. Then there is still time
+// to read it, and for a request to reach a target.
+constexpr double kStaleFraction = 0.65;
+// The same for the withdrawal bound, which also covers an outage.
 constexpr double kStaleFractionOfWithdrawal = 0.36;
 // Interval between reads of a gateway that follows others, while those can't
 // tell: the key-value service may be out of reach of all.
@@ -62,10 +64,6 @@
 // Largest part of the withdrawal bound that is given up for that.
 constexpr double kMaxSilenceFraction = 0.25;
 
-duration MaxAge(const gateway_settings& settings) {
-  return Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound);
-}
-
 duration RetryDelay(int failures) {
   return std::min<duration>(
       kMaxRetryDelay,
@@ -96,9 +94,15 @@
                   &state_reader::ApplyTargets},
                  {"members", kRegistryPrefix, kMembersInterval,
                   &state_reader::ApplyRegistry}}},
-      contents_({{listings_[kConfigurationListing].name, MaxAge(settings)},
-                 {listings_[kTargetsListing].name, MaxAge(settings)},
-                 {listings_[kMembersListing].name, MaxAge(settings)}}),
+      contents_(
+          {{listings_[kConfigurationListing].name,
+            std::min(
+                Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound),
+                Part(kStaleFraction, settings.configuration_bound))},
+           {listings_[kTargetsListing].name,
+            Part(kStaleFraction, settings.drain_bound)},
+           {listings_[kMembersListing].name,
+            Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound)}}),
       silence_(std::min<duration>(
           kWatchSilence,
           Part(kMaxSilenceFraction, settings.withdrawal_bound))),
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -248,6 +248,20 @@
   }
 }
 
+// Guards against a gateway that keeps bounds of another deployment.
+Test(node_file, reads_the_bounds_of_the_deployment) {
+  const std::string begin =
+      R"({"node_name":"n","ip":"10.0.0.1","inner_ports":[1,2],)"
+      R"("platform":{"address":"10.0.0.9:1"})";
+  const auto named = ParseNodeFile(
+      begin + R"(,"bounds":{"config_apply_ms":3000,"drain_ms":4000}})", "file");
+  cr_assert(ValueOf(named).configuration_bound == milliseconds(3'000));
+  cr_assert(ValueOf(named).drain_bound == milliseconds(4'000));
+  const auto absent = ParseNodeFile(begin + "}", "file");
+  cr_assert(ValueOf(absent).configuration_bound == milliseconds(2'000));
+  cr_assert(ValueOf(absent).drain_bound == milliseconds(2'000));
+}
+
 // Guards against a process that does not know its memory, and against one that
 // takes a damaged limit for a small one.
 Test(node_file, reads_the_memory_of_the_host) {
