Refuse what an old configuration would decide while others are known to be newer

Cause: a gateway that could not read the configuration, but heard the key-value service otherwise, served open routes from it without end, and keyed ones for 4.25 s, where changes have to apply within 2 s or more. Change: while the last confirmation is older than 0.85 of the bound of changes, and the service was heard later by half of that bound, requests get 503 (stale_configuration) with the usual Retry-After, and the gateway is not ready. In an outage that all share, open routes go on as before.

--- a/source/gentian_gateway/configuration_holder.h
+++ b/source/gentian_gateway/configuration_holder.h
@@ -16,17 +16,33 @@
 */
 class configuration_holder {
  public:
-  /** @param withdrawal_bound  time after which a withdrawn key must not work */
-  explicit configuration_holder(milliseconds withdrawal_bound);
+  /** @param withdrawal_bound  time after which a withdrawn key must not work
+      @param change_bound      time after which a change must apply */
+  explicit configuration_holder(
+      milliseconds withdrawal_bound,
+      milliseconds change_bound = milliseconds(2'000));
 
   /** Records that `reading` was the newest version when it was requested at
       `asked_at`. An older version never replaces the current one.
 
-      @returns  true if the current configuration has changed */
-  bool Confirm(shared_configuration reading, steady_time asked_at);
+      @param uncertain  time before `asked_at` that the answer leaves open
+      @returns          true if the current configuration has changed */
+  bool Confirm(shared_configuration reading,
+               steady_time asked_at,
+               duration uncertain = duration(0));
 
   /** Records that the current version was still the newest at `asked_at`. */
-  void ConfirmUnchanged(steady_time asked_at);
+  void ConfirmUnchanged(steady_time asked_at, duration uncertain = duration(0));
+
+  /** Records that something else of the key-value service was heard.
+
+      @param asked_at  when it was asked for */
+  void OnServiceHeard(steady_time asked_at);
+
+  /** True if the current version may have been replaced for longer than the
+      bound of changes although the key-value service could be heard. In an
+      outage that all daemons share, the current version goes on. */
+  bool IsBehind(steady_time now) const;
 
   /** The current version; null before the first reading. */
   const shared_configuration& current() const { return current_; }
@@ -42,8 +58,12 @@
 
  private:
   milliseconds max_age_;
+  milliseconds change_bound_;
   shared_configuration current_;
   std::optional<steady_time> confirmed_at_;
+  /** As confirmed_at_, less what the confirmations leave open. */
+  steady_time proven_at_{};
+  steady_time heard_at_{};
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -68,7 +68,8 @@
   const gateway_state& state = environment_.state;
   const refusal stale{refusal_reason::stale_configuration, kStaleRetryAfter};
   configuration_ = state.configuration.current();
-  if (!configuration_) {
+  // Gateways that are not behind serve it.
+  if (!configuration_ || state.configuration.IsBehind(BootTimeNow())) {
     return stale;
   }
   route_ = configuration_->FindRoute(call_->host, call_->path);
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -13,7 +13,7 @@
 /** A gateway daemon's view of the cluster. Used on the I/O thread only. */
 struct gateway_state {
   explicit gateway_state(const gateway_settings& settings)
-      : configuration(settings.withdrawal_bound),
+      : configuration(settings.withdrawal_bound, settings.configuration_bound),
         membership(MemberKey(settings.host)) {}
 
   /** True if requests that need a key can be decided: the configuration is
@@ -26,7 +26,7 @@
 
   /** True if callers may be sent here. */
   bool CanServe(steady_time now) const {
-    return !stop.HasBegun() && IsFresh(now);
+    return !stop.HasBegun() && IsFresh(now) && !configuration.IsBehind(now);
   }
 
   configuration_holder configuration;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -122,6 +122,7 @@
             state_.store_reached = reached;
             if (reached) {
               state_.registered_at = asked_at;
+              state_.configuration.OnServiceHeard(asked_at);
               StartReadingMembers();
             }
           }),
@@ -401,6 +402,9 @@
 void state_reader::ApplyContent(std::size_t index,
                                 shared_listing::outcome outcome) {
   if (outcome != shared_listing::outcome::older) {
+    if (index != kConfigurationListing) {
+      state_.configuration.OnServiceHeard(*contents_[index].asked_at());
+    }
     (this->*listings_[index].apply)(outcome == shared_listing::outcome::changed,
                                     *contents_[index].asked_at());
   }
@@ -428,10 +432,9 @@
 }
 
 void state_reader::ApplyConfiguration(bool has_changed, steady_time asked_at) {
-  const steady_time proven_at = asked_at - silence_;
   if (!has_changed) {
     if (is_configuration_read_) {
-      state_.configuration.ConfirmUnchanged(proven_at);
+      state_.configuration.ConfirmUnchanged(asked_at, silence_);
     }
     return;
   }
@@ -443,7 +446,7 @@
     }
     if (entry.version == configuration_version_) {
       is_configuration_read_ = true;
-      state_.configuration.ConfirmUnchanged(proven_at);
+      state_.configuration.ConfirmUnchanged(asked_at, silence_);
       return;
     }
     const result<shared_configuration> decoded =
@@ -454,7 +457,7 @@
            {"remedy", ErrorOf(decoded).remedy}});
       return;
     }
-    if (state_.configuration.Confirm(ValueOf(decoded), proven_at)) {
+    if (state_.configuration.Confirm(ValueOf(decoded), asked_at, silence_)) {
       is_configuration_read_ = true;
       configuration_version_ = entry.version;
       Log(log_level::info, "configuration in force",
--- a/tests/gateway/configuration_test.cc
+++ b/tests/gateway/configuration_test.cc
@@ -112,3 +112,29 @@
   cr_assert(!DecodeMember("{}"));
   cr_assert(!DecodeMember("not json"));
 }
+
+// Guards against requests that are decided by a configuration that others have
+// replaced, at a gateway that hears everything else, and against refusals in an
+// outage of the key-value service.
+Test(configuration_holder, is_behind_only_while_the_service_is_heard) {
+  configuration_holder holder(milliseconds(5'000), milliseconds(2'000));
+  cr_assert(!holder.IsBehind(At(9'000)));
+  holder.ConfirmUnchanged(At(0));
+  holder.OnServiceHeard(At(900));
+  cr_assert(!holder.IsBehind(At(1'600)));
+  cr_assert(!holder.IsBehind(At(4'000)));
+  holder.OnServiceHeard(At(1'100));
+  cr_assert(!holder.IsBehind(At(1'600)));
+  cr_assert(holder.IsBehind(At(1'800)));
+  holder.ConfirmUnchanged(At(1'500));
+  cr_assert(!holder.IsBehind(At(2'500)));
+}
+
+// Guards against a withdrawn key that works for too long: an answer of a watch
+// leaves open what was withdrawn right before.
+Test(configuration_holder, what_a_confirmation_leaves_open_counts) {
+  configuration_holder holder(milliseconds(5'000));
+  holder.Confirm(Version(1), At(0), milliseconds(1'000));
+  cr_assert(holder.IsFresh(At(3'200)));
+  cr_assert(!holder.IsFresh(At(3'300)));
+}
