Count a gap between listings of targets as an outage only if the service was silent

Cause: a gap of 2.5 s between two listings of a gateway counted as an outage of the key-value service, after which targets that are missing are kept for 1.9 s, as their entries may have expired. The gap may be the gateway's own lateness: then a target that had left was sent requests 4.4 s and more later, where the bound is 2 s. Change: renewals of the gateway's lease tell that the service was there; only a silence of 2.5 s within the gap counts. Result: target_table/late_listings_are_no_outage is new; with the former rule in place it fails. The tests of outages pass unchanged.

--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Gap between listings beyond which the key-value service counts as having been
+// Silence beyond which the key-value service counts as having been
 // unavailable. Entries last for three heartbeats of a target, so some may have
 // expired.
 constexpr milliseconds kOutageThreshold{2'500};
@@ -38,13 +38,17 @@
     std::vector<target_record> listing,
     steady_time asked_at) {
   std::vector<std::string> changed;
+  OnServiceHeard(asked_at);
+  const bool was_silent = longest_silence_ > kOutageThreshold;
+  longest_silence_ = duration(0);
   if (!last_listing_ || asked_at - *last_listing_ > kOutageThreshold) {
     observed_since_ = asked_at;
   }
   for (const target_record& record : listing) {
     versions_[record.service][record.version] = asked_at;
   }
-  if (last_listing_ && asked_at - *last_listing_ > kOutageThreshold) {
+  if (last_listing_ && asked_at - *last_listing_ > kOutageThreshold &&
+      was_silent) {
     outage_ended_ = asked_at;
     for (auto& [id, target] : known_) {
       target.listed_since_outage = false;
@@ -90,6 +94,13 @@
   return changed;
 }
 
+void target_table::OnServiceHeard(steady_time asked_at) {
+  if (last_heard_) {
+    longest_silence_ = std::max(longest_silence_, asked_at - *last_heard_);
+  }
+  last_heard_ = last_heard_ ? std::max(*last_heard_, asked_at) : asked_at;
+}
+
 std::optional<std::string> target_table::OnlyVersion(const std::string& service,
                                                      steady_time now) const {
   const auto found = versions_.find(service);
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -68,6 +68,12 @@
   std::vector<std::string> Update(std::vector<target_record> listing,
                                   steady_time asked_at);
 
+  /** Records that the key-value service was heard, whatever it answered: a gap
+      between listings is no outage then.
+
+      @param asked_at  when it was asked */
+  void OnServiceHeard(steady_time asked_at);
+
   /** True if a target of the service takes requests. */
   bool HasTarget(const std::string& service) const;
 
@@ -131,6 +137,9 @@
   /** Start of the listings without a gap. */
   std::optional<steady_time> observed_since_;
   std::optional<steady_time> last_listing_;
+  std::optional<steady_time> last_heard_;
+  /** Longest time since the last listing in which the service was not heard. */
+  duration longest_silence_{0};
   std::optional<steady_time> outage_ended_;
 };
 
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -123,6 +123,7 @@
             if (reached) {
               state_.registered_at = asked_at;
               state_.configuration.OnServiceHeard(asked_at);
+              state_.targets.OnServiceHeard(asked_at);
               StartReadingMembers();
             }
           }),
--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -44,6 +44,17 @@
   cr_assert(table.Find("b") == nullptr);
 }
 
+// Guards against requests to a target that has left, at a gateway whose listings
+// came late while the key-value service was there.
+Test(target_table, late_listings_are_no_outage) {
+  target_table table;
+  table.Update({Target("a"), Target("b")}, At(0));
+  table.OnServiceHeard(At(1'500));
+  table.OnServiceHeard(At(3'000));
+  table.Update({Target("a")}, At(4'000));
+  cr_assert(table.Find("b") == nullptr);
+}
+
 // Guards against requests to a target that was listed after an outage and then
 // left: it was kept for 2.2 s (seed 910465616205).
 Test(target_table, drops_a_target_that_leaves_right_after_an_outage) {
