Ask again whether a target takes requests when its connection is open

Cause: a target is chosen, and then a connection, or a tunnel through another gateway, is opened to it for up to 0.25 s, more on a busy host. A target that says meanwhile that it leaves got the request all the same; that time was in no bound. Change: http_client asks is_wanted before it writes a request on a new connection; the gateway looks whether the target is still usable. If not, the request goes elsewhere and has not run ('target_left'). Result: http/a_request_that_is_not_wanted_is_not_sent is new.

--- a/source/gentian_adapters/target_stream.cc
+++ b/source/gentian_adapters/target_stream.cc
@@ -22,6 +22,7 @@
 target_failure FailureOf(http_failure failure) {
   switch (failure) {
     case http_failure::not_sent:
+    case http_failure::not_wanted:
     case http_failure::no_tunnel:
       return target_failure::not_sent;
     case http_failure::silent:
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -187,6 +187,10 @@
                         bool is_first) {
     return !if_current() || me->AcceptAnswer(status, headers, is_first);
   };
+  // The target may have said meanwhile that it leaves.
+  handlers.is_wanted = [me = shared_from_this(), if_current] {
+    return !if_current() || me->IsUsable(me->target_);
+  };
   handlers.on_header = [me = shared_from_this(), if_current](
                            int status, const http_headers& headers) {
     if (if_current()) {
@@ -483,6 +487,10 @@
 
 void gateway_call::OnFailure(http_failure failure, const std::string& message) {
   EndAttempt();
+  if (failure == http_failure::not_wanted) {
+    RetryElsewhere("target_left", message);
+    return;
+  }
   if (failure == http_failure::not_sent || failure == http_failure::no_tunnel) {
     OnNotSent(failure, message);
     return;
--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -297,6 +297,10 @@
   }
 
   void SendRequest() {
+    if (!reused_ && handlers_.is_wanted && !handlers_.is_wanted()) {
+      Fail(http_failure::not_wanted, "the connection took too long");
+      return;
+    }
     sent_ = true;
     StartAnswer();
     silence_timer_->cancel();
@@ -581,6 +585,7 @@
     }
     // The server may have run what was sent on the other connection.
     const bool was_sent = (failure == http_failure::not_sent ||
+                           failure == http_failure::not_wanted ||
                            failure == http_failure::no_tunnel) &&
                           sent_before_;
     handlers_.on_failure(was_sent ? http_failure::broken : failure, message);
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -17,6 +17,8 @@
 enum class http_failure {
   /** No byte of the request left this host. */
   not_sent,
+  /** As not_sent: the sender no longer wants it. */
+  not_wanted,
   /** As not_sent: the tunnel server could not be reached, or refused. */
   no_tunnel,
   /** The connection broke after bytes may have been sent. */
@@ -85,6 +87,9 @@
       @param is_first  nothing was sent or read on the connection before */
   std::function<bool(int status, const http_headers& headers, bool is_first)>
       is_own = nullptr;
+  /** Asked before the request is written on a new connection, which may have
+      taken a while to open. False ends the request as not_wanted. */
+  std::function<bool()> is_wanted = nullptr;
   /** Tells how many bytes of the answer the receiver holds, after each on_body.
       Without it, none. */
   std::function<std::size_t()> held = nullptr;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -367,3 +367,42 @@
   }
   pool.Stop();
 }
+
+// Guards against a request that reaches a server after its sender has learned,
+// while the connection was opened, that it must not.
+Test(http, a_request_that_is_not_wanted_is_not_sent, .timeout = 60) {
+  std::atomic<int> requests{0};
+  io_pool pool(2);
+  http_server server(pool, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++requests;
+    exchange->Respond({200, http_headers(), "whole"});
+  });
+  cr_assert(!Failed(server.Listen(kAnyPort)));
+  http_client client(pool);
+  bool is_wanted = false;
+  int asked = 0;
+  const auto send = [&] {
+    std::promise<std::optional<http_failure>> done;
+    http_client_request request;
+    request.address = server.address();
+    request.reuse_connection = true;
+    http_client_handlers handlers;
+    handlers.is_wanted = [&] {
+      ++asked;
+      return is_wanted;
+    };
+    handlers.on_end = [&done] { done.set_value(std::nullopt); };
+    handlers.on_failure = [&done](http_failure failure, const std::string&) {
+      done.set_value(failure);
+    };
+    client.Send(std::move(request), std::move(handlers));
+    return done.get_future().get();
+  };
+  cr_assert(send() == http_failure::not_wanted);
+  cr_assert(requests == 0);
+  is_wanted = true;
+  cr_assert(!send() && requests == 1 && asked == 2);
+  // A kept connection takes no time to open.
+  cr_assert(!send() && requests == 2 && asked == 2);
+  pool.Stop();
+}
