--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -567,10 +567,7 @@
         request_(std::move(request)) {}
   // An exchange that is dropped without an answer, for instance because its
   // handler threw an exception, must not leave the caller waiting.
-  ~connection_exchange() override {
-    owner_->PostAnswer(serial_,
-                       [](connection& self) { self.CloseAfterOutput(); });
-  }
+  ~connection_exchange() override { CloseAfterOutput(); }
   connection_exchange(const connection_exchange&) = delete;
   connection_exchange& operator=(const connection_exchange&) = delete;
 
@@ -612,15 +609,18 @@
     owner_->PostAnswer(serial_, [](connection& self) { self.EndStream(); });
   }
 
-  void Abort() override {
-    owner_->PostAnswer(serial_, [](connection& self) { self.Close(); });
-  }
+  void Abort() override { CloseAfterOutput(); }
 
   void SetDisconnectHandler(std::function<void()> handler) override {
     owner_->SetDisconnectHandler(serial_, std::move(handler));
   }
 
  private:
+  void CloseAfterOutput() {
+    owner_->PostAnswer(serial_,
+                       [](connection& self) { self.CloseAfterOutput(); });
+  }
+
   std::shared_ptr<connection> owner_;
   std::uint64_t serial_;
   http_request request_;
