Bound the times in messages about listings

Cause: the age of a listing and the time for which an answer was held were taken from another gateway's message as they came; a damaged one overflows when it is subtracted from the present time, and an old listing may look young. Change: they are read as the other times in messages are, up to an hour. Result: relay_messages/times_are_bounded is new and passes.

--- a/source/gentian_gateway_daemon/relay_messages.cc
+++ b/source/gentian_gateway_daemon/relay_messages.cc
@@ -4,6 +4,7 @@
 
 #include "gentian_core/cbor_message.h"
 #include "gentian_core/deflate.h"
+#include "gentian_gateway_daemon/message_time.h"
 
 namespace gentian {
 
@@ -18,6 +19,8 @@
 // Stands for a listing that has not been read.
 constexpr milliseconds kNoAge{-1};
 
+// Listings that are older are as stale as this.
+constexpr milliseconds kMaxTime{3'600'000};
 // Bounds unpacked changes. A value of the key-value service has at most a
 // megabyte, and most listings are far smaller.
 constexpr std::size_t kMaxUnpackedBytes = 16 * 1024 * 1024;
@@ -90,9 +93,8 @@
   }
   listing.changes.cursor = in.at("cursor").get<std::uint64_t>();
   listing.changes.complete = in.at("complete").get<bool>();
-  const milliseconds age(in.at("age_ms").get<milliseconds::rep>());
-  if (age >= milliseconds(0)) {
-    listing.age = age;
+  if (in.at("age_ms").get<double>() >= 0) {
+    listing.age = ReadMilliseconds(in, "age_ms", kMaxTime);
   }
   listing.revision = in.value("revision", std::uint64_t{0});
   listing.digest = in.value("digest", std::uint64_t{0});
@@ -145,7 +147,7 @@
   return Decode<relay_answer>(bytes, [](const json& in) {
     relay_answer answer;
     answer.source = BytesOf(in.at("source"));
-    answer.held = milliseconds(in.at("held_ms").get<milliseconds::rep>());
+    answer.held = ReadMilliseconds(in, "held_ms", kMaxTime);
     for (const json& listing : in.at("listings")) {
       answer.listings.push_back(ListingFromCbor(listing));
     }
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -198,6 +198,20 @@
   StopPools(subject);
 }
 
+// Guards against an age that can't be subtracted from the present time, and
+// makes an old listing look young.
+Test(relay_messages, times_are_bounded) {
+  relay_answer answer;
+  answer.held = milliseconds::max();
+  answer.listings.resize(1);
+  answer.listings[0].age = milliseconds::max();
+  const auto read = DecodeRelayAnswer(EncodeRelayAnswer(answer));
+  cr_assert(!Failed(read));
+  constexpr milliseconds kHour{3'600'000};
+  cr_assert(ValueOf(read).listings[0].age == kHour);
+  cr_assert(ValueOf(read).held == kHour);
+}
+
 // Guards against listings that wait behind a large change of another one, and
 // against the transfer of what a follower has already.
 Test(relay,
