--- a/source/gentian_gateway/configuration_holder.cc
+++ b/source/gentian_gateway/configuration_holder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gentian_gateway/fraction_of.h"
+
 namespace gentian {
 
 namespace {
@@ -16,15 +18,11 @@
 // the configuration. Listings are confirmed one after the other.
 constexpr double kBehindFraction = 0.5;
 
-milliseconds Part(double fraction, milliseconds whole) {
-  return std::chrono::duration_cast<milliseconds>(fraction * whole);
-}
-
 }  // namespace
 
 configuration_holder::configuration_holder(milliseconds withdrawal_bound,
                                            milliseconds change_bound)
-    : max_age_(Part(kFreshFraction, withdrawal_bound)),
+    : max_age_(ToMilliseconds(FractionOf(kFreshFraction, withdrawal_bound))),
       change_bound_(change_bound) {}
 
 bool configuration_holder::Confirm(shared_configuration reading,
@@ -54,8 +52,9 @@
 
 bool configuration_holder::IsBehind(steady_time now) const {
   return confirmed_at_ &&
-         now - *confirmed_at_ > Part(kFreshFraction, change_bound_) &&
-         heard_at_ - *confirmed_at_ > Part(kBehindFraction, change_bound_);
+         now - *confirmed_at_ > FractionOf(kFreshFraction, change_bound_) &&
+         heard_at_ - *confirmed_at_ >
+             FractionOf(kBehindFraction, change_bound_);
 }
 
 bool configuration_holder::IsFresh(steady_time now) const {
--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -14,6 +14,7 @@
 #include "gentian_gateway/configuration_holder.h"
 #include "gentian_gateway/crash_history.h"
 #include "gentian_gateway/event_splitter.h"
+#include "gentian_gateway/fraction_of.h"
 #include "gentian_gateway/gateway_configuration.h"
 #include "gentian_gateway/gateway_members.h"
 #include "gentian_gateway/listing_content.h"
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -54,10 +54,6 @@
 constexpr milliseconds kMaxRetryDelay{400};
 constexpr int kMaxDoublings = 2;
 
-duration Part(double fraction, duration bound) {
-  return std::chrono::duration_cast<duration>(fraction * bound);
-}
-
 // A watch that tells of no change proves it only for the time before this: the
 // service may tell watches nothing for a while before it drops its history.
 constexpr milliseconds kWatchSilence{1'000};
@@ -96,16 +92,17 @@
                   &state_reader::ApplyRegistry}}},
       contents_(
           {{listings_[kConfigurationListing].name,
-            std::min(
-                Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound),
-                Part(kStaleFraction, settings.configuration_bound))},
+            std::min(FractionOf(kStaleFractionOfWithdrawal,
+                                settings.withdrawal_bound),
+                     FractionOf(kStaleFraction, settings.configuration_bound))},
            {listings_[kTargetsListing].name,
-            Part(kStaleFraction, settings.drain_bound)},
+            FractionOf(kStaleFraction, settings.drain_bound)},
            {listings_[kMembersListing].name,
-            Part(kStaleFractionOfWithdrawal, settings.withdrawal_bound)}}),
+            FractionOf(kStaleFractionOfWithdrawal,
+                       settings.withdrawal_bound)}}),
       silence_(std::min<duration>(
           kWatchSilence,
-          Part(kMaxSilenceFraction, settings.withdrawal_bound))),
+          FractionOf(kMaxSilenceFraction, settings.withdrawal_bound))),
       monitor_(state),
       registration_(
           pool,
@@ -202,7 +199,8 @@
   const listing& subject = listings_[index];
   const milliseconds wait =
       state_.relays.IsReader()
-          ? ToMilliseconds(Part(kWatchFraction, contents_[index].max_age()))
+          ? ToMilliseconds(
+                FractionOf(kWatchFraction, contents_[index].max_age()))
           : kNoWait;
   const read_call call{index, BootTimeNow(), wait, subject.outside_changes};
   store_.Call(kv_watch{subject.prefix, subject.followed_to, call.wait},
