--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -42,7 +42,6 @@
 
 state_relay::state_relay(io_pool& pool,
                          http_client& peers,
-                         const gateway_settings& settings,
                          gateway_state& state,
                          std::string start,
                          std::vector<shared_listing>& listings,
@@ -50,7 +49,6 @@
                          confirmed_handler on_confirmed)
     : pool_(pool),
       peers_(peers, {kAnswerTimeout, kConnectTimeout, kAnswerSilence}),
-      settings_(settings),
       state_(state),
       start_(std::move(start)),
       listings_(listings),
--- a/source/gentian_gateway_daemon/state_relay.h
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -34,7 +34,6 @@
       @param on_confirmed  see there */
   state_relay(io_pool& pool,
               http_client& peers,
-              const gateway_settings& settings,
               gateway_state& state,
               std::string start,
               std::vector<shared_listing>& listings,
@@ -128,7 +127,6 @@
 
   io_pool& pool_;
   peer_client peers_;
-  const gateway_settings& settings_;
   gateway_state& state_;
   const std::string start_;
   std::vector<shared_listing>& listings_;
