--- a/tests/gateway/target_table_test.cc
+++ b/tests/gateway/target_table_test.cc
@@ -44,8 +44,8 @@
   cr_assert(table.Find("b") == nullptr);
 }
 
-// Guards against requests to a target that has left, at a gateway whose listings
-// came late while the key-value service was there.
+// Guards against requests to a target that has left, at a gateway whose
+// listings came late while the key-value service was there.
 Test(target_table, late_listings_are_no_outage) {
   target_table table;
   table.Update({Target("a"), Target("b")}, At(0));
