--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <string>
 
+#include "gentian_app/crash_report.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/version.h"
 #include "gentian_log/gentian_log.h"
@@ -47,9 +48,12 @@
     PrintHelp(std::cout);
     return 0;
   }
+  gentian::ReportCrashes();
   for (const auto& next : kSubcommands) {
     if (name == next.name) {
       const int status = next.run(argc - 1, argv + 1);
+      gentian::Log(gentian::log_level::info, "process ends",
+                   {{"status", status}});
       gentian::StopLog();
       std::cout.flush();
       // The logging library's static destructors wait for its idle threads,
--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -1,7 +1,10 @@
 #include "gentian_app/platform_process.h"
 
 #include <malloc.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -9,6 +12,8 @@
 #include <future>
 #include <thread>
 
+#include "gentian_daemon/version.h"
+
 namespace gentian {
 
 namespace {
@@ -22,6 +27,18 @@
 // they are freed.
 constexpr int kLargeBuffer = 128 * 1024;
 
+struct limit_row {
+  decltype(RLIMIT_AS) resource;
+  const char* field;
+};
+
+// In bytes, but for the descriptors.
+constexpr std::array<limit_row, 4> kHostLimits = {
+    {{RLIMIT_AS, "limit_address_space"},
+     {RLIMIT_DATA, "limit_data"},
+     {RLIMIT_FSIZE, "limit_file_size"},
+     {RLIMIT_NOFILE, "limit_descriptors"}}};
+
 }  // namespace
 
 std::optional<int> detail::ParsePlatformOptions(const platform_command& command,
@@ -52,16 +69,26 @@
 }
 
 int FailToRun(const platform_command& command, const error& reason) {
+  Log(log_level::error, "cannot run",
+      {{"reason", reason.message}, {"remedy", reason.remedy}});
   std::cerr << "gentianrun " << command.name << ": " << reason.message << "; "
             << reason.remedy << "\n";
   std::this_thread::sleep_for(kPauseAfterError);
   return 1;
 }
 
-void LogException(const std::string& message) {
-  Log(log_level::error, "unexpected exception",
-      {{"reason", message},
-       {"remedy", "report it with the lines around this one"}});
+void LogStarting(const platform_command& command) {
+  json line = {{"version", Version()},
+               {"command", command.name},
+               {"process", ::getpid()}};
+  for (const limit_row& row : kHostLimits) {
+    rlimit limit{};
+    if (::getrlimit(row.resource, &limit) == 0 &&
+        limit.rlim_cur != RLIM_INFINITY) {
+      line[row.field] = limit.rlim_cur;
+    }
+  }
+  Log(log_level::info, "starting", line);
 }
 
 void BoundMemory(io_pool& pool, std::size_t memory) {
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "gentian_app/crash_report.h"
 #include "gentian_app/text_file.h"
 #include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
@@ -47,8 +48,8 @@
     @returns  the exit status */
 int FailToRun(const platform_command& command, const error& reason);
 
-/** Logs an exception that ended the handling of one event. */
-void LogException(const std::string& message);
+/** Logs that the process starts, with the limits that the host sets for it. */
+void LogStarting(const platform_command& command);
 
 /** Leaves a share of the memory of the process for messages of its peers, and
     has freed buffers go back to the host.
@@ -77,6 +78,7 @@
   if (Failed(logging)) {
     return FailToRun(command, ErrorOf(logging));
   }
+  LogStarting(command);
   const std::string incarnation =
       settings.host + "-" +
       std::to_string(BootTimeNow().time_since_epoch().count());
