--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -3,8 +3,9 @@
 #include <iostream>
 #include <sstream>
 
+#include "gentian_app/crash_report.h"
 #include "gentian_app/dev_environment.h"
-#include "gentian_app/signal_waiter.h"
+#include "gentian_app/process_signals.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/gentian_daemon.h"
 #include "gentian_log/gentian_log.h"
@@ -34,12 +35,11 @@
 }
 
 int Run(const std::string& address, const std::string& log_level) {
-  signal_waiter signals;
   const result<success> logging = StartLog(log_level, "dev");
   if (Failed(logging)) {
     return Fail(ErrorOf(logging));
   }
-  io_pool pool(kIoThreads);
+  io_pool pool(kIoThreads, &LogException);
   dev_environment environment(pool);
   const result<success> fakes = environment.Start();
   if (Failed(fakes)) {
@@ -78,7 +78,10 @@
   if (Failed(started)) {
     return Fail(ErrorOf(started));
   }
-  signals.Start([&subject] { subject.RequestStop(); });
+  // SIGHUP comes when the terminal closes.
+  terminal_stop stop([&subject] { subject.RequestStop(); });
+  const signal_watch signals(pool,
+                             [&stop](int number) { stop.OnSignal(number); });
   std::cout << "address: http://" << subject.caller_address() << "\n"
             << "key: " << key << "\n"
             << "team: dev\nprogram: assistant\n";
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "gentian_app/crash_report.h"
+#include "gentian_app/process_signals.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/version.h"
 #include "gentian_log/gentian_log.h"
@@ -49,6 +50,7 @@
     return 0;
   }
   gentian::ReportCrashes();
+  gentian::HoldSignals();
   for (const auto& next : kSubcommands) {
     if (name == next.name) {
       const int status = next.run(argc - 1, argv + 1);
--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -6,7 +6,6 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <future>
@@ -111,22 +110,16 @@
 void RunUntilStopped(io_pool& pool,
                      const std::function<void(std::function<void()>)>& stop) {
   std::promise<void> stopped;
-  boost::asio::signal_set signals(pool.context(), SIGTERM, SIGINT, SIGHUP);
-  std::function<void(boost::system::error_code, int)> on_signal =
-      [&](boost::system::error_code failure, int signal) {
-        if (failure) {
-          return;
-        }
-        if (signal == SIGHUP) {
-          // Settings don't change while a process runs.
-          Log(log_level::info, "settings kept",
-              {{"reason", "addresses are fixed while the process runs"}});
-        } else {
-          stop([&stopped] { stopped.set_value(); });
-        }
-        signals.async_wait(on_signal);
-      };
-  signals.async_wait(on_signal);
+  const signal_watch signals(pool, [&stop, &stopped](int number) {
+    if (number == SIGHUP) {
+      // Settings don't change while a process runs.
+      Log(log_level::info, "settings kept",
+          {{"reason", "addresses are fixed while the process runs"}});
+    } else {
+      Log(log_level::info, "stop requested", {{"signal", number}});
+      stop([&stopped] { stopped.set_value(); });
+    }
+  });
   stopped.get_future().wait();
   pool.Stop();
 }
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -1,7 +1,6 @@
 #ifndef GENTIAN_APP_PLATFORM_PROCESS_H_
 #define GENTIAN_APP_PLATFORM_PROCESS_H_
 
-#include <csignal>
 #include <cstddef>
 #include <functional>
 #include <iostream>
@@ -10,6 +9,7 @@
 #include <utility>
 
 #include "gentian_app/crash_report.h"
+#include "gentian_app/process_signals.h"
 #include "gentian_app/text_file.h"
 #include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
@@ -72,7 +72,6 @@
                       const Settings& settings,
                       json (*describe)(const Settings& settings,
                                        const std::string& incarnation)) {
-  std::signal(SIGPIPE, SIG_IGN);
   const result<success> logging =
       StartLog("info", settings.host, log_output::standard_output);
   if (Failed(logging)) {
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -1,8 +1,10 @@
+#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
 #include "gentian_adapters/gentian_adapters.h"
-#include "gentian_app/signal_waiter.h"
+#include "gentian_app/crash_report.h"
+#include "gentian_app/process_signals.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_app/text_file.h"
 #include "gentian_daemon/daemon_file.h"
@@ -22,13 +24,13 @@
 }
 
 int RunDaemon(const daemon_options& options) {
-  signal_waiter signals;
   const result<success> logging =
       StartLog(options.log_level, options.host.text());
   if (Failed(logging)) {
     return Fail(ErrorOf(logging));
   }
-  io_pool pool(kIoThreads);
+  Log(log_level::info, "starting", {{"version", Version()}});
+  io_pool pool(kIoThreads, &LogException);
   etcd_key_value_store key_values(pool, options.key_value_address);
   http_target_gateway targets(pool);
   http_host_list hosts(pool, options.host_list_address);
@@ -41,7 +43,15 @@
   if (Failed(started)) {
     return Fail(ErrorOf(started));
   }
-  signals.Start([&subject] { subject.RequestStop(); });
+  terminal_stop stop([&subject] { subject.RequestStop(); });
+  const signal_watch signals(pool, [&stop](int number) {
+    if (number == SIGHUP) {
+      Log(log_level::info, "settings kept",
+          {{"remedy", "change them with gentianrun admin"}});
+    } else {
+      stop.OnSignal(number);
+    }
+  });
   Log(log_level::info, "daemon started",
       {{"caller_address", subject.caller_address()}});
   const result<success> stopped = subject.WaitUntilStopped();
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -20,8 +22,11 @@
 */
 class child_process {
  public:
+  /** @param prepare  runs in the child before the binary does, with its output
+                      open; for limits and file descriptors */
   explicit child_process(const std::vector<std::string>& arguments,
-                         const std::string& binary = GENTIAN_BINARY)
+                         const std::string& binary = GENTIAN_BINARY,
+                         const std::function<void()>& prepare = nullptr)
       : output_(std::filesystem::temp_directory_path() /
                 ("gentian_child_" + std::to_string(::getpid()) + "_" +
                  std::to_string(++child_count))) {
@@ -38,6 +43,9 @@
     if (id_ == 0) {
       const int out = ::open(file.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
       ::dup2(out, STDOUT_FILENO);
+      if (prepare) {
+        prepare();
+      }
       ::execv(raw[0], raw.data());
       ::_exit(127);
     }
@@ -54,14 +62,27 @@
 
   void Signal(int number) const { ::kill(id_, number); }
 
-  /** Waits for the end; the exit status, or -1 after a signal. */
+  /** Waits for the end; the exit status, or minus the number of the signal that
+      ended it. */
   int Wait() {
     int status = 0;
     ::waitpid(id_, &status, 0);
     id_ = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
 
+  /** As Wait, if it has ended. */
+  std::optional<int> Poll() {
+    int status = 0;
+    if (id_ == 0 || ::waitpid(id_, &status, WNOHANG) != id_) {
+      return std::nullopt;
+    }
+    id_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+
+  pid_t id() const { return id_; }
+
   /** What it has written to standard output so far. */
   std::string Output() const {
     std::ifstream in(output_);
