Wait for what the process before this one still holds

A successor that was started while its predecessor stopped ended with status 1 after 2 s, and so did a process whose settings file was being written. Cause: an address or database in use, and a file in part, counted as final errors. Change: the start is tried again until the grace of the predecessor has passed (2 s more for a kill), and an unreadable settings file for 10 s; each wait is logged, and a signal to stop ends it. The addresses are bound before anything else, those that a predecessor closes last first, and none is served before all are. A failed attempt changes nothing, so that it can be repeated; `serve` and `dev` do the same.

--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -6,6 +6,7 @@
 #include "gentian_app/crash_report.h"
 #include "gentian_app/dev_environment.h"
 #include "gentian_app/process_signals.h"
+#include "gentian_app/startup_wait.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_daemon/gentian_daemon.h"
 #include "gentian_log/gentian_log.h"
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr unsigned kIoThreads = 2;
+// Time for the end of a daemon that was just stopped.
+constexpr milliseconds kAddressLimit{2'000};
 constexpr const char* kUnusedPeerAddress = "127.0.0.1:1";
 constexpr const char* kUnboundAddress = "127.0.0.1:2";
 
@@ -74,9 +77,11 @@
                  initial_settings(std::get<configuration>(built), tree,
                                   BuildConfiguration),
                  pool, daemon_platform{&key_values, &targets, &hosts});
-  const result<success> started = subject.Start();
+  const result<success> started =
+      RetryUntilReady(kAddressLimit, [&subject] { return subject.Start(); });
   if (Failed(started)) {
-    return Fail(ErrorOf(started));
+    pool.Stop();
+    return IsStopHeld() ? 0 : Fail(ErrorOf(started));
   }
   // SIGHUP comes when the terminal closes.
   terminal_stop stop([&subject] { subject.RequestStop(); });
--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <future>
@@ -19,6 +20,7 @@
 
 // Time before a process with unusable settings ends.
 constexpr std::chrono::seconds kPauseAfterError{2};
+constexpr milliseconds kStopPollInterval{50};
 // The rest is for the state of the process, for copies of messages on their
 // way, for small messages and for what the kernel buffers.
 constexpr std::size_t kMessageMemoryShare = 4;
@@ -67,15 +69,43 @@
   }
 }
 
+result<success> detail::RunOnPool(
+    io_pool& pool,
+    const std::function<result<success>()>& action) {
+  std::promise<result<success>> done;
+  boost::asio::post(pool.context(), [&action, &done] {
+    try {
+      done.set_value(action());
+    } catch (const std::exception& failure) {
+      done.set_value(NoResources(failure));
+    }
+  });
+  return done.get_future().get();
+}
+
 int FailToRun(const platform_command& command, const error& reason) {
+  if (IsStopHeld()) {
+    Log(log_level::info, "stopped before the start",
+        {{"reason", reason.message}});
+    return 0;
+  }
   Log(log_level::error, "cannot run",
       {{"reason", reason.message}, {"remedy", reason.remedy}});
   std::cerr << "gentianrun " << command.name << ": " << reason.message << "; "
             << reason.remedy << "\n";
-  std::this_thread::sleep_for(kPauseAfterError);
+  const steady_time end = BootTimeNow() + kPauseAfterError;
+  while (BootTimeNow() < end && !IsStopHeld()) {
+    std::this_thread::sleep_for(kStopPollInterval);
+  }
   return 1;
 }
 
+error NoResources(const std::exception& failure) {
+  return error{error_kind::internal,
+               std::string("the process could not start: ") + failure.what(),
+               "give it more memory, threads or descriptors"};
+}
+
 void LogStarting(const platform_command& command) {
   json line = {{"version", Version()},
                {"command", command.name},
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -2,6 +2,7 @@
 #define GENTIAN_APP_PLATFORM_PROCESS_H_
 
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include "gentian_app/crash_report.h"
 #include "gentian_app/process_signals.h"
+#include "gentian_app/startup_wait.h"
 #include "gentian_app/text_file.h"
 #include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
@@ -32,6 +34,11 @@
   bool check = false;
 };
 
+/** For a settings file that is being written. */
+constexpr milliseconds kSettingsLimit{10'000};
+/** For the end of a process that was killed at the end of its grace. */
+constexpr milliseconds kPredecessorMargin{2'000};
+
 /** Parses the command line, or answers it.
 
     @returns  the exit status if there is nothing more to do */
@@ -40,19 +47,28 @@
                                         char** argv,
                                         platform_options& options);
 
+/** Runs a function on the thread of the pool, as everything later does.
+
+    @returns  error_kind::internal if it threw an exception */
+result<success> RunOnPool(io_pool& pool,
+                          const std::function<result<success>()>& action);
+
 }  // namespace detail
 
 /** Reports an error that keeps the process from running, and waits, so that a
-    supervisor doesn't start it again several times a second.
+    supervisor doesn't start it again several times a second. If a signal to
+    stop is held, it only reports that.
 
     @returns  the exit status */
 int FailToRun(const platform_command& command, const error& reason);
 
+/** The error that an exception during the start stands for. */
+error NoResources(const std::exception& failure);
+
 /** Logs that the process starts, with the limits that the host sets for it. */
 void LogStarting(const platform_command& command);
 
-/** Leaves a share of the memory of the process for messages of its peers, and
-    has freed buffers go back to the host.
+/** Leaves a share of the memory of the process for messages of its peers.
 
     @param memory  in bytes; 0 if it is not known */
 void BoundMemory(io_pool& pool, std::size_t memory);
@@ -86,7 +102,10 @@
   metadata_store store(pool, settings.key_value_address);
   const platform_protocol protocol;
   Daemon daemon(pool, store, protocol, settings, incarnation);
-  const result<success> started = daemon.Start();
+  const result<success> started =
+      RetryUntilReady(settings.stop_grace + detail::kPredecessorMargin, [&] {
+        return detail::RunOnPool(pool, [&daemon] { return daemon.Start(); });
+      });
   if (Failed(started)) {
     pool.Stop();
     return FailToRun(command, ErrorOf(started));
@@ -114,17 +133,36 @@
           detail::ParsePlatformOptions(command, argc, argv, options)) {
     return *status;
   }
-  const result<std::string> text = ReadTextFile(options.settings_path);
-  const result<Settings> settings =
-      Failed(text) ? result<Settings>(ErrorOf(text))
-                   : parse(ValueOf(text), options.settings_path);
+  const auto read = [&]() -> result<Settings> {
+    const result<std::string> text = ReadTextFile(options.settings_path);
+    return Failed(text) ? result<Settings>(ErrorOf(text))
+                        : parse(ValueOf(text), options.settings_path);
+  };
+  result<Settings> settings = read();
   if (options.check) {
     std::cout << (Failed(settings) ? ErrorOf(settings).message : "valid")
               << "\n";
     return Failed(settings) ? 1 : 0;
   }
-  return Failed(settings) ? FailToRun(command, ErrorOf(settings))
-                          : run(ValueOf(settings));
+  try {
+    if (Failed(settings)) {
+      // The name of the host stands in the settings.
+      StartLog("info", "", log_output::standard_output);
+      RetryUntilReady(detail::kSettingsLimit, [&]() -> result<success> {
+        settings = read();
+        if (!Failed(settings)) {
+          return success{};
+        }
+        error waiting = ErrorOf(settings);
+        waiting.kind = error_kind::unavailable;
+        return waiting;
+      });
+    }
+    return Failed(settings) ? FailToRun(command, ErrorOf(settings))
+                            : run(ValueOf(settings));
+  } catch (const std::exception& failure) {
+    return FailToRun(command, NoResources(failure));
+  }
 }
 
 }  // namespace gentian
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -5,6 +5,7 @@
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_app/crash_report.h"
 #include "gentian_app/process_signals.h"
+#include "gentian_app/startup_wait.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_app/text_file.h"
 #include "gentian_daemon/daemon_file.h"
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr unsigned kIoThreads = 2;
+// Time for the end of a daemon that passed the deadline of its stop.
+constexpr milliseconds kPredecessorMargin{10'000};
 
 int Fail(const error& reason) {
   std::cerr << "gentianrun serve: " << reason.message << "; " << reason.remedy
@@ -39,9 +42,12 @@
     platform.hosts = nullptr;
   }
   daemon subject(options, initial_settings(configuration()), pool, platform);
-  const result<success> started = subject.Start();
+  const result<success> started =
+      RetryUntilReady(options.stop_deadline + kPredecessorMargin,
+                      [&subject] { return subject.Start(); });
   if (Failed(started)) {
-    return Fail(ErrorOf(started));
+    pool.Stop();
+    return IsStopHeld() ? 0 : Fail(ErrorOf(started));
   }
   terminal_stop stop([&subject] { subject.RequestStop(); });
   const signal_watch signals(pool, [&stop](int number) {
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -112,6 +112,10 @@
         return loaded;
       }
     }
+    // Of an earlier attempt.
+    server_.reset();
+    peers_.reset();
+    admin_server_.reset();
     server_ = std::make_unique<http_server>(
         pool_,
         [this](const std::shared_ptr<http_exchange>& exchange) {
@@ -123,7 +127,8 @@
       return bound;
     }
     options_.caller_address = server_->address();
-    return BindPeers();
+    bound = BindPeers();
+    return Failed(bound) ? bound : BindAdmin();
   }
 
   result<success> BindPeers() {
@@ -138,10 +143,25 @@
         pool_, options_.host, ValueOf(key),
         [this](event input) { loop_->Post(std::move(input)); });
     result<success> bound = peers_->Bind(options_.peer_address);
-    options_.peer_address = peers_->address();
+    if (!Failed(bound)) {
+      options_.peer_address = peers_->address();
+    }
     return bound;
   }
 
+  result<success> BindAdmin() {
+    if (options_.admin_address.empty()) {
+      return success{};
+    }
+    admin_server_ = std::make_unique<http_server>(
+        pool_,
+        [this](const std::shared_ptr<http_exchange>& exchange) {
+          admin_.Handle(exchange);
+        },
+        http_server_limits{}, caller_tls_);
+    return admin_server_->Bind(options_.admin_address);
+  }
+
   void CreateLoop() {
     const auto own = initial_.settings.daemons.find(options_.host);
     if (own != initial_.settings.daemons.end()) {
@@ -276,19 +296,13 @@
   }
 
   result<success> StartAdmin() {
-    if (options_.admin_address.empty()) {
-      return success{};
+    if (admin_server_) {
+      admin_server_->Serve();
+      admin_timer_ = std::make_unique<periodic_timer>(
+          pool_, kAdminExpiryCheck,
+          [this] { admin_.Expire(std::chrono::steady_clock::now()); });
     }
-    admin_server_ = std::make_unique<http_server>(
-        pool_,
-        [this](const std::shared_ptr<http_exchange>& exchange) {
-          admin_.Handle(exchange);
-        },
-        http_server_limits{}, caller_tls_);
-    admin_timer_ = std::make_unique<periodic_timer>(
-        pool_, kAdminExpiryCheck,
-        [this] { admin_.Expire(std::chrono::steady_clock::now()); });
-    return admin_server_->Listen(options_.admin_address);
+    return success{};
   }
 
   void StopAdmin() {
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -140,29 +140,37 @@
       [this](const http_request& begin, const error& reason) {
         return RefuseUnread(begin, reason);
       });
-  result<success> listening = Listen();
+  result<success> listening = Bind();
   if (!Failed(listening)) {
     listening = paths_.Start();
   }
-  if (!Failed(listening)) {
-    reader_.Start();
+  if (Failed(listening)) {
+    return listening;
+  }
+  for (http_server* server : {&peers_, &directory_, &readiness_, &callers_}) {
+    if (server->is_bound()) {
+      server->Serve();
+    }
   }
+  reader_.Start();
   return listening;
 }
 
-result<success> gateway_daemon::Listen() {
+// A process before this one on the host closes the address of its peers last,
+// so that nothing else is taken from it before.
+result<success> gateway_daemon::Bind() {
   const std::vector<std::pair<http_server*, const std::string*>> listeners = {
-      {&callers_, &settings_.caller_address},
-      {&readiness_, &settings_.readiness_address},
+      {&peers_, &settings_.peer_address},
       {&directory_, &settings_.directory_address},
-      {&peers_, &settings_.peer_address}};
+      {&readiness_, &settings_.readiness_address},
+      {&callers_, &settings_.caller_address}};
   for (const auto& [server, address] : listeners) {
-    if (address->empty()) {
+    if (address->empty() || server->is_bound()) {
       continue;
     }
-    result<success> listening = server->Listen(*address);
-    if (Failed(listening)) {
-      return listening;
+    result<success> bound = server->Bind(*address);
+    if (Failed(bound)) {
+      return bound;
     }
   }
   return success{};
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -22,7 +22,8 @@
                  const std::string& incarnation);
   ~gateway_daemon();
 
-  /** Starts the listeners and the polling of the key-value service. */
+  /** Starts the listeners and the polling of the key-value service. Does
+      neither, and can be called again, if an address is still in use. */
   result<success> Start();
 
   /** Finishes the requests in progress and takes no new callers. What can't be
@@ -34,7 +35,7 @@
   void Stop(std::function<void()> on_stopped);
 
  private:
-  result<success> Listen();
+  result<success> Bind();
   void ApplyCallerLimits();
   void AnswerReadiness(http_exchange& exchange) const;
   void AnswerDirectory(http_exchange& exchange) const;
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -34,10 +34,14 @@
           }) {}
 
 result<success> path_service::Start() {
+  if (!settings_.tunnel_address.empty()) {
+    result<success> listening = tunnels_.Listen(settings_.tunnel_address);
+    if (Failed(listening)) {
+      return listening;
+    }
+  }
   Tick();
-  return settings_.tunnel_address.empty()
-             ? result<success>(success{})
-             : tunnels_.Listen(settings_.tunnel_address);
+  return success{};
 }
 
 void path_service::Stop() {
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -128,6 +128,10 @@
   return BindAcceptor(state_->acceptor, address);
 }
 
+bool http_server::is_bound() const {
+  return state_->acceptor.is_open();
+}
+
 void http_server::Serve() {
   state_->Accept();
 }
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -100,6 +100,7 @@
       Serve is called.
   */
   result<success> Bind(const std::string& address);
+  bool is_bound() const;
 
   /** Takes connections. Precondition: Bind succeeded. */
   void Serve();
--- a/source/gentian_net/ip_endpoint.cc
+++ b/source/gentian_net/ip_endpoint.cc
@@ -64,9 +64,13 @@
     acceptor.listen(boost::asio::socket_base::max_listen_connections, failure);
   }
   if (failure) {
+    // It can be bound again later.
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
     return error{error_kind::unavailable,
                  "cannot listen on " + address + ": " + failure.message(),
-                 "choose an address of this host and a port that is free"};
+                 "end the process that has it, or choose an address of this host "
+                 "and a port that is free"};
   }
   return success{};
 }
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -59,6 +59,13 @@
 turn_store_daemon::~turn_store_daemon() = default;
 
 result<success> turn_store_daemon::Start() {
+  // First, so that a start that has to wait changes nothing on the disk.
+  if (!server_.is_bound()) {
+    result<success> bound = server_.Bind(settings_.address);
+    if (Failed(bound)) {
+      return bound;
+    }
+  }
   result<std::unique_ptr<turn_database>> opened =
       turn_database::Open(settings_.data_directory, settings_.first_start);
   if (Failed(opened)) {
@@ -83,10 +90,7 @@
       });
   replicator_ = std::make_unique<turn_replicator>(
       pool_, peer_client_, *storage_, settings_, directory_, counters_);
-  result<success> listening = server_.Listen(settings_.address);
-  if (Failed(listening)) {
-    return listening;
-  }
+  server_.Serve();
   RegisterDisk(0);
   PollRegistry();
   PollDrainRequests();
--- a/source/gentian_turn_daemon/turn_store_settings.h
+++ b/source/gentian_turn_daemon/turn_store_settings.h
@@ -23,6 +23,8 @@
   std::size_t tolerated_losses = 1;
   /** Memory that the process may use, in bytes; 0 if it is not known. */
   std::size_t memory = 0;
+  /** Time between the stop request and the forced end. */
+  milliseconds stop_grace{8'000};
 };
 
 }  // namespace gentian
--- a/source/gentian_turn_storage/sqlite_database.cc
+++ b/source/gentian_turn_storage/sqlite_database.cc
@@ -24,6 +24,10 @@
   return code_ == SQLITE_FULL;
 }
 
+bool sqlite_failure::is_busy() const {
+  return code_ == SQLITE_BUSY;
+}
+
 void sqlite_statement::closer::operator()(sqlite3_stmt* statement) const {
   sqlite3_finalize(statement);
 }
--- a/source/gentian_turn_storage/sqlite_database.h
+++ b/source/gentian_turn_storage/sqlite_database.h
@@ -21,6 +21,8 @@
   /** The file is damaged or isn't a database. */
   bool is_damage() const;
   bool is_full() const;
+  /** Another process has the file open. */
+  bool is_busy() const;
 
  private:
   int code_;
--- a/source/gentian_turn_storage/turn_database.cc
+++ b/source/gentian_turn_storage/turn_database.cc
@@ -63,10 +63,15 @@
         std::string("the turn database is damaged: ") + failure.what(),
         "restart the turn store; it reads the turns from the other hosts"};
   }
+  const char* remedy = "check the disk of the host";
+  if (failure.is_full()) {
+    remedy = "give the host a larger disk";
+  } else if (failure.is_busy()) {
+    remedy = "wait for the end of the other process that has it open";
+  }
   return error{error_kind::unavailable,
                std::string("the turn database failed: ") + failure.what(),
-               failure.is_full() ? "give the host a larger disk"
-                                 : "check the disk of the host"};
+               remedy};
 }
 
 // Thrown for a record that does not match its checksum.
--- a/tests/process/process_life_test.cc
+++ b/tests/process/process_life_test.cc
@@ -27,6 +27,7 @@
 // The two programs that a platform starts.
 constexpr std::array<const char*, 2> kRoles = {"gateway", "turn-store"};
 constexpr const char* kStarted = "\"message\":\"started\"";
+constexpr const char* kWaits = "\"message\":\"start waits\"";
 
 void JoinOutputs() {
   ::dup2(STDOUT_FILENO, STDERR_FILENO);
@@ -198,3 +199,50 @@
   }
 }
 
+// Guards against a process that ends since the one before it on the host still
+// holds its address or its database.
+Test(process_life, a_successor_waits_for_its_predecessor, .timeout = 120) {
+  for (const char* role : kRoles) {
+    const host_folder host(role);
+    const auto predecessor = host.StartAndWait();
+    const auto successor = host.Start();
+    cr_assert(host_folder::WaitForText(*successor, kWaits), "%s: status %d, %s",
+              role, successor->Poll().value_or(0), successor->Output().c_str());
+    ExpectStop(*predecessor, role);
+    cr_assert(host_folder::WaitForText(*successor, kStarted), "%s",
+              successor->Output().c_str());
+    ExpectStop(*successor, role);
+  }
+}
+
+// Guards against a start that can't be stopped while it waits.
+Test(process_life, a_waiting_start_ends_at_a_signal, .timeout = 120) {
+  for (const char* role : kRoles) {
+    const host_folder host(role);
+    const auto predecessor = host.StartAndWait();
+    const auto successor = host.Start();
+    cr_assert(host_folder::WaitForText(*successor, kWaits));
+    successor->Signal(SIGHUP);
+    ExpectStop(*successor, role);
+    ExpectStop(*predecessor, role);
+  }
+}
+
+// Guards against a process that ends since its settings file is being written.
+Test(process_life, settings_in_part_are_awaited, .timeout = 120) {
+  for (const char* role : kRoles) {
+    const host_folder host(role);
+    const std::string whole = host.Settings();
+    for (const std::size_t size : {std::size_t{0}, whole.size() / 2}) {
+      host.Write(whole.substr(0, size));
+      const auto process = host.Start();
+      cr_assert(host_folder::WaitForText(*process, kWaits), "%s: %s", role,
+                process->Output().c_str());
+      host.Write(whole);
+      cr_assert(host_folder::WaitForText(*process, kStarted), "%s: %s", role,
+                process->Output().c_str());
+      ExpectStop(*process, role);
+    }
+  }
+}
+
