Survive a limit of file size, and name a lack of memory at the start

Under a limit of file size a gateway ended by SIGXFSZ at a line of its log, and a turn store at a write of its database. With too little address space both aborted without a line that names it. Cause: the default action of SIGXFSZ; threads that can't be started throw outside of any handler, and the allocator reserved address space for a heap per thread, since its bound was set after the first threads.

--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -83,6 +83,15 @@
   return done.get_future().get();
 }
 
+void detail::BoundAllocator() {
+  // By default, the allocator raises this threshold with each large buffer that
+  // is freed. Later ones then come from the heap, and what is freed there goes
+  // back to the kernel only from its end.
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBuffer);
+  // By default, each thread reserves address space for a heap of its own.
+  ::mallopt(M_ARENA_MAX, 1);
+}
+
 int FailToRun(const platform_command& command, const error& reason) {
   if (IsStopHeld()) {
     Log(log_level::info, "stopped before the start",
@@ -121,11 +130,6 @@
 }
 
 void BoundMemory(io_pool& pool, std::size_t memory) {
-  // By default, the allocator raises this threshold with each large buffer that
-  // is freed. Later ones then come from the heap, and what is freed there goes
-  // back to the kernel only from its end.
-  ::mallopt(M_MMAP_THRESHOLD, kLargeBuffer);
-  ::mallopt(M_ARENA_MAX, 1);
   pool.message_memory().SetCapacity(memory / kMessageMemoryShare);
   pool.message_memory().SetObserver([](std::size_t bytes, std::size_t used) {
     Log(log_level::warning, "message given up for want of memory",
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -53,6 +53,10 @@
 result<success> RunOnPool(io_pool& pool,
                           const std::function<result<success>()>& action);
 
+/** Has the allocator use little address space, and give freed buffers back to
+    the host. Precondition: there is one thread. */
+void BoundAllocator();
+
 }  // namespace detail
 
 /** Reports an error that keeps the process from running, and waits, so that a
@@ -145,6 +149,7 @@
     return Failed(settings) ? 1 : 0;
   }
   try {
+    detail::BoundAllocator();
     if (Failed(settings)) {
       // The name of the host stands in the settings.
       StartLog("info", "", log_output::standard_output);
--- a/source/gentian_app/process_signals.cc
+++ b/source/gentian_app/process_signals.cc
@@ -95,7 +95,9 @@
   for (const int number : held_signals::kNumbers) {
     SetHandler(number, &HoldSignal);
   }
-  SetHandler(SIGPIPE, SIG_IGN);
+  for (const int number : {SIGPIPE, SIGXFSZ}) {
+    SetHandler(number, SIG_IGN);
+  }
 }
 
 bool IsStopHeld() {
--- a/tests/process/process_life_test.cc
+++ b/tests/process/process_life_test.cc
@@ -28,6 +28,12 @@
 constexpr std::array<const char*, 2> kRoles = {"gateway", "turn-store"};
 constexpr const char* kStarted = "\"message\":\"started\"";
 constexpr const char* kWaits = "\"message\":\"start waits\"";
+constexpr rlim_t kMegabyte = 1024 * 1024;
+
+void SetLimit(decltype(RLIMIT_AS) resource, rlim_t value) {
+  const rlimit limit{value, value};
+  ::setrlimit(resource, &limit);
+}
 
 void JoinOutputs() {
   ::dup2(STDOUT_FILENO, STDERR_FILENO);
@@ -246,3 +252,59 @@
   }
 }
 
+// Guards against a limit of the size of files that ends a process, at a line
+// of its log or a write of its database.
+Test(process_life, a_limit_of_file_size_is_survived, .timeout = 120) {
+  constexpr std::array<rlim_t, 3> kLimits = {0, 1'024, 4'096};
+  for (const char* role : kRoles) {
+    for (const rlim_t limit : kLimits) {
+      const host_folder host(role);
+      const auto process = host.Start([limit] {
+        JoinOutputs();
+        SetLimit(RLIMIT_FSIZE, limit);
+      });
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      const std::optional<int> status = process->Poll();
+      cr_assert(!status, "%s at %lu bytes: status %d, %s", role, limit, *status,
+                process->Output().c_str());
+      ExpectStop(*process, role);
+    }
+  }
+}
+
+// Guards against an abort that names no cause when the host gives too little
+// memory for the threads and libraries of a process.
+Test(process_life, too_little_address_space_is_named, .timeout = 240) {
+  constexpr int kLoaderStatus = 127;
+  constexpr rlim_t kLeast = 20;
+  constexpr rlim_t kStep = 4;
+  constexpr rlim_t kMost = 112;
+  for (const char* role : kRoles) {
+    int named = 0;
+    for (rlim_t limit = kLeast; limit <= kMost; limit += kStep) {
+      const host_folder host(role);
+      const auto process = host.Start([limit] {
+        JoinOutputs();
+        SetLimit(RLIMIT_AS, limit * kMegabyte);
+      });
+      std::optional<int> status;
+      WaitFor([&] {
+        status = process->Poll();
+        return status.has_value() ||
+               process->Output().find(kStarted) != std::string::npos;
+      });
+      if (!status) {
+        ExpectStop(*process, role);
+        continue;
+      }
+      // Below some limit the loader itself can't load the program.
+      const std::string output = process->Output();
+      cr_assert(*status == kLoaderStatus ||
+                    output.find("memory") != std::string::npos,
+                "%s at %lu MB: status %d, %s", role, limit, *status,
+                output.c_str());
+      named += *status == kLoaderStatus ? 0 : 1;
+    }
+    cr_assert(named > 0, "%s", role);
+  }
+}
