Write the log again after a write has failed

Callers saw a process that logged nothing any more, for the rest of its life, after one failed write: a full disk, a reached limit of file size.

Cause: line_writer took every failed write for a reader that has closed and tried no other. Change: a failed write drops the lines queued so far and pauses for a second; then lines are written again. A line of which a part was written is ended first.

--- a/source/gentian_log/line_writer.cc
+++ b/source/gentian_log/line_writer.cc
@@ -32,7 +32,12 @@
   return end == std::string_view::npos ? lines.size() : end + 1;
 }
 
-// Returns false if a write fails, such as when the reader has closed the pipe.
+// Pause after a failed write. A disk that was full may have room again, and a
+// file may have been made shorter.
+constexpr std::chrono::seconds kRetryInterval{1};
+
+// Returns false if a write fails, such as when the reader has closed the pipe
+// or the disk is full.
 bool WriteAll(int descriptor, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t count =
@@ -63,9 +68,11 @@
   line_queue queue;
   bool writing = false;
   bool ended = false;
-  // Permanent: after a failed write, no further one is tried.
-  bool reader_closed = false;
-  std::uint64_t dropped_after_close = 0;
+  // After a failed write, none is tried before this.
+  steady_time not_before{};
+  // Ends a line of which a failed write may have written a part.
+  bool ends_line = false;
+  std::uint64_t dropped_by_failures = 0;
 };
 
 line_writer::line_writer(int descriptor, std::size_t max_bytes)
@@ -90,13 +97,16 @@
     }
     const std::string lines = state->queue.TakeAll();
     state->writing = true;
+    const bool ends_line = state->ends_line;
     lock.unlock();
-    const bool written = WriteAll(state->descriptor, lines);
+    const bool written = (!ends_line || WriteAll(state->descriptor, "\n")) &&
+                         WriteAll(state->descriptor, lines);
     lock.lock();
     state->writing = false;
+    state->ends_line = !written;
     if (!written) {
-      state->reader_closed = true;
-      state->dropped_after_close += static_cast<std::uint64_t>(
+      state->not_before = BootTimeNow() + kRetryInterval;
+      state->dropped_by_failures += static_cast<std::uint64_t>(
           std::count(lines.begin(), lines.end(), '\n'));
     }
     state->lines_written.notify_all();
@@ -105,8 +115,8 @@
 
 void line_writer::Write(const std::string& line, line_queue::importance kind) {
   const std::lock_guard<std::mutex> lock(state_->mutex);
-  if (state_->reader_closed) {
-    ++state_->dropped_after_close;
+  if (BootTimeNow() < state_->not_before) {
+    ++state_->dropped_by_failures;
     return;
   }
   const bool was_empty = state_->queue.empty();
@@ -124,7 +134,7 @@
 
 std::uint64_t line_writer::dropped() const {
   const std::lock_guard<std::mutex> lock(state_->mutex);
-  return state_->queue.dropped() + state_->dropped_after_close;
+  return state_->queue.dropped() + state_->dropped_by_failures;
 }
 
 }  // namespace gentian
--- a/source/gentian_log/line_writer.h
+++ b/source/gentian_log/line_writer.h
@@ -35,8 +35,8 @@
       @returns  false if the timeout expired first */
   bool Flush(milliseconds timeout);
 
-  /** Number of lines dropped since construction: the queue was full or the
-      reader had closed. */
+  /** Number of lines dropped since construction: the queue was full, or a write
+      failed less than a second before. */
   std::uint64_t dropped() const;
 
  private:
--- a/tests/log/log_test.cc
+++ b/tests/log/log_test.cc
@@ -1,10 +1,14 @@
 #include <criterion/criterion.h>
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -133,3 +137,51 @@
   StopLog();
   cr_assert(log.ReadUntil("\n").find("last") != std::string::npos);
 }
+
+// Guards against a log that stays silent for good after a write has failed, as
+// on a disk that is full for a while.
+Test(log, writes_again_when_a_limit_has_passed, .timeout = 30) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  std::string path = "/tmp/gentian-log-XXXXXX";
+  const int file = ::mkstemp(path.data());
+  cr_assert(file >= 0);
+  ::unlink(path.c_str());
+  cr_assert(::dup2(file, STDOUT_FILENO) >= 0);
+  rlimit limit{};
+  cr_assert(::getrlimit(RLIMIT_FSIZE, &limit) == 0);
+  const rlim_t unlimited = limit.rlim_cur;
+  // Ends within a line.
+  limit.rlim_cur = 1'000;
+  cr_assert(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+  cr_assert(!Failed(StartLog("info", "h", log_output::standard_output)));
+  WriteLines(20);
+  const auto is_within = [](const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + milliseconds(10'000);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return condition();
+  };
+  cr_assert(is_within([] { return GetLogLosses().dropped > 0; }));
+
+  limit.rlim_cur = unlimited;
+  cr_assert(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+  const auto written = [file] {
+    std::string text(64 * 1024, '\0');
+    const ssize_t count = ::pread(file, text.data(), text.size(), 0);
+    text.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+    return text;
+  };
+  cr_assert(is_within([&] {
+    Log(log_level::info, "written again");
+    return written().find("written again") != std::string::npos;
+  }));
+  StopLog();
+  // What was begun before the failure is no part of a later line.
+  std::istringstream lines(written());
+  int odd_lines = 0;
+  for (std::string line; std::getline(lines, line);) {
+    odd_lines += !line.empty() && !json::accept(line);
+  }
+  cr_assert(odd_lines == 1, "%d", odd_lines);
+}
