Keep the threads of an io_pool after any exception

A process ended by itself (SIGABRT) when a handler threw something that is no std::exception, when the report of an exception threw (no memory for the line), and when a later thread of a pool could not be started, in place of an error that names the cause.

Cause: Run caught std::exception alone and called on_exception unguarded; a constructor that throws left the joinable threads to std::thread's destructor. Change: Run takes every type, a report that fails is counted, and the constructor stops the threads it has started before it passes the std::system_error on.

--- a/source/gentian_net/io_pool.cc
+++ b/source/gentian_net/io_pool.cc
@@ -1,5 +1,6 @@
 #include "gentian_net/io_pool.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,7 @@
       context.get_executor()};
   std::vector<std::thread> threads;
   exception_handler on_exception;
+  std::atomic<std::uint64_t> unreported_exceptions{0};
 
   void Run() {
     while (true) {
@@ -31,17 +33,36 @@
         if (!on_exception) {
           throw;
         }
-        on_exception(failure.what());
+        Report(failure.what());
+      } catch (...) {
+        if (!on_exception) {
+          throw;
+        }
+        Report("an exception of an unknown type");
       }
     }
   }
+
+  // Without memory, the report can fail as well; the thread goes on without it.
+  void Report(const char* message) noexcept {
+    try {
+      on_exception(message);
+    } catch (...) {
+      ++unreported_exceptions;
+    }
+  }
 };
 
 io_pool::io_pool(unsigned threads, exception_handler on_exception)
     : state_(std::make_unique<state>()) {
   state_->on_exception = std::move(on_exception);
-  for (unsigned i = 0; i < threads; ++i) {
-    state_->threads.emplace_back([this] { state_->Run(); });
+  try {
+    for (unsigned i = 0; i < threads; ++i) {
+      state_->threads.emplace_back([this] { state_->Run(); });
+    }
+  } catch (...) {
+    Stop();
+    throw;
   }
 }
 
@@ -68,6 +89,10 @@
       });
 }
 
+std::uint64_t io_pool::unreported_exceptions() const {
+  return state_->unreported_exceptions;
+}
+
 memory_budget& io_pool::message_memory() {
   return state_->message_memory;
 }
--- a/source/gentian_net/io_pool.h
+++ b/source/gentian_net/io_pool.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_NET_IO_POOL_H_
 #define GENTIAN_NET_IO_POOL_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,7 +25,8 @@
   /** Starts the threads.
 
       @param on_exception  keeps the threads running after an exception; without
-                           it, an exception ends the process */
+                           it, an exception ends the process
+      @throws std::system_error  a thread cannot be started; none is left */
   explicit io_pool(unsigned threads, exception_handler on_exception = nullptr);
   /** Stops the threads. Objects that use the pool must be stopped before. */
   ~io_pool();
@@ -39,6 +41,9 @@
 
   boost::asio::io_context& context();
 
+  /** Number of exceptions that the handler of exceptions failed to take. */
+  std::uint64_t unreported_exceptions() const;
+
   /** Bounds what all clients and servers on the pool hold; without a bound
       unless one is set. */
   memory_budget& message_memory();
