Add repeating_task, a chain of runs that exceptions don't end

A timer or a chain of calls that armed itself at its end stopped for good after one exception: the process lived on and no longer did that part of its work (load polls, host lists, quiet streams and certificates of serve; listings and registrations of gateways).

Cause: the next run was armed by the last statement of the step or of a completion handler. Change: repeating_task arms the next run when the last copy of a round's handle is gone, unless the round decided otherwise. The pending operation has its place in the task, so that arming works without memory. periodic_timer is built on it.

--- a/source/gentian_net/io_pool.cc
+++ b/source/gentian_net/io_pool.cc
@@ -102,41 +102,30 @@
 }
 
 struct periodic_timer::state {
-  explicit state(asio::io_context& context) : timer(context) {}
-
-  asio::steady_timer timer;
-  duration interval{};
   std::function<void()> action;
   std::mutex mutex;
   bool stopped = false;
-
-  static void Arm(const std::shared_ptr<state>& self) {
-    self->timer.expires_after(self->interval);
-    self->timer.async_wait([self](boost::system::error_code failure) {
-      const std::lock_guard<std::mutex> lock(self->mutex);
-      if (failure || self->stopped) {
-        return;
-      }
-      self->action();
-      Arm(self);
-    });
-  }
 };
 
 periodic_timer::periodic_timer(io_pool& pool,
                                duration interval,
                                std::function<void()> action)
-    : state_(std::make_shared<state>(pool.context())) {
-  state_->interval = interval;
+    : state_(std::make_shared<state>()),
+      task_(pool,
+            interval,
+            [me = state_](const repeating_task::round& /*current*/) {
+              const std::lock_guard<std::mutex> lock(me->mutex);
+              if (!me->stopped) {
+                me->action();
+              }
+            }) {
   state_->action = std::move(action);
-  const std::lock_guard<std::mutex> lock(state_->mutex);
-  state::Arm(state_);
+  task_.StartAfter(interval);
 }
 
 periodic_timer::~periodic_timer() {
   const std::lock_guard<std::mutex> lock(state_->mutex);
   state_->stopped = true;
-  state_->timer.cancel();
 }
 
 }  // namespace gentian
--- a/source/gentian_net/io_pool.h
+++ b/source/gentian_net/io_pool.h
@@ -8,6 +8,7 @@
 
 #include "gentian_core/steady_time.h"
 #include "gentian_net/memory_budget.h"
+#include "gentian_net/repeating_task.h"
 
 namespace boost::asio {
 class io_context;
@@ -53,7 +54,8 @@
   std::unique_ptr<state> state_;
 };
 
-/** Runs a function repeatedly on an io_pool until it is destroyed. */
+/** Runs a function repeatedly on an io_pool until it is destroyed, also after
+   it has thrown. */
 class periodic_timer {
  public:
   /** @param action  runs every `interval`, never concurrently with itself;
@@ -70,6 +72,7 @@
  private:
   struct state;
   std::shared_ptr<state> state_;
+  repeating_task task_;
 };
 
 }  // namespace gentian
--- a/tests/net/io_pool_test.cc
+++ b/tests/net/io_pool_test.cc
@@ -1,4 +1,5 @@
-// Tests that the threads of an io_pool outlive exceptions.
+// Tests that the threads of an io_pool and what repeats on them outlive
+// exceptions.
 #include <criterion/criterion.h>
 #include <sys/resource.h>
 
@@ -9,10 +10,13 @@
 #include <new>
 #include <stdexcept>
 #include <system_error>
+#include <thread>
 
 #include "gentian_net/gentian_net.h"
+#include "net/failing_allocations.h"
 
 using namespace gentian;
+using namespace gentian::testing;
 
 namespace {
 
@@ -58,3 +62,78 @@
   }
   cr_assert(is_reported);
 }
+
+// Guards against a timer that never runs again after its action has thrown.
+Test(periodic_timer, runs_again_after_an_exception, .timeout = 30) {
+  io_pool pool(1, [](const std::string&) {});
+  std::promise<void> ran_again;
+  int runs = 0;
+  periodic_timer timer(pool, milliseconds(1), [&] {
+    if (++runs == 2) {
+      ran_again.set_value();
+    }
+    throw std::runtime_error("unexpected");
+  });
+  cr_assert(ran_again.get_future().wait_for(kWait) ==
+            std::future_status::ready);
+  pool.Stop();
+}
+
+// Guards against a chain of calls that ends for good with an exception in one
+// of its handlers, or with a handler that is dropped.
+Test(repeating_task, runs_again_whatever_becomes_of_a_round, .timeout = 30) {
+  using round = repeating_task::round;
+  io_pool pool(1, [](const std::string&) {});
+  std::promise<void> ended;
+  int runs = 0;
+  repeating_task task(pool, milliseconds(1), [&](const round& current) {
+    switch (++runs) {
+      case 1:
+        throw std::runtime_error("in the step");
+      case 2:
+        boost::asio::post(pool.context(), [current] {
+          throw std::runtime_error("in a handler");
+        });
+        return;
+      case 3:
+        // Copies a handler that is never called.
+        boost::asio::post(pool.context(), [handler = [current] {}] {});
+        return;
+      case 4:
+        throw 1;
+      case 5:
+        current.RunAgainAfter(milliseconds(2));
+        throw std::runtime_error("after the decision");
+      default:
+        current.End();
+        ended.set_value();
+    }
+  });
+  task.StartAfter(milliseconds(1));
+  cr_assert(ended.get_future().wait_for(kWait) == std::future_status::ready);
+  std::this_thread::sleep_for(milliseconds(50));
+  // Ended, and the decision of round 5 has armed one run.
+  cr_assert(runs == 6);
+  pool.Stop();
+}
+
+// Guards against a chain that ends since nothing is left to arm its timer with.
+Test(repeating_task, goes_on_without_memory, .timeout = 30) {
+  using round = repeating_task::round;
+  io_pool pool(1, [](const std::string&) {});
+  std::promise<void> ended;
+  int runs = 0;
+  repeating_task task(pool, milliseconds(1), [&](const round& current) {
+    constexpr int kRuns = 100;
+    if (++runs < kRuns) {
+      // Those of the next rounds.
+      FailNextAllocations(2);
+      return;
+    }
+    current.End();
+    ended.set_value();
+  });
+  task.StartAfter(milliseconds(1));
+  cr_assert(ended.get_future().wait_for(kWait) == std::future_status::ready);
+  pool.Stop();
+}
