Let the repeated work of a gateway outlive exceptions

After one exception (such as for lack of memory) in a call of the key-value service, in a call to another gateway or in their handlers, a gateway lived on without a part of its work: it never read its configuration, targets or members again and refused everything, was never registered again, or, with an exception during its stop, never ended and had to be killed, which loses the requests that it still held.

Cause: polls, the relay, the registration, probes, the turns' timers and the stop armed themselves in their last statement or in a handler; Stop armed the end after calls that may throw. Change: all of them are repeating_tasks. The stop is armed before anything that may fail, and its last steps run one at a time, so that a failed one keeps neither the others nor the end away. A changed member record is written again until it is written, without a new lease. Result: gateway_exceptions/reads_go_on, the_registration_goes_on (not ready again within 10 s) and the_stop_goes_on (not ended within 20 s) fail before and pass after.

--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -1,6 +1,7 @@
 #include "gentian_gateway_daemon/gateway_daemon.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -104,7 +105,11 @@
           [this](const std::shared_ptr<http_exchange>& exchange) {
             AnswerPeer(exchange);
           },
-          InternalLimits()) {}
+          InternalLimits()),
+      stopping_(
+          pool,
+          kStopPollInterval,
+          [this](const repeating_task::round& round) { FinishStop(round); }) {}
 
 gateway_daemon::~gateway_daemon() = default;
 
@@ -259,32 +264,57 @@
   if (state_.stop.HasBegun()) {
     return;
   }
-  Log(log_level::info, "stopping", {{"open_requests", open_calls_.size()}});
   on_stopped_ = std::move(on_stopped);
   state_.stop.Begin(BootTimeNow(), settings_.stop_grace);
+  // Before what may fail, so that the process ends in any case.
+  stopping_.StartAfter(std::min(kListenerCloseDelay,
+                                settings_.stop_grace / kListenerCloseShare));
+  Log(log_level::info, "stopping", {{"open_requests", open_calls_.size()}});
   reader_.AnnounceStop();
   callers_.CloseAfterAnswers();
-  const milliseconds delay =
-      std::min(kListenerCloseDelay, settings_.stop_grace / kListenerCloseShare);
-  pool_.After(delay, [this] {
-    callers_.StopAccepting();
-    paths_.Stop();
-    FinishStop();
-  });
 }
 
-void gateway_daemon::FinishStop() {
-  const std::size_t busy_connections = callers_.busy_connections();
-  const bool in_progress =
-      busy_connections > 0 || !open_calls_.empty() || paths_.busy_tunnels() > 0;
-  if (in_progress && BootTimeNow() < state_.stop.ends_at()) {
-    pool_.After(kStopPollInterval, [this] { FinishStop(); });
+// An exception in one of the last steps must not keep the others from running,
+// nor the process from ending.
+void gateway_daemon::FinishStop(const repeating_task::round& round) {
+  static constexpr std::array<void (gateway_daemon::*)(), 5> kEndSteps = {
+      &gateway_daemon::CloseListeners, &gateway_daemon::LogEnd,
+      &gateway_daemon::EndCalls, &gateway_daemon::ReleaseTurns,
+      &gateway_daemon::Deregister};
+  if (end_step_ == kEndSteps.size()) {
+    round.End();
+    on_stopped_();
     return;
   }
+  if (end_step_ == 1 && IsAnswering() &&
+      BootTimeNow() < state_.stop.ends_at()) {
+    return;
+  }
+  const auto step = kEndSteps[end_step_++];
+  (this->*step)();
+  // The rest is time to send the last response bytes and the deregistration.
+  round.RunAgainAfter(end_step_ == kEndSteps.size() ? 2 * kStopPollInterval
+                                                    : milliseconds(0));
+}
+
+bool gateway_daemon::IsAnswering() const {
+  return callers_.busy_connections() > 0 || !open_calls_.empty() ||
+         paths_.busy_tunnels() > 0;
+}
+
+void gateway_daemon::CloseListeners() {
+  callers_.StopAccepting();
+  paths_.Stop();
+}
+
+void gateway_daemon::LogEnd() {
   Log(log_level::info, "stopped",
       {{"ended_requests", open_calls_.size()},
-       {"busy_connections", busy_connections}});
-  // Callers must not be left without an answer.
+       {"busy_connections", callers_.busy_connections()}});
+}
+
+// Callers must not be left without an answer.
+void gateway_daemon::EndCalls() {
   const open_call_set unfinished = open_calls_;
   for (const auto& [key, unfinished_call] : unfinished) {
     if (const auto call = unfinished_call.lock()) {
@@ -293,10 +323,14 @@
   }
   callers_.EndReceiving(error{error_kind::draining, "this host is stopping",
                               "send the request to another host"});
+}
+
+void gateway_daemon::ReleaseTurns() {
   turns_.Release();
+}
+
+void gateway_daemon::Deregister() {
   reader_.Deregister();
-  // Time to send the last response bytes and the deregistration.
-  pool_.After(2 * kStopPollInterval, [this] { on_stopped_(); });
 }
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -41,7 +41,14 @@
   void AnswerDirectory(http_exchange& exchange) const;
   void AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
   http_response RefuseUnread(const http_request& begin, const error& reason);
-  void FinishStop();
+  void FinishStop(const repeating_task::round& round);
+  bool IsAnswering() const;
+  // The last steps.
+  void CloseListeners();
+  void LogEnd();
+  void EndCalls();
+  void ReleaseTurns();
+  void Deregister();
 
   io_pool& pool_;
   const gateway_protocol& protocol_;
@@ -65,6 +72,9 @@
   http_server directory_;
   http_server peers_;
   std::function<void()> on_stopped_;
+  repeating_task stopping_;
+  /** Number of the last steps that were begun. */
+  std::size_t end_step_ = 0;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/lease_registration.cc
+++ b/source/gentian_gateway_daemon/lease_registration.cc
@@ -25,96 +25,120 @@
                                        std::function<std::string()> record,
                                        counter_set& counters,
                                        observer on_call)
-    : pool_(pool),
-      store_(store),
+    : store_(store),
       key_(std::move(key)),
       record_(std::move(record)),
       counters_(counters),
-      on_call_(std::move(on_call)) {}
+      on_call_(std::move(on_call)),
+      keeping_(pool,
+               kRetryDelay,
+               [this](const round& current) { Keep(current); }),
+      updating_(pool, kRetryDelay, [this](const round& current) {
+        WriteUpdate(current);
+      }) {}
 
 void lease_registration::Start() {
-  GrantLease();
+  keeping_.Start();
 }
 
-void lease_registration::GrantLease() {
+void lease_registration::Keep(const round& current) {
   if (ended_) {
-    return;
+    current.End();
+  } else if (lease_ == 0) {
+    GrantLease(current);
+  } else {
+    RenewLease(current);
   }
+}
+
+void lease_registration::GrantLease(const round& current) {
   const steady_time asked_at = BootTimeNow();
   store_.Call(kv_grant_lease{kLeaseTtl}, kCallTimeout,
-              [this, asked_at](const kv_answer& answer) {
+              [this, current, asked_at](const kv_answer& answer) {
+                if (ended_) {
+                  return;
+                }
                 if (answer.outcome != kv_answer::status::ok) {
                   on_call_(false, asked_at);
-                  RetryRegistration();
+                  counters_.Add("registration_failed");
                   return;
                 }
                 lease_ = answer.lease;
-                Write([this] {
+                Write([this, current](bool is_written) {
+                  if (!is_written) {
+                    lease_ = 0;
+                    return;
+                  }
                   Log(log_level::info, "registered",
                       {{"lease", lease_}, {"key", key_}});
-                  pool_.After(kRenewInterval, [this] { RenewLease(); });
+                  current.RunAgainAfter(kRenewInterval);
                 });
               });
 }
 
-void lease_registration::RetryRegistration() {
-  lease_ = 0;
-  counters_.Add("registration_failed");
-  pool_.After(kRetryDelay, [this] { GrantLease(); });
-}
-
-void lease_registration::Write(std::function<void()> on_written) {
+void lease_registration::Write(std::function<void(bool is_written)> on_done) {
   const steady_time asked_at = BootTimeNow();
   store_.Call(
       kv_compare_and_swap{key_, version_, record_(), lease_}, kCallTimeout,
-      [this, asked_at,
-       on_written = std::move(on_written)](const kv_answer& answer) {
+      [this, asked_at, on_done = std::move(on_done)](const kv_answer& answer) {
         switch (answer.outcome) {
           case kv_answer::status::ok:
             version_ = answer.revision;
             registered_before_ = true;
             on_call_(true, asked_at);
-            on_written();
+            on_done(true);
             return;
           case kv_answer::status::conflict:
             // The record is from an earlier start, or no longer exists.
             resumed_ |= !registered_before_ && !answer.entries.empty();
             version_ =
                 answer.entries.empty() ? 0 : answer.entries.front().version;
-            Write(on_written);
+            Write(on_done);
             return;
           default:
             on_call_(false, asked_at);
-            RetryRegistration();
+            counters_.Add("registration_failed");
+            on_done(false);
             return;
         }
       });
 }
 
-void lease_registration::RenewLease() {
-  if (lease_ == 0) {
-    return;
-  }
+void lease_registration::RenewLease(const round& current) {
   const steady_time asked_at = BootTimeNow();
   store_.Call(kv_renew_lease{lease_}, kCallTimeout,
-              [this, asked_at](const kv_answer& answer) {
+              [this, current, asked_at](const kv_answer& answer) {
                 if (answer.outcome == kv_answer::status::lease_expired) {
                   Log(log_level::warning, "lease expired", {{"lease", lease_}});
-                  GrantLease();
+                  lease_ = 0;
+                  current.RunAgainAfter(duration(0));
                   return;
                 }
                 const bool renewed = answer.outcome == kv_answer::status::ok;
                 on_call_(renewed, asked_at);
-                pool_.After(renewed ? kRenewInterval : kRetryDelay,
-                            [this] { RenewLease(); });
+                current.RunAgainAfter(renewed ? kRenewInterval : kRetryDelay);
               });
 }
 
 void lease_registration::Update() {
+  has_update_ = true;
+  if (!std::exchange(is_updating_, true)) {
+    updating_.StartAfter(duration(0));
+  }
+}
+
+void lease_registration::WriteUpdate(const round& current) {
   // Without a lease, the next registration writes the new content.
-  if (lease_ != 0) {
-    Write([] {});
+  if (lease_ == 0 || !has_update_) {
+    is_updating_ = false;
+    current.End();
+    return;
   }
+  has_update_ = false;
+  Write([this, current](bool is_written) {
+    has_update_ |= !is_written;
+    current.RunAgainAfter(is_written ? duration(0) : duration(kRetryDelay));
+  });
 }
 
 void lease_registration::End() {
--- a/source/gentian_gateway_daemon/lease_registration.h
+++ b/source/gentian_gateway_daemon/lease_registration.h
@@ -42,12 +42,17 @@
   bool resumed() const { return resumed_; }
 
  private:
-  void GrantLease();
-  void RetryRegistration();
-  void Write(std::function<void()> on_written);
-  void RenewLease();
+  using round = repeating_task::round;
+
+  void Keep(const round& current);
+  void GrantLease(const round& current);
+  void RenewLease(const round& current);
+  void WriteUpdate(const round& current);
+  /** Writes the record.
+
+      @param on_done  receives whether it was written */
+  void Write(std::function<void(bool is_written)> on_done);
 
-  io_pool& pool_;
   key_value_store& store_;
   std::string key_;
   std::function<std::string()> record_;
@@ -58,6 +63,11 @@
   bool ended_ = false;
   bool registered_before_ = false;
   bool resumed_ = false;
+  repeating_task keeping_;
+  repeating_task updating_;
+  bool is_updating_ = false;
+  /** The content has changed since the last write began. */
+  bool has_update_ = false;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -31,7 +31,10 @@
           [this](const std::string& target) { return Resolve(target); },
           [this](const std::string& target, bool connected) {
             OnTunnelConnected(target, connected);
-          }) {}
+          }),
+      probing_(pool,
+               kProbeTickInterval,
+               [this](const repeating_task::round& /*round*/) { Probe(); }) {}
 
 result<success> path_service::Start() {
   if (!settings_.tunnel_address.empty()) {
@@ -40,7 +43,7 @@
       return listening;
     }
   }
-  Tick();
+  probing_.Start();
   return success{};
 }
 
@@ -169,11 +172,6 @@
   return last_watch_;
 }
 
-void path_service::Tick() {
-  Probe();
-  pool_.After(kProbeTickInterval, [this] { Tick(); });
-}
-
 void path_service::Probe() {
   const bool before = monitor_.IsPartitioned();
   std::vector<path_monitor::candidate> known;
--- a/source/gentian_gateway_daemon/path_service.h
+++ b/source/gentian_gateway_daemon/path_service.h
@@ -61,7 +61,6 @@
   std::size_t busy_tunnels() const { return tunnels_.busy_tunnels(); }
 
  private:
-  void Tick();
   void Probe();
   void OnDirectFailure(const std::string& target);
   void OnDirectConnection(const std::string& target);
@@ -80,6 +79,7 @@
   std::map<std::uint64_t, std::function<void()>> watches_;
   /** Targets that a tunnel server could not reach, one after the other. */
   std::map<std::string, int> unreachable_;
+  repeating_task probing_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -132,11 +132,17 @@
              monitor_,
              [this](std::size_t index, shared_listing::outcome outcome) {
                OnRelayed(index, outcome);
-             }) {}
+             }) {
+  for (std::size_t i = 0; i < listings_.size(); ++i) {
+    polls_.push_back(std::make_unique<repeating_task>(
+        pool_, kMinRetryDelay,
+        [this, i](const poll_round& round) { Poll(i, round); }));
+  }
+}
 
 void state_reader::Start() {
-  Read(kConfigurationListing);
-  Read(kTargetsListing);
+  polls_[kConfigurationListing]->Start();
+  polls_[kTargetsListing]->Start();
   registration_.Start();
   relay_.Start();
   pool_.After(kMembersInterval, [this] { StartReadingMembers(); });
@@ -146,7 +152,7 @@
 void state_reader::StartReadingMembers() {
   if (!reads_members_) {
     reads_members_ = true;
-    Read(kMembersListing);
+    polls_[kMembersListing]->Start();
   }
 }
 
@@ -161,47 +167,44 @@
   }
 }
 
-void state_reader::Poll(std::size_t index) {
+void state_reader::Poll(std::size_t index, const poll_round& round) {
   ReportAge(index);
   const duration until_stale = relay_.TimeUntilStale(index);
   if (state_.relays.IsReader() || until_stale <= duration(0)) {
-    Read(index);
+    Read(index, round);
   } else {
-    PollAfter(index, std::clamp<duration>(until_stale, kMinStaleCheck,
-                                          kMaxStaleCheck));
+    round.RunAgainAfter(
+        std::clamp<duration>(until_stale, kMinStaleCheck, kMaxStaleCheck));
   }
 }
 
-void state_reader::PollAfter(std::size_t index, duration delay) {
-  pool_.After(delay, [this, index] { Poll(index); });
-}
-
 // A listing is read as a whole once, and then only what changes in it: whole
 // reads would take all of a small host's time where the listing is large.
-void state_reader::Read(std::size_t index) {
+void state_reader::Read(std::size_t index, const poll_round& round) {
   const listing& subject = listings_[index];
   if (subject.followed_to != 0 && BootTimeNow() >= subject.watch_not_before) {
-    Watch(index);
+    Watch(index, round);
   } else {
-    List(index);
+    List(index, round);
   }
 }
 
-void state_reader::List(std::size_t index) {
-  const read_call call{index, BootTimeNow()};
+void state_reader::List(std::size_t index, const poll_round& round) {
+  const read_call call{index, round, BootTimeNow()};
   store_.Call(
       kv_list{listings_[index].prefix}, kCallTimeout,
       [this, call](const kv_answer& answer) { OnListed(call, answer); });
 }
 
-void state_reader::Watch(std::size_t index) {
+void state_reader::Watch(std::size_t index, const poll_round& round) {
   const listing& subject = listings_[index];
   const milliseconds wait =
       state_.relays.IsReader()
           ? ToMilliseconds(
                 FractionOf(kWatchFraction, contents_[index].max_age()))
           : kNoWait;
-  const read_call call{index, BootTimeNow(), wait, subject.outside_changes};
+  const read_call call{index, round, BootTimeNow(), wait,
+                       subject.outside_changes};
   store_.Call(kv_watch{subject.prefix, subject.followed_to, call.wait},
               call.wait + kWatchMargin, [this, call](const kv_answer& answer) {
                 OnWatched(call, answer);
@@ -228,8 +231,7 @@
   if (!state_.relays.IsReader() && !retries_soon) {
     delay = std::max<duration>(delay, kMinDirectInterval);
   }
-  // The polling goes on even if an exception ends the handling of this answer.
-  PollAfter(call.index, delay);
+  call.round.RunAgainAfter(delay);
   if (is_read && ApplyListing(call.index, answer, call.asked_at) !=
                      shared_listing::outcome::older) {
     subject.followed_to = answer.revision;
@@ -249,9 +251,9 @@
   subject.watch_failures = 0;
   const steady_time now = BootTimeNow();
   const bool has_changes = !answer.entries.empty() || !answer.deleted.empty();
-  PollAfter(call.index, !state_.relays.IsReader() ? kMinDirectInterval
-                        : has_changes             ? kChangeInterval
-                                                  : milliseconds(0));
+  call.round.RunAgainAfter(!state_.relays.IsReader() ? kMinDirectInterval
+                           : has_changes             ? kChangeInterval
+                                                     : milliseconds(0));
   if (call.outside_changes != subject.outside_changes) {
     // The changes may be older than the content.
     return;
@@ -286,7 +288,7 @@
       ++subject.watch_failures >= kMaxWatchFailures) {
     subject.watch_not_before = BootTimeNow() + kWatchPause;
   }
-  PollAfter(call.index, kMinRetryDelay);
+  call.round.RunAgainAfter(kMinRetryDelay);
 }
 
 shared_listing::outcome state_reader::ApplyListing(std::size_t index,
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -89,25 +89,28 @@
     steady_time watch_not_before{};
   };
 
+  /** One round of the polling of a listing. */
+  using poll_round = repeating_task::round;
+
   /** A call that reads a listing. */
   struct read_call {
     std::size_t index;
+    poll_round round;
     steady_time asked_at;
     /** Time for which the service may wait for a change. */
     milliseconds wait{0};
     std::uint64_t outside_changes = 0;
   };
 
-  void Poll(std::size_t index);
+  void Poll(std::size_t index, const poll_round& round);
   void ReportAge(std::size_t index);
-  void Read(std::size_t index);
-  void List(std::size_t index);
-  void Watch(std::size_t index);
+  void Read(std::size_t index, const poll_round& round);
+  void List(std::size_t index, const poll_round& round);
+  void Watch(std::size_t index, const poll_round& round);
   void StartReadingMembers();
   void OnListed(const read_call& call, const kv_answer& answer);
   void OnWatched(const read_call& call, const kv_answer& answer);
   void OnWatchFailed(const read_call& call, const kv_answer& answer);
-  void PollAfter(std::size_t index, duration delay);
   shared_listing::outcome ApplyListing(std::size_t index,
                                        const kv_answer& answer,
                                        steady_time asked_at);
@@ -136,6 +139,8 @@
   std::function<void()> on_configuration_;
   registry_handler on_registry_;
   std::array<listing, 3> listings_;
+  /** Polls each listing. */
+  std::vector<std::unique_ptr<repeating_task>> polls_;
   /** The content of each listing. */
   std::vector<shared_listing> contents_;
   /** Age that a confirmation of the configuration may hide. */
--- a/source/gentian_gateway_daemon/state_relay.cc
+++ b/source/gentian_gateway_daemon/state_relay.cc
@@ -47,18 +47,32 @@
                          std::vector<shared_listing>& listings,
                          listing_monitor& monitor,
                          confirmed_handler on_confirmed)
-    : pool_(pool),
-      peers_(peers, {kAnswerTimeout, kConnectTimeout, kAnswerSilence}),
+    : peers_(peers, {kAnswerTimeout, kConnectTimeout, kAnswerSilence}),
       state_(state),
       start_(std::move(start)),
       listings_(listings),
       monitor_(monitor),
       on_confirmed_(std::move(on_confirmed)),
+      holding_(
+          pool,
+          kMinInterval,
+          [this](const repeating_task::round& round) { ReleaseHeld(round); }),
       is_fetching_(listings.size()),
-      packed_(listings.size()) {}
+      follow_(pool,
+              kNextSourceDelay,
+              [this](const repeating_task::round& round) { Follow(round); }),
+      packed_(listings.size()) {
+  for (std::size_t i = 0; i < listings.size(); ++i) {
+    fetches_.push_back(std::make_unique<repeating_task>(
+        pool, kFetchRetryDelay, [this, i](const repeating_task::round& round) {
+          round.End();
+          EndFetch(i);
+        }));
+  }
+}
 
 void state_relay::Start() {
-  Follow();
+  follow_.Start();
 }
 
 duration state_relay::TimeUntilStale(std::size_t index) const {
@@ -119,29 +133,29 @@
     return true;
   }
   followers_.push_back(waiting);
-  ArmHoldTimer();
+  if (!std::exchange(is_holding_, true)) {
+    holding_.StartAfter(TimeUntilRelease());
+  }
   return true;
 }
 
-void state_relay::ArmHoldTimer() {
-  if (hold_timer_armed_) {
-    return;
-  }
-  hold_timer_armed_ = true;
-  const duration left = followers_.front().since + kMaxHold - BootTimeNow();
-  pool_.After(std::max<duration>(left, milliseconds(1)),
-              [this] { ReleaseHeld(); });
+duration state_relay::TimeUntilRelease() const {
+  return std::max<duration>(followers_.front().since + kMaxHold - BootTimeNow(),
+                            milliseconds(1));
 }
 
-void state_relay::ReleaseHeld() {
-  hold_timer_armed_ = false;
+void state_relay::ReleaseHeld(const repeating_task::round& round) {
   const steady_time now = BootTimeNow();
   while (!followers_.empty() && now - followers_.front().since >= kMaxHold) {
-    Respond(followers_.front());
+    const follower waiting = followers_.front();
     followers_.pop_front();
+    Respond(waiting);
   }
-  if (!followers_.empty()) {
-    ArmHoldTimer();
+  if (followers_.empty()) {
+    is_holding_ = false;
+    round.End();
+  } else {
+    round.RunAgainAfter(TimeUntilRelease());
   }
 }
 
@@ -276,11 +290,11 @@
   return request;
 }
 
-void state_relay::Follow() {
+void state_relay::Follow(const repeating_task::round& round) {
   const std::string address = SourceAddress();
   const bool needed = !state_.relays.IsReader() || IsAnyStale();
   if (address.empty() || !needed) {
-    pool_.After(kIdleInterval, [this] { Follow(); });
+    round.RunAgainAfter(kIdleInterval);
     return;
   }
   if (positions_.size() > kMaxPositions) {
@@ -289,18 +303,19 @@
   const question asked{address, RequestTo(PositionOf(address)), BootTimeNow()};
   peers_.Post(
       address, kRelayPath, EncodeRelayRequest(asked.request),
-      [this, asked](const http_response& response) {
-        OnAnswer(asked, response);
+      [this, round, asked](const http_response& response) {
+        OnAnswer(round, asked, response);
       },
-      [this](http_failure, const std::string&) {
+      [this, round](http_failure, const std::string&) {
         state_.counters.Add("relay_failed");
-        TryNextSource(kNextSourceDelay);
+        TryNextSource(round, kNextSourceDelay);
       });
 }
 
-void state_relay::TryNextSource(duration delay) {
+void state_relay::TryNextSource(const repeating_task::round& round,
+                                duration delay) {
   ++source_;
-  pool_.After(delay, [this] { Follow(); });
+  round.RunAgainAfter(delay);
 }
 
 result<relay_answer> state_relay::Decode(const http_response& response) const {
@@ -315,31 +330,33 @@
   return answer;
 }
 
-void state_relay::OnAnswer(const question& asked,
+void state_relay::OnAnswer(const repeating_task::round& round,
+                           const question& asked,
                            const http_response& response) {
   const result<relay_answer> answer = Decode(response);
   if (Failed(answer)) {
     state_.counters.Add("relay_answer_unreadable");
-    TryNextSource(kNextSourceDelay);
+    TryNextSource(round, kNextSourceDelay);
     return;
   }
   Apply(ValueOf(answer), asked);
   if (!IsAnyStale()) {
     const duration pause = asked.sent_at + kMinInterval - BootTimeNow();
-    pool_.After(std::max<duration>(pause, duration(0)), [this] { Follow(); });
+    round.RunAgainAfter(std::max<duration>(pause, duration(0)));
     return;
   }
   // The source can't read the key-value service, or has just started.
   state_.counters.Add("relay_stale");
   Log(log_level::info, "source of listings is stale",
       {{"source", asked.address}});
-  TryNextSource(kStaleSourceDelay);
+  TryNextSource(round, kStaleSourceDelay);
 }
 
 void state_relay::Fetch(std::size_t index, const std::string& address) {
   if (is_fetching_[index]) {
     return;
   }
+  const repeating_task::round fetch = fetches_[index]->Begin();
   is_fetching_[index] = true;
   const source_position& position = PositionOf(address);
   question asked{address, RequestTo(position), BootTimeNow()};
@@ -347,25 +364,27 @@
   asked.request.cursors[index] = position.listings[index].cursor;
   peers_.Post(
       address, kRelayPath, EncodeRelayRequest(asked.request),
-      [this, index, asked](const http_response& response) {
-        OnFetched(index, asked, response);
+      [this, index, fetch, asked](const http_response& response) {
+        OnFetched(index, fetch, asked, response);
       },
-      [this, index](http_failure, const std::string&) {
+      [this, fetch](http_failure, const std::string&) {
         state_.counters.Add("relay_fetch_failed");
-        pool_.After(kFetchRetryDelay, [this, index] { EndFetch(index); });
+        fetch.RunAgainAfter(kFetchRetryDelay);
       });
 }
 
 void state_relay::OnFetched(std::size_t index,
+                            const repeating_task::round& fetch,
                             const question& asked,
                             const http_response& response) {
   const result<relay_answer> answer = Decode(response);
   if (Failed(answer)) {
     state_.counters.Add("relay_answer_unreadable");
-    pool_.After(kFetchRetryDelay, [this, index] { EndFetch(index); });
+    fetch.RunAgainAfter(kFetchRetryDelay);
     return;
   }
   Apply(ValueOf(answer), asked);
+  fetch.End();
   EndFetch(index);
 }
 
--- a/source/gentian_gateway_daemon/state_relay.h
+++ b/source/gentian_gateway_daemon/state_relay.h
@@ -102,14 +102,17 @@
   std::shared_ptr<const std::string> Pack(std::size_t index,
                                           std::uint64_t from,
                                           const listing_changes& changes);
-  void ReleaseHeld();
-  void ArmHoldTimer();
+  void ReleaseHeld(const repeating_task::round& round);
+  duration TimeUntilRelease() const;
 
-  void Follow();
-  void OnAnswer(const question& asked, const http_response& response);
+  void Follow(const repeating_task::round& round);
+  void OnAnswer(const repeating_task::round& round,
+                const question& asked,
+                const http_response& response);
   result<relay_answer> Decode(const http_response& response) const;
   void Fetch(std::size_t index, const std::string& address);
   void OnFetched(std::size_t index,
+                 const repeating_task::round& fetch,
                  const question& asked,
                  const http_response& response);
   void EndFetch(std::size_t index);
@@ -121,11 +124,10 @@
                     const question& asked,
                     duration transit);
   void TellChange(std::size_t index, const listing_position* changed_by);
-  void TryNextSource(duration delay);
+  void TryNextSource(const repeating_task::round& round, duration delay);
   bool IsAnyStale() const;
   std::string SourceAddress() const;
 
-  io_pool& pool_;
   peer_client peers_;
   gateway_state& state_;
   const std::string start_;
@@ -133,13 +135,18 @@
   listing_monitor& monitor_;
   confirmed_handler on_confirmed_;
   std::list<follower> followers_;
-  bool hold_timer_armed_ = false;
+  /** Answers held followers while there are any. */
+  repeating_task holding_;
+  bool is_holding_ = false;
   /** Number of the source that is asked. */
   std::size_t source_ = 0;
   /** By address. */
   std::map<std::string, source_position> positions_;
   /** By listing: whether it is being asked for apart. */
   std::vector<bool> is_fetching_;
+  repeating_task follow_;
+  /** By listing: ends what is asked for apart, where no answer does. */
+  std::vector<std::unique_ptr<repeating_task>> fetches_;
   /** By listing: the last changes that were packed. */
   std::vector<std::list<packed_changes>> packed_;
 };
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -13,6 +13,7 @@
 constexpr milliseconds kPeerConnectTimeout{150};
 // Retry interval for reading a budget while the key-value service is down.
 constexpr milliseconds kOutageRetryInterval{150};
+constexpr milliseconds kReleaseInterval{300};
 
 }  // namespace
 
@@ -29,9 +30,24 @@
       state_(state),
       ledger_(writer),
       scheduler_(state.targets),
+      advancing_(pool,
+                 kAdvanceInterval,
+                 [this](const repeating_task::round& round) {
+                   DropOverdue();
+                   Advance();
+                   if (owned_.empty()) {
+                     is_advancing_ = false;
+                     round.End();
+                   }
+                 }),
+      releasing_(pool,
+                 kReleaseInterval,
+                 [this](const repeating_task::round& /*round*/) {
+                   ReleaseMovedPrograms();
+                 }),
       // Tickets of an earlier start must not identify turns of this one.
       last_ticket_(StableHash(writer) >> 16U) {
-  ReleaseMovedPrograms();
+  releasing_.Start();
 }
 
 std::uint64_t turn_service::Request(const turn_request& request,
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -90,6 +90,8 @@
   static constexpr const char* kEndPath = "/turns/end";
   static constexpr milliseconds kPeerTimeout{450};
 
+  static constexpr milliseconds kAdvanceInterval{25};
+
   // Asking the owner.
   const member_record* ReachableOwner(const std::string& program) const;
   void AskOwner(const std::string& owner,
@@ -117,7 +119,7 @@
   void EndOwned(const turn_end& end);
   void DropOwned(turn_ticket ticket);
   void Advance();
-  void ArmTimer();
+  void DropOverdue();
   void ReleaseMovedPrograms();
   /** Repeats writes of claims whose outcome is not known. */
   void ResolveWrites();
@@ -144,7 +146,10 @@
   std::map<std::string, steady_time> release_at_;
   /** Program of the write that ResolveWrites repeated last. */
   std::string resolved_last_;
-  bool timer_armed_ = false;
+  /** Advances the turns while there are any. */
+  repeating_task advancing_;
+  bool is_advancing_ = false;
+  repeating_task releasing_;
   turn_ticket last_ticket_;
   std::uint64_t last_number_ = 0;
   std::map<turn_ticket, owned_turn> owned_;
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -26,8 +26,6 @@
 // The owner answers within this time, with `undecided` if it has no verdict, so
 // that other daemons soon detect a frozen or partitioned owner.
 constexpr milliseconds kMaxReplyDelay{250};
-constexpr milliseconds kAdvanceInterval{25};
-constexpr milliseconds kReleaseInterval{300};
 constexpr milliseconds kReleaseDelay{1'500};
 // Writes that are repeated per kReleaseInterval to find out their outcome.
 // After an outage, there may be one for each program.
@@ -70,7 +68,9 @@
   own.deadline = now + request.time_left;
   own.finish_by = now + request.finish_within;
   own.wait_deadline = now + request.wait_limit;
-  ArmTimer();
+  if (!std::exchange(is_advancing_, true)) {
+    advancing_.StartAfter(kAdvanceInterval);
+  }
   const bool is_owner = IsOwner(request.program);
   Execute(ledger_.Reserve(
       {request.program, request.budget, request.max_output_tokens, ticket,
@@ -189,29 +189,18 @@
   }
 }
 
-void turn_service::ArmTimer() {
-  if (timer_armed_) {
-    return;
-  }
-  timer_armed_ = true;
-  pool_.After(kAdvanceInterval, [this] {
-    timer_armed_ = false;
-    const steady_time now = BootTimeNow();
-    for (auto next = owned_.begin(); next != owned_.end();) {
-      // The requester has not fetched the verdict in time, or has not reported
-      // the end of the turn.
-      const turn_ticket ticket = next->first;
-      const bool overdue = now > next->second.deadline + kPeerTimeout;
-      ++next;
-      if (overdue) {
-        DropOwned(ticket);
-      }
-    }
-    Advance();
-    if (!owned_.empty()) {
-      ArmTimer();
+// Drops turns whose requester has not fetched the verdict in time, or has not
+// reported the end.
+void turn_service::DropOverdue() {
+  const steady_time now = BootTimeNow();
+  for (auto next = owned_.begin(); next != owned_.end();) {
+    const turn_ticket ticket = next->first;
+    const bool overdue = now > next->second.deadline + kPeerTimeout;
+    ++next;
+    if (overdue) {
+      DropOwned(ticket);
     }
-  });
+  }
 }
 
 // Tokens that this daemon has claimed for programs of which another daemon is
@@ -235,7 +224,6 @@
     next = release_at_.erase(next);
   }
   ResolveWrites();
-  pool_.After(kReleaseInterval, [this] { ReleaseMovedPrograms(); });
 }
 
 void turn_service::ResolveWrites() {
--- a/source/gentian_net/repeating_task.cc
+++ b/source/gentian_net/repeating_task.cc
@@ -184,6 +184,10 @@
   state_->Run();
 }
 
+repeating_task::round repeating_task::Begin() {
+  return round(std::make_shared<round::state>(state_));
+}
+
 void repeating_task::StartAfter(duration delay) {
   state_->Arm(delay);
 }
--- a/source/gentian_net/repeating_task.h
+++ b/source/gentian_net/repeating_task.h
@@ -51,6 +51,10 @@
   /** Arms the first run. Precondition: the task does not run. */
   void StartAfter(duration delay);
 
+  /** Begins a round whose work is that of the caller. Precondition: the task
+      does not run. */
+  round Begin();
+
  private:
   struct state;
   std::shared_ptr<state> state_;
