Keep a turn store running after an exception on its disk thread

One exception in a use of the database, such as for lack of memory, ended the whole turn store (std::terminate), and with it every answer that it owed.

Cause: the thread of turn_storage caught nothing, and a transaction was rolled back after failures of SQLite alone. Change: an exception becomes the error of the one use (unavailable, so that the sound database is not replaced), the thread goes on, and every exception rolls the transaction back. Without a database after a failed replacement the process still ends, as before. The rollback has no test of its own.

--- a/source/gentian_turn_storage/turn_database.cc
+++ b/source/gentian_turn_storage/turn_database.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <new>
 #include <utility>
 
 #include "gentian_turn_storage/sqlite_database.h"
@@ -85,6 +86,10 @@
     return action();
   } catch (const sqlite_failure& failure) {
     return ErrorFrom(failure);
+  } catch (const std::bad_alloc&) {
+    return error{error_kind::unavailable,
+                 "no memory is left for the turn database",
+                 "give the turn store more memory"};
   }
 }
 
@@ -152,7 +157,7 @@
       auto outcome = action();
       database.Execute("COMMIT");
       return outcome;
-    } catch (const sqlite_failure&) {
+    } catch (...) {
       try {
         database.Execute("ROLLBACK");
       } catch (const sqlite_failure&) {
--- a/source/gentian_turn_storage/turn_storage.cc
+++ b/source/gentian_turn_storage/turn_storage.cc
@@ -2,7 +2,9 @@
 
 #include <condition_variable>
 #include <deque>
+#include <exception>
 #include <mutex>
+#include <new>
 #include <thread>
 #include <utility>
 
@@ -20,6 +22,21 @@
                "store the turn at another host"};
 }
 
+// Runs an action of the thread. What it throws has no caller to be passed to.
+template <typename Action>
+void GoOnAfterExceptions(Action action) {
+  try {
+    action();
+  } catch (const std::exception& failure) {
+    try {
+      Log(log_level::error, "unexpected exception in the turn storage",
+          {{"reason", failure.what()}});
+    } catch (const std::bad_alloc&) {
+      // No memory for the line either.
+    }
+  }
+}
+
 }  // namespace
 
 struct turn_storage::state {
@@ -133,11 +150,13 @@
     std::deque<job> jobs = std::move(state_->jobs);
     state_->jobs.clear();
     lock.unlock();
-    Commit();
+    GoOnAfterExceptions([this] { Commit(); });
     for (const job& next : jobs) {
-      if (const std::optional<error> failure = next(*state_->database)) {
-        Recover(*failure);
-      }
+      GoOnAfterExceptions([&] {
+        if (const std::optional<error> failure = next(*state_->database)) {
+          Recover(*failure);
+        }
+      });
     }
     lock.lock();
   }
@@ -194,6 +213,11 @@
   if (reason.kind != error_kind::internal) {
     return;
   }
+  ReplaceDatabase();
+}
+
+// Ends the process after an exception, as there is no database to go on with.
+void turn_storage::ReplaceDatabase() noexcept {
   state_->database.reset();
   turn_database::Discard(state_->directory);
   result<std::unique_ptr<turn_database>> opened =
--- a/source/gentian_turn_storage/turn_storage.h
+++ b/source/gentian_turn_storage/turn_storage.h
@@ -2,6 +2,7 @@
 #define GENTIAN_TURN_STORAGE_TURN_STORAGE_H_
 
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -58,7 +59,8 @@
            std::function<void(const result<Value>&)> on_done) {
     Enqueue([this, action = std::move(action),
              on_done = std::move(on_done)](turn_database& database) {
-      auto outcome = std::make_shared<result<Value>>(action(database));
+      auto outcome =
+          std::make_shared<result<Value>>(Try<Value>(action, database));
       run_handlers_([outcome, on_done] { on_done(*outcome); });
       return Failed(*outcome) ? std::optional<error>(ErrorOf(*outcome))
                               : std::nullopt;
@@ -69,6 +71,21 @@
   struct state;
   using job = std::function<std::optional<error>(turn_database&)>;
 
+  /** Turns an exception of an action into an error. Not one of kind internal:
+      the database is sound. */
+  template <typename Value>
+  static result<Value> Try(
+      const std::function<result<Value>(turn_database&)>& action,
+      turn_database& database) {
+    try {
+      return action(database);
+    } catch (const std::exception& failure) {
+      return error{error_kind::unavailable,
+                   std::string("the turn database failed: ") + failure.what(),
+                   "try again; give the turn store more memory if it recurs"};
+    }
+  }
+
   void Enqueue(job next);
   void Work();
   void Commit();
@@ -76,6 +93,7 @@
   bool Queue(std::vector<Entry>& queue, Entry& entry, std::size_t size);
   duration TakeRunningTime();
   void Recover(const error& reason);
+  void ReplaceDatabase() noexcept;
 
   executor run_handlers_;
   std::unique_ptr<state> state_;
