Show open connections, descriptors and memory beside their bounds

Metrics and logs could not tell a process that is killed for want of memory from one that can't open descriptors, and connections beyond a bound were closed without a trace.

Cause: no gauge counts connections, descriptors or resident memory. Change: gauges of gateways and turn stores by listener and for the process, and at most one line a second, 'connections refused', for each listener.

--- a/source/gentian_daemon/gentian_daemon.h
+++ b/source/gentian_daemon/gentian_daemon.h
@@ -9,6 +9,7 @@
 #include "gentian_daemon/admin_api.h"
 #include "gentian_daemon/admin_call.h"
 #include "gentian_daemon/caller_api.h"
+#include "gentian_daemon/connection_report.h"
 #include "gentian_daemon/credential_filter.h"
 #include "gentian_daemon/daemon.h"
 #include "gentian_daemon/daemon_file.h"
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "gentian_daemon/connection_report.h"
 #include "gentian_log/gentian_log.h"
 
 namespace gentian {
@@ -46,6 +47,13 @@
 
 }  // namespace
 
+const std::array<gateway_daemon::listener, 4> gateway_daemon::kListeners = {{
+    {"callers", &gateway_daemon::callers_},
+    {"readiness", &gateway_daemon::readiness_},
+    {"directory", &gateway_daemon::directory_},
+    {"peers", &gateway_daemon::peers_},
+}};
+
 gateway_daemon::gateway_daemon(io_pool& pool,
                                key_value_store& store,
                                const gateway_protocol& protocol,
@@ -109,7 +117,11 @@
       stopping_(
           pool,
           kStopPollInterval,
-          [this](const repeating_task::round& round) { FinishStop(round); }) {}
+          [this](const repeating_task::round& round) { FinishStop(round); }) {
+  for (const listener& next : kListeners) {
+    LogRefusedConnections(this->*next.server, next.name);
+  }
+}
 
 gateway_daemon::~gateway_daemon() = default;
 
@@ -249,6 +261,12 @@
   state_.metrics.SetGauge(
       "messages_without_memory",
       static_cast<double>(pool_.message_memory().taken_back()));
+  for (const listener& next : kListeners) {
+    ReportConnections(state_.metrics, this->*next.server, next.name);
+  }
+  state_.metrics.SetGauge("open_tunnels",
+                          static_cast<double>(paths_.tunnels()));
+  ReportProcessUsage(state_.metrics, settings_.memory);
   reader_.ReportAges();
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_DAEMON_GATEWAY_DAEMON_H_
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_DAEMON_H_
 
+#include <array>
 #include <functional>
 #include <memory>
 
@@ -35,6 +36,13 @@
   void Stop(std::function<void()> on_stopped);
 
  private:
+  /** One of the servers below. */
+  struct listener {
+    const char* name;
+    http_server gateway_daemon::*server;
+  };
+  static const std::array<listener, 4> kListeners;
+
   result<success> Bind();
   void ApplyCallerLimits();
   void AnswerReadiness(http_exchange& exchange) const;
--- a/source/gentian_gateway_daemon/path_service.h
+++ b/source/gentian_gateway_daemon/path_service.h
@@ -58,6 +58,7 @@
 
   bool IsPartitioned() const { return monitor_.IsPartitioned(); }
   /** Tunnels for other gateways over which answers may be on their way. */
+  std::size_t tunnels() const { return tunnels_.tunnels(); }
   std::size_t busy_tunnels() const { return tunnels_.busy_tunnels(); }
 
  private:
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -24,6 +24,7 @@
 // Pause after a failed accept, which usually means that no file descriptor is
 // free: accepting again at once would fail the same way in a busy loop.
 constexpr std::chrono::milliseconds kAcceptPause{100};
+constexpr std::chrono::seconds kReportInterval{1};
 
 }  // namespace
 
@@ -44,6 +45,7 @@
       return;
     }
     if (failure) {
+      CountRefused(failure.message());
       pause.expires_after(kAcceptPause);
       pause.async_wait([me = shared_from_this()](error_code cancelled) {
         const std::lock_guard<std::mutex> inner(me->mutex);
@@ -57,10 +59,22 @@
     if (connections.size() <
         std::atomic_load(&environment->limits)->max_connections) {
       AddConnection(std::move(socket));
+    } else {
+      CountRefused("too many connections are open");
     }
     Accept();
   }
 
+  void CountRefused(std::string reason) {
+    ++refused.total;
+    refused.reason = std::move(reason);
+    const auto now = std::chrono::steady_clock::now();
+    if (on_refused && now - last_report >= kReportInterval) {
+      last_report = now;
+      on_refused(refused);
+    }
+  }
+
   void AddConnection(tcp::socket socket) {
     const std::uint64_t id = ++last_id;
     auto stream = detail::MakeByteStream(std::move(socket),
@@ -95,6 +109,9 @@
   std::mutex mutex;
   std::condition_variable emptied;
   bool stopped = false;
+  refused_connections refused;
+  std::function<void(const refused_connections&)> on_refused;
+  std::chrono::steady_clock::time_point last_report;
   std::uint64_t last_id = 0;
   std::map<std::uint64_t, std::shared_ptr<detail::http_connection>> connections;
 };
@@ -124,6 +141,11 @@
   state_->environment->make_refusal = std::move(make);
 }
 
+void http_server::SetRefusalObserver(
+    std::function<void(const refused_connections& refused)> observer) {
+  state_->on_refused = std::move(observer);
+}
+
 result<success> http_server::Bind(const std::string& address) {
   return BindAcceptor(state_->acceptor, address);
 }
@@ -167,6 +189,16 @@
   }
 }
 
+std::size_t http_server::open_connections() const {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  return state_->connections.size();
+}
+
+std::uint64_t http_server::refused_connections_total() const {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  return state_->refused.total;
+}
+
 std::size_t http_server::busy_connections() const {
   return state_->environment->busy;
 }
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -2,6 +2,7 @@
 #define GENTIAN_NET_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -66,6 +67,14 @@
   std::size_t max_connections = 10'000;
 };
 
+/** Connections that a server could not take. */
+struct refused_connections {
+  /** Since the server exists. */
+  std::uint64_t total = 0;
+  /** Why the last one was refused. */
+  std::string reason;
+};
+
 /** An HTTP/1.1 server with keep-alive, server-sent events and optional TLS. */
 class http_server {
  public:
@@ -96,6 +105,12 @@
       not listen yet. */
   void SetRefusalMaker(refusal_maker make);
 
+  /** @param observer  runs on an I/O thread when connections are refused, at
+                       most once a second; must not use the server.
+                       Precondition: the server does not listen yet. */
+  void SetRefusalObserver(
+      std::function<void(const refused_connections& refused)> observer);
+
   /** Binds to `ip:port`; port 0 picks a free one. Connections wait until
       Serve is called.
   */
@@ -124,6 +139,11 @@
   */
   void StopAccepting();
 
+  std::size_t open_connections() const;
+
+  /** Connections that were refused since the server exists. */
+  std::uint64_t refused_connections_total() const;
+
   /** Connections on which a request is answered, or its answer is still being
       written. */
   std::size_t busy_connections() const;
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "gentian_daemon/connection_report.h"
 #include "gentian_gateway/gentian_gateway.h"
 #include "gentian_gateway_daemon/turn_store_listing.h"
 #include "gentian_log/gentian_log.h"
@@ -54,7 +55,9 @@
       server_(
           pool,
           [this](const exchange_pointer& exchange) { Answer(exchange); },
-          InternalLimits()) {}
+          InternalLimits()) {
+  LogRefusedConnections(server_, kListenerName);
+}
 
 turn_store_daemon::~turn_store_daemon() = default;
 
--- a/source/gentian_turn_daemon/turn_store_daemon.h
+++ b/source/gentian_turn_daemon/turn_store_daemon.h
@@ -33,6 +33,9 @@
   void Stop(std::function<void()> on_stopped);
 
  private:
+  /** Of its listener, in logs and metrics. */
+  static constexpr const char* kListenerName = "peers";
+
   using exchange_pointer = std::shared_ptr<http_exchange>;
   /** One path of the interface for gateways and other stores. */
   struct endpoint {
--- a/source/gentian_turn_daemon/turn_store_interface.cc
+++ b/source/gentian_turn_daemon/turn_store_interface.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "gentian_daemon/connection_report.h"
 #include "gentian_gateway_daemon/history_paths.h"
 #include "gentian_log/gentian_log.h"
 #include "gentian_turn_daemon/turn_store_daemon.h"
@@ -209,6 +210,8 @@
   metrics_.SetGauge("replication_lag_seconds", ToSeconds(replicator_->Lag()));
   metrics_.SetGauge("stores_known",
                     static_cast<double>(directory_.known().size()));
+  ReportConnections(metrics_, server_, kListenerName);
+  ReportProcessUsage(metrics_, settings_.memory);
   http_response page;
   page.status = kOk;
   page.body = metrics_.ToPrometheus(counters_);
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -125,6 +125,18 @@
     return Fetch(client, request).response.status;
   }
 
+  /** The value of a gauge of the metrics page; -1 if it is absent. */
+  double Gauge(const std::string& name) {
+    http_client_request request;
+    request.address = peer_address;
+    request.target = "/metrics";
+    const std::string page = Fetch(client, request).response.body;
+    const std::string line = "\ngentian_" + name + " ";
+    const std::size_t at = page.find(line);
+    return at == std::string::npos ? -1
+                                   : std::stod(page.substr(at + line.size()));
+  }
+
   io_pool pool{2};
   io_pool daemon_pool{1};
   const std::string caller_address = Settings(0).caller_address;
--- a/tests/platform/listing_age_test.cc
+++ b/tests/platform/listing_age_test.cc
@@ -92,20 +92,6 @@
   return Fetch(subject.client, request).response.status;
 }
 
-// The value of a gauge of the metrics page; -1 if it is absent.
-double Gauge(gateway_fixture& subject, const std::string& name) {
-  http_client_request request;
-  request.address = subject.peer_address;
-  request.target = "/metrics";
-  const std::string page = Fetch(subject.client, request).response.body;
-  const std::string line = "\ngentian_" + name + " ";
-  const std::size_t at = page.find(line);
-  if (at != std::string::npos) {
-    return std::stod(page.substr(at + line.size()));
-  }
-  return -1;
-}
-
 kv_answer List(metadata_store& store, milliseconds deadline) {
   std::promise<kv_answer> done;
   store.Call(kv_list{"op/"}, deadline,
@@ -248,7 +234,7 @@
   double oldest = 0;
   const steady_time end = BootTimeNow() + 4 * kDrainBound;
   while (BootTimeNow() < end) {
-    oldest = std::max(oldest, Gauge(subject, "listing_age_ms_targets"));
+    oldest = std::max(oldest, subject.Gauge("listing_age_ms_targets"));
     std::this_thread::sleep_for(milliseconds(5));
   }
   cr_assert(oldest > 0 && oldest < limit, "%.0f ms", oldest);
