Bound the connections of a process by its settings and its host

Seen: a gateway with memory_mb 110 and max_fds 4100 uses 147 MB, and would be killed, when 3600 callers send 8 KB of a body each and wait. With 256 descriptors, 400 idle callers use up all of them: a new caller gets no answer.

Cause: each listener took 10,000 connections, whatever the process may use; max_fds was not read, and the account of messages leaves small ones to the bound of connections. What was beyond a bound was closed without an answer.

Change: connection_bounds shares out the lowest of max_fds, RLIMIT_NOFILE and half the memory over the listeners and leaves room for the process's own connections. A server closes its longest idle connection in good order for a new one beyond three quarters of its bound. If none is idle it answers 503 with Retry-After; requests in part or in progress go on. serve is bound by RLIMIT_NOFILE in the same way.

--- a/source/gentian_daemon/connection_report.cc
+++ b/source/gentian_daemon/connection_report.cc
@@ -29,7 +29,9 @@
                    static_cast<double>(server.refused_connections_total()));
 }
 
-void ReportProcessUsage(daemon_metrics& metrics, std::size_t memory) {
+void ReportProcessUsage(daemon_metrics& metrics,
+                        std::size_t memory,
+                        std::size_t descriptors) {
   const process_usage usage = ReadProcessUsage();
   if (usage.open_descriptors) {
     metrics.SetGauge("open_descriptors",
@@ -39,7 +41,11 @@
     metrics.SetGauge("resident_bytes",
                      static_cast<double>(*usage.resident_bytes));
   }
-  metrics.SetGauge("descriptor_limit", static_cast<double>(DescriptorLimit()));
+  const std::size_t host_limit = DescriptorLimit();
+  const bool is_lower =
+      descriptors > 0 && (host_limit == 0 || descriptors < host_limit);
+  metrics.SetGauge("descriptor_limit",
+                   static_cast<double>(is_lower ? descriptors : host_limit));
   metrics.SetGauge("memory_limit_bytes", static_cast<double>(memory));
 }
 
--- a/source/gentian_daemon/connection_report.h
+++ b/source/gentian_daemon/connection_report.h
@@ -23,8 +23,11 @@
 /** Sets the gauges of the descriptors and the memory of this process, and of
     their bounds.
 
-    @param memory  that it may use, in bytes; 0 if it is not known */
-void ReportProcessUsage(daemon_metrics& metrics, std::size_t memory);
+    @param memory       that it may use, in bytes; 0 if it is not known
+    @param descriptors  that it may have open; 0 if it is not known */
+void ReportProcessUsage(daemon_metrics& metrics,
+                        std::size_t memory,
+                        std::size_t descriptors);
 
 }  // namespace gentian
 
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include "gentian_daemon/peer_exchange.h"
 #include "gentian_daemon/supervisor.h"
 #include "gentian_log/gentian_log.h"
+#include "gentian_net/connection_bounds.h"
 #include "gentian_net/http_server.h"
 
 namespace gentian {
@@ -37,6 +38,12 @@
   return identity;
 }
 
+http_server_limits ServerLimits(std::size_t max_connections) {
+  http_server_limits limits;
+  limits.max_connections = max_connections;
+  return limits;
+}
+
 }  // namespace
 
 class daemon::parts {
@@ -121,7 +128,7 @@
         [this](const std::shared_ptr<http_exchange>& exchange) {
           api_.Handle(exchange);
         },
-        http_server_limits{}, caller_tls_);
+        ServerLimits(bounds_.callers), caller_tls_);
     result<success> bound = server_->Bind(options_.caller_address);
     if (Failed(bound)) {
       return bound;
@@ -158,7 +165,7 @@
         [this](const std::shared_ptr<http_exchange>& exchange) {
           admin_.Handle(exchange);
         },
-        http_server_limits{}, caller_tls_);
+        ServerLimits(bounds_.services), caller_tls_);
     return admin_server_->Bind(options_.admin_address);
   }
 
@@ -377,6 +384,7 @@
   caller_api api_;
   admin_api admin_;
   supervisor supervisor_;
+  const connection_bounds bounds_ = BoundConnections();
   std::unique_ptr<http_server> server_;
   std::unique_ptr<http_server> admin_server_;
   std::unique_ptr<periodic_timer> quiet_timer_;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -26,14 +26,16 @@
 constexpr int kListenerCloseShare = 3;
 
 // Limits that apply until a configuration is loaded.
-http_server_limits CallerLimits() {
+http_server_limits CallerLimits(const connection_bounds& bounds) {
   http_server_limits limits;
+  limits.max_connections = bounds.callers;
   limits.max_unsent_bytes = 1024 * 1024;
   return limits;
 }
 
-http_server_limits InternalLimits() {
+http_server_limits InternalLimits(std::size_t max_connections) {
   http_server_limits limits;
+  limits.max_connections = max_connections;
   limits.max_body_bytes = 64 * 1024;
   return limits;
 }
@@ -62,6 +64,7 @@
     : pool_(pool),
       protocol_(protocol),
       settings_(std::move(settings)),
+      bounds_(BoundConnections(settings_.descriptors, settings_.memory)),
       state_(settings_),
       target_client_(pool),
       peer_client_(pool),
@@ -95,25 +98,25 @@
             std::make_shared<gateway_call>(environment_, std::move(exchange))
                 ->Start();
           },
-          CallerLimits()),
+          CallerLimits(bounds_)),
       readiness_(
           pool,
           [this](const std::shared_ptr<http_exchange>& exchange) {
             AnswerReadiness(*exchange);
           },
-          InternalLimits()),
+          InternalLimits(bounds_.services)),
       directory_(
           pool,
           [this](const std::shared_ptr<http_exchange>& exchange) {
             AnswerDirectory(*exchange);
           },
-          InternalLimits()),
+          InternalLimits(bounds_.services)),
       peers_(
           pool,
           [this](const std::shared_ptr<http_exchange>& exchange) {
             AnswerPeer(exchange);
           },
-          InternalLimits()),
+          InternalLimits(bounds_.peers)),
       stopping_(
           pool,
           kStopPollInterval,
@@ -196,7 +199,7 @@
 void gateway_daemon::ApplyCallerLimits() {
   const gateway_configuration::parts& configured =
       state_.configuration.current()->content();
-  http_server_limits limits = CallerLimits();
+  http_server_limits limits = CallerLimits(bounds_);
   limits.max_header_bytes = configured.max_header_bytes;
   // gateway_call refuses larger bodies, once their route is known.
   limits.max_body_bytes =
@@ -266,7 +269,7 @@
   }
   state_.metrics.SetGauge("open_tunnels",
                           static_cast<double>(paths_.tunnels()));
-  ReportProcessUsage(state_.metrics, settings_.memory);
+  ReportProcessUsage(state_.metrics, settings_.memory, settings_.descriptors);
   reader_.ReportAges();
   const log_losses losses = GetLogLosses();
   state_.metrics.SetGauge("log_lines_sampled",
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -7,6 +7,7 @@
 
 #include "gentian_gateway_daemon/gateway_call.h"
 #include "gentian_gateway_daemon/state_reader.h"
+#include "gentian_net/connection_bounds.h"
 
 namespace gentian {
 
@@ -61,6 +62,7 @@
   io_pool& pool_;
   const gateway_protocol& protocol_;
   const gateway_settings settings_;
+  const connection_bounds bounds_;
   gateway_state state_;
   http_client target_client_;
   http_client peer_client_;
--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -31,6 +31,9 @@
   milliseconds drain_bound{2'000};
   /** Memory that the process may use, in bytes; 0 if it is not known. */
   std::size_t memory = 0;
+  /** Descriptors that the process may have open, besides those of its program
+      files; 0 if it is not known. */
+  std::size_t descriptors = 0;
   /** Time between the stop request and the forced end. */
   milliseconds stop_grace{8'000};
 };
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gentian_log/gentian_log.h"
+#include "gentian_net/connection_bounds.h"
 
 namespace gentian {
 
@@ -18,6 +19,13 @@
 // itself.
 constexpr int kMaxUnreachable = 2;
 
+tunnel_limits TunnelLimits(const gateway_settings& settings) {
+  tunnel_limits limits;
+  limits.max_tunnels =
+      BoundConnections(settings.descriptors, settings.memory).tunnels;
+  return limits;
+}
+
 }  // namespace
 
 path_service::path_service(io_pool& pool,
@@ -31,7 +39,8 @@
           [this](const std::string& target) { return Resolve(target); },
           [this](const std::string& target, bool connected) {
             OnTunnelConnected(target, connected);
-          }),
+          },
+          TunnelLimits(settings)),
       probing_(pool,
                kProbeTickInterval,
                [this](const repeating_task::round& /*round*/) { Probe(); }) {}
--- a/source/gentian_net/gentian_net.h
+++ b/source/gentian_net/gentian_net.h
@@ -6,6 +6,7 @@
 #ifndef GENTIAN_NET_GENTIAN_NET_H_
 #define GENTIAN_NET_GENTIAN_NET_H_
 
+#include "gentian_net/connection_bounds.h"
 #include "gentian_net/connection_probe.h"
 #include "gentian_net/event_stream.h"
 #include "gentian_net/http_client.h"
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -32,6 +32,7 @@
 constexpr milliseconds kIdleLinger{200};
 // Time without input before an idle connection is closed.
 constexpr milliseconds kQuietTime{20};
+constexpr steady_time::duration kNotIdle = steady_time::duration::min();
 constexpr milliseconds kNoMemoryRetryAfter{1'000};
 
 error NoMemory() {
@@ -91,12 +92,33 @@
               me->Close();
               return;
             }
-            me->ArmReceiveTimer(me->limits().idle_deadline);
+            me->ArmReceiveTimer(me->refusal_ ? kLinger
+                                             : me->limits().idle_deadline);
+            me->SetIdle(true);
             me->Read();
           });
     });
   }
 
+  void RefuseAll(const error& reason) override { refusal_ = reason; }
+
+  std::optional<steady_time> idle_since() const override {
+    const steady_time::duration since{idle_since_.load()};
+    if (since == kNotIdle) {
+      return std::nullopt;
+    }
+    return steady_time(since);
+  }
+
+  void CloseIfIdle() override {
+    SetIdle(false);
+    Post([](connection& self) {
+      if (self.IsIdle()) {
+        self.CloseIfQuiet();
+      }
+    });
+  }
+
   void Drain() override {
     Post([](connection& self) {
       self.draining_ = true;
@@ -207,6 +229,7 @@
       return;
     }
     closed_ = true;
+    SetIdle(false);
     UpdateBusy();
     input_memory_->Resize(0);
     output_memory_->Resize(0);
@@ -240,8 +263,17 @@
     ArmReceiveTimer(kQuietTime);
   }
 
+  void SetIdle(bool is_idle) {
+    idle_since_ =
+        is_idle && !refusal_
+            ? std::chrono::steady_clock::now().time_since_epoch().count()
+            : kNotIdle.count();
+  }
+
   void OnReceiveTimeout() {
-    if (!IsIdle()) {
+    if (refusal_ && !answering_ && !discarding_) {
+      RefuseRequest(*refusal_);
+    } else if (!IsIdle()) {
       Close();
     } else if (!is_closing_if_quiet_) {
       CloseIfQuiet();
@@ -255,6 +287,7 @@
   // The caller reads the end; what it still sends has no reader.
   void CloseInOrder(milliseconds linger) {
     discarding_ = true;
+    SetIdle(false);
     stream_->ShutdownSend();
     ArmReceiveTimer(linger);
     Read();
@@ -349,7 +382,8 @@
       sent_continue_ = false;
       header_done_ = false;
       is_closing_if_quiet_ = false;
-      ArmReceiveTimer(limits().header_deadline);
+      SetIdle(false);
+      ArmReceiveTimer(refusal_ ? kLinger : limits().header_deadline);
     }
     error_code failure;
     while (parser_ && !input_.empty() && !parser_->is_done()) {
@@ -368,6 +402,8 @@
         input_memory_->Resize(input_.size() + parser_->get().body().size());
     if (!fits) {
       RefuseWithoutMemory();
+    } else if (refusal_ && header_done_) {
+      RefuseRequest(*refusal_);
     } else if (failure && failure != http::error::need_more) {
       RefuseInput(failure);
     } else if (parser_ && parser_->is_done()) {
@@ -442,6 +478,7 @@
     // A caller that was not told may have sent the next request.
     is_closing_if_quiet_ = draining_;
     ArmReceiveTimer(draining_ ? kQuietTime : limits().idle_deadline);
+    SetIdle(input_.empty());
     Parse();
   }
 
@@ -538,6 +575,10 @@
   std::chrono::steady_clock::time_point last_sent_{};
   std::function<void()> on_disconnect_;
   std::uint64_t serial_ = 0;
+  /** Why no request is taken on this connection. */
+  std::optional<error> refusal_;
+  /** Read by other threads. */
+  std::atomic<steady_time::rep> idle_since_{kNotIdle.count()};
   bool reading_ = false;
   bool writing_ = false;
   bool closes_after_output_ = false;
--- a/source/gentian_net/http_connection.h
+++ b/source/gentian_net/http_connection.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "gentian_net/byte_stream.h"
 #include "gentian_net/http_server.h"
@@ -18,6 +19,14 @@
   virtual ~http_connection() = default;
 
   virtual void Start() = 0;
+  /** Takes no request: answers the first one with an error once its header has
+      come. To be called before Start. */
+  virtual void RefuseAll(const error& reason) = 0;
+  /** Since when the connection has been without a request, or nothing. */
+  virtual std::optional<steady_time> idle_since() const = 0;
+  /** Ends the connection unless a request comes at once. Until then, it does
+      not count as idle. */
+  virtual void CloseIfIdle() = 0;
   /** Ends the connection after the answer that is in progress. */
   virtual void Drain() = 0;
   /** Answers a request whose header has come with an error; ends a connection
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -1,5 +1,7 @@
 #include "gentian_net/http_server.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,7 +9,9 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include "gentian_net/http_connection.h"
@@ -25,6 +29,20 @@
 // free: accepting again at once would fail the same way in a busy loop.
 constexpr std::chrono::milliseconds kAcceptPause{100};
 constexpr std::chrono::seconds kReportInterval{1};
+// Of the places for connections, for those that are being closed and for those
+// whose request is refused.
+constexpr std::size_t kSpareShare = 4;
+constexpr const char* kNoPlace = "too many connections are open";
+constexpr milliseconds kRetryAfter{1'000};
+constexpr std::size_t kDiscardSize = 4 * 1024;
+constexpr std::string_view kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n";
+
+error NoPlace() {
+  return error{error_kind::overloaded, kNoPlace, "send the request again later",
+               call_outcome::not_run, kRetryAfter};
+}
 
 }  // namespace
 
@@ -46,6 +64,7 @@
     }
     if (failure) {
       CountRefused(failure.message());
+      CloseLongestIdle();
       pause.expires_after(kAcceptPause);
       pause.async_wait([me = shared_from_this()](error_code cancelled) {
         const std::lock_guard<std::mutex> inner(me->mutex);
@@ -55,16 +74,53 @@
       });
       return;
     }
-    // A connection beyond the bound is closed when `socket` is destroyed.
-    if (connections.size() <
-        std::atomic_load(&environment->limits)->max_connections) {
-      AddConnection(std::move(socket));
+    const std::size_t most =
+        std::atomic_load(&environment->limits)->max_connections;
+    if (connections.size() >= most) {
+      CountRefused(kNoPlace);
+      RefuseAtOnce(socket);
+    } else if (connections.size() < most - most / kSpareShare ||
+               CloseLongestIdle()) {
+      AddConnection(std::move(socket), std::nullopt);
     } else {
-      CountRefused("too many connections are open");
+      CountRefused(kNoPlace);
+      AddConnection(std::move(socket), NoPlace());
     }
     Accept();
   }
 
+  // What has come of the request is read, so that the caller reads an answer
+  // and no reset.
+  void RefuseAtOnce(tcp::socket& socket) const {
+    if (tls) {
+      return;
+    }
+    error_code ignored;
+    std::array<char, kDiscardSize> request{};
+    socket.non_blocking(true, ignored);
+    socket.read_some(asio::buffer(request), ignored);
+    socket.write_some(asio::buffer(kRefusal.data(), kRefusal.size()), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  // Returns false if all connections are in use.
+  bool CloseLongestIdle() {
+    detail::http_connection* longest = nullptr;
+    steady_time since = steady_time::max();
+    for (const auto& [id, connection] : connections) {
+      const std::optional<steady_time> idle_since = connection->idle_since();
+      if (idle_since && *idle_since < since) {
+        longest = connection.get();
+        since = *idle_since;
+      }
+    }
+    if (longest == nullptr) {
+      return false;
+    }
+    longest->CloseIfIdle();
+    return true;
+  }
+
   void CountRefused(std::string reason) {
     ++refused.total;
     refused.reason = std::move(reason);
@@ -75,7 +131,7 @@
     }
   }
 
-  void AddConnection(tcp::socket socket) {
+  void AddConnection(tcp::socket socket, const std::optional<error>& refusal) {
     const std::uint64_t id = ++last_id;
     auto stream = detail::MakeByteStream(std::move(socket),
                                          tls ? tls->current() : nullptr);
@@ -88,6 +144,9 @@
           }
         });
     connections[id] = connection;
+    if (refusal) {
+      connection->RefuseAll(*refusal);
+    }
     connection->Start();
   }
 
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -64,6 +64,8 @@
   milliseconds send_deadline{30'000};
   /** Bytes that may wait for a slow reader. */
   std::size_t max_unsent_bytes = 16 * 1024 * 1024;
+  /** Beyond three quarters of it, the longest idle connection is closed for a
+      new one; if none is idle, the request on the new one is refused. */
   std::size_t max_connections = 10'000;
 };
 
@@ -96,9 +98,8 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
-  /** Sets the bounds of requests that arrive from now on and of connections
-     that become idle. The number of connections stays bounded as it was.
-  */
+  /** Sets the bounds of new connections, of requests that arrive from now on
+      and of connections that become idle. */
   void SetLimits(const http_server_limits& limits);
 
   /** Replaces ErrorResponse for refused requests. Precondition: the server does
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -8,6 +8,7 @@
 #include "gentian_gateway/gentian_gateway.h"
 #include "gentian_gateway_daemon/turn_store_listing.h"
 #include "gentian_log/gentian_log.h"
+#include "gentian_net/connection_bounds.h"
 
 namespace gentian {
 
@@ -25,8 +26,11 @@
 constexpr std::chrono::minutes kLostDiskAge{10};
 constexpr std::size_t kMaxBodyBytes = 32 * 1024 * 1024;
 
-http_server_limits InternalLimits() {
+http_server_limits InternalLimits(const turn_store_settings& settings) {
+  const connection_bounds bounds =
+      BoundConnections(settings.descriptors, settings.memory);
   http_server_limits limits;
+  limits.max_connections = bounds.callers + bounds.peers;
   limits.max_body_bytes = kMaxBodyBytes;
   limits.max_unsent_bytes = kMaxBodyBytes;
   return limits;
@@ -55,7 +59,7 @@
       server_(
           pool,
           [this](const exchange_pointer& exchange) { Answer(exchange); },
-          InternalLimits()) {
+          InternalLimits(settings_)) {
   LogRefusedConnections(server_, kListenerName);
 }
 
--- a/source/gentian_turn_daemon/turn_store_interface.cc
+++ b/source/gentian_turn_daemon/turn_store_interface.cc
@@ -211,7 +211,7 @@
   metrics_.SetGauge("stores_known",
                     static_cast<double>(directory_.known().size()));
   ReportConnections(metrics_, server_, kListenerName);
-  ReportProcessUsage(metrics_, settings_.memory);
+  ReportProcessUsage(metrics_, settings_.memory, settings_.descriptors);
   http_response page;
   page.status = kOk;
   page.body = metrics_.ToPrometheus(counters_);
--- a/source/gentian_turn_daemon/turn_store_settings.h
+++ b/source/gentian_turn_daemon/turn_store_settings.h
@@ -25,6 +25,9 @@
   std::size_t memory = 0;
   /** Time between the stop request and the forced end. */
   milliseconds stop_grace{8'000};
+  /** Descriptors that the process may have open, besides those of its program
+      files; 0 if it is not known. */
+  std::size_t descriptors = 0;
 };
 
 }  // namespace gentian
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -280,6 +280,25 @@
   }
 }
 
+// Guards against a process that opens more descriptors than its host lets it,
+// and against one that takes a damaged limit for a small one.
+Test(node_file, reads_the_descriptors_of_the_host) {
+  const std::string begin =
+      R"({"node_name":"n","ip":"10.0.0.1","inner_ports":[1,2],"data_dir":"/d",)"
+      R"("platform":{"address":"10.0.0.9:1"},"limits":)";
+  const std::string good = begin + R"({"max_fds":4100}})";
+  cr_assert(ValueOf(ParseNodeFile(good, "file")).descriptors == 3'900);
+  cr_assert(ValueOf(ParseTurnStoreFile(good, "file")).descriptors == 3'900);
+  const std::string small = begin + R"({"max_fds":100}})";
+  cr_assert(ValueOf(ParseNodeFile(small, "file")).descriptors == 1);
+  for (const char* limits :
+       {"null", "[]", "{}", R"({"max_fds":-1})", R"({"max_fds":"4100"})"}) {
+    const auto settings = ParseNodeFile(begin + limits + "}", "file");
+    cr_assert(!Failed(settings) && ValueOf(settings).descriptors == 0, "%s",
+              limits);
+  }
+}
+
 // Guards against a store that keeps fewer copies than losses require, or starts
 // on a machine without a disk.
 Test(node_file, reads_the_settings_of_a_turn_store) {
