Free the buffers of a connection whose request doesn't go on

Cause: a connection whose body has come in part kept a read buffer of 16 KB and the empty buffer of its last input, up to 16 KB, while its caller waited. Change: the large read buffer is taken only while reads fill it, and an empty input buffer is freed.

--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -337,9 +337,9 @@
       return;
     }
     reading_ = true;
-    // A body comes in large parts.
+    // A body comes in large parts, unless its sender waits.
     const std::size_t size =
-        parser_ && header_done_ ? kReadSize : kFirstReadSize;
+        parser_ && header_done_ && filled_space_ ? kReadSize : kFirstReadSize;
     if (space_.size() != size) {
       space_ = std::vector<char>(size);
     }
@@ -360,6 +360,7 @@
       Read();
       return;
     }
+    filled_space_ = size == space_.size();
     input_.append(space_.data(), size);
     Parse();
   }
@@ -393,6 +394,9 @@
         break;
       }
     }
+    if (input_.empty()) {
+      input_ = std::string();
+    }
     if (parser_ && parser_->is_header_done() && !header_done_) {
       header_done_ = true;
       ArmReceiveTimer(limits().receive_deadline);
@@ -580,6 +584,8 @@
   /** Read by other threads. */
   std::atomic<steady_time::rep> idle_since_{kNotIdle.count()};
   bool reading_ = false;
+  /** The last read was as large as the space for it. */
+  bool filled_space_ = false;
   bool writing_ = false;
   bool closes_after_output_ = false;
   bool header_done_ = false;
