Close idle connections to servers that get no requests any more

Cause: connection_cache looked at the connections of an address only when a request went to that address. Change: at most once a second, and when a connection is kept, those that can't be used again are closed for all addresses.

--- a/source/gentian_net/connection_cache.cc
+++ b/source/gentian_net/connection_cache.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace gentian::detail {
@@ -17,6 +18,7 @@
 constexpr std::chrono::seconds kMaxAnnounced{60};
 constexpr std::string_view kTimeoutName = "timeout=";
 constexpr std::size_t kMaxIdlePerAddress = 32;
+constexpr std::chrono::seconds kSweepInterval{1};
 
 }  // namespace
 
@@ -45,6 +47,10 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (now - swept_at_ >= kSweepInterval) {
+    swept_at_ = now;
+    Sweep(now);
+  }
   auto& streams = idle_[address];
   if (streams.size() >= kMaxIdlePerAddress) {
     streams.erase(streams.begin());
@@ -52,6 +58,18 @@
   streams.push_back(idle_stream{std::move(stream), now + usable});
 }
 
+void connection_cache::Sweep(steady_time now) {
+  for (auto next = idle_.begin(); next != idle_.end();) {
+    auto& streams = next->second;
+    const auto is_useless = [now](const idle_stream& idle) {
+      return now >= idle.usable_until || idle.stream->HasInput();
+    };
+    streams.erase(std::remove_if(streams.begin(), streams.end(), is_useless),
+                  streams.end());
+    next = streams.empty() ? idle_.erase(next) : std::next(next);
+  }
+}
+
 void connection_cache::Clear() {
   const std::lock_guard<std::mutex> lock(mutex_);
   idle_.clear();
--- a/source/gentian_net/connection_cache.h
+++ b/source/gentian_net/connection_cache.h
@@ -36,7 +36,12 @@
     steady_time usable_until;
   };
 
+  /** Closes those that can't be used again, also to servers that no request
+      goes to any more. */
+  void Sweep(steady_time now);
+
   std::mutex mutex_;
+  steady_time swept_at_;
   std::map<std::string, std::vector<idle_stream>> idle_;
 };
 
--- a/tests/net/connection_bound_test.cc
+++ b/tests/net/connection_bound_test.cc
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gentian_net/connection_bounds.h"
@@ -116,3 +117,26 @@
   }
   cr_assert(BoundConnections(1, 1).callers == 1);
 }
+
+// Guards against idle connections to servers that get no requests any more,
+// which use up the descriptors of a process (review/3).
+Test(connection_bound,
+     connections_to_former_servers_are_closed,
+     .timeout = 30) {
+  constexpr milliseconds kIdle{4'100};
+  bounded_server former;
+  bounded_server next;
+  http_client client(next.pool);
+  const auto fetch = [&client](const bounded_server& server) {
+    http_client_request request;
+    request.address = server.server.address();
+    request.reuse_connection = true;
+    cr_assert(Fetch(client, request).response.status == 200);
+  };
+  fetch(former);
+  cr_assert(former.server.open_connections() == 1);
+  std::this_thread::sleep_for(kIdle);
+  fetch(next);
+  cr_assert(
+      WaitFor([&former] { return former.server.open_connections() == 0; }));
+}
