--- a/source/gentian_decisions/kv_operation.h
+++ b/source/gentian_decisions/kv_operation.h
@@ -102,6 +102,8 @@
   std::uint64_t revision = 0;
   /** Granted lease. */
   std::uint64_t lease = 0;
+  /** Why no answer came, for logs; empty if it is not known. */
+  std::string reason = {};
 };
 
 /** The stable name of a status, for logs. */
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -419,6 +419,7 @@
         reached ? "key-value service reached" : "key-value service lost",
         {{"listing", subject.name},
          {"outcome", NameOf(answer.outcome)},
+         {"reason", answer.reason},
          {"last_answer_age_ms",
           subject.last_answer == steady_time()
               ? -1
