Pause after answers of the key-value service that bring no news

Cause: a write that is told that its condition failed is sent again at once with the version told, and a watch that ends before its wait is followed by the next one. Evidence: an_answer_without_news_is_not_asked_for_in_a_loop saw 25,459 requests of one gateway in three seconds.

--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -30,7 +30,7 @@
 constexpr int kQuickRetries = 2;
 // Time for the answer of a watch after its wait.
 constexpr milliseconds kWatchMargin{400};
-// Pause between watches that find changes.
+// Pause after a watch that ends before its wait.
 constexpr milliseconds kChangeInterval{100};
 // Failures in a row after which everything is read at intervals for a while.
 constexpr int kMaxWatchFailures = 2;
@@ -251,16 +251,16 @@
   subject.watch_failures = 0;
   const steady_time now = BootTimeNow();
   const bool has_changes = !answer.entries.empty() || !answer.deleted.empty();
+  // A watch that ends without a change has looked at the end of its wait.
+  const bool has_waited = !has_changes && now - call.asked_at >= call.wait;
   call.round.RunAgainAfter(!state_.relays.IsReader() ? kMinDirectInterval
-                           : has_changes             ? kChangeInterval
-                                                     : milliseconds(0));
+                           : has_waited              ? milliseconds(0)
+                                                     : kChangeInterval);
   if (call.outside_changes != subject.outside_changes) {
     // The changes may be older than the content.
     return;
   }
   shared_listing& own = contents_[call.index];
-  // A watch that ends without a change has looked at the end of its wait.
-  const bool has_waited = !has_changes && now - call.asked_at >= call.wait;
   const shared_listing::reading source{
       std::max(answer.revision, own.revision()),
       has_waited ? call.asked_at + call.wait : call.asked_at};
--- a/tests/platform/endless_store_test.cc
+++ b/tests/platform/endless_store_test.cc
@@ -288,3 +288,21 @@
   cr_assert(seen.bytes < seen.requests * kMostOfAnAnswer, "%d: %zu",
             seen.requests, seen.bytes);
 }
+
+// Guards against a registration, or a watch, that is sent again without pause
+// because its answer comes at once and tells nothing.
+Test(endless_store,
+     an_answer_without_news_is_not_asked_for_in_a_loop,
+     .timeout = 60) {
+  const reads seen = RunInTrouble([](const std::string& request, int) {
+    const bool is_write = request.find("POST /kv-txn") != std::string::npos;
+    const std::string body =
+        R"({"items":[],"events":[],"as_of":1000000,"lease":7,"rev":1000000})";
+    return is_write ? step{"HTTP/1.1 412 No\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body}
+           : request.find("POST /kv-keep") != std::string::npos
+               ? step{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}
+               : step{WithLength(body)};
+  });
+  cr_assert(seen.requests < 200, "%d", seen.requests);
+}
