Count headers and buffers of answers in the memory budget

Cause: the budget held the size of a collected body, not the buffer behind it, and nothing of a header: 64 KB each that are not yet complete, and then up to thirty times the text of short fields. Evidence, new tests on the client before: of 150 unfinished headers of 60 KB, none was given up in ten seconds with a budget of 4 MB; a header of 12,000 short fields was taken with a budget of 1 MB, and the call ended at its deadline of 30 s. Change: a call counts its input buffer, the fields of its header with what they take beside their text, and the capacity of what Fetch collects.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -59,6 +59,9 @@
 // Bounds of the rest of an answer that is read only to keep its connection.
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
 constexpr milliseconds kDiscardLimit{250};
+// Memory of a field of a header, beside its text, in the parser and in the copy
+// for the receiver.
+constexpr std::size_t kFieldBytes = 128;
 // Larger bodies are written without a copy, after the header.
 constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
@@ -330,6 +333,7 @@
       parser_->skip(true);
     }
     header_read_ = false;
+    header_bytes_ = 0;
     is_foreign_ = false;
   }
 
@@ -443,7 +447,11 @@
 
   void Deliver() {
     if (!parser_->is_header_done()) {
-      Read();
+      if (CountMemory()) {
+        Read();
+      } else {
+        FailWithoutMemory();
+      }
       return;
     }
     if (!header_read_) {
@@ -458,11 +466,11 @@
         discarded_bytes_ += part.size();
       } else if (handlers_.on_body) {
         handlers_.on_body(part);
-        if (!ended_ && handlers_.held && !memory_->Resize(handlers_.held())) {
-          FailWithoutMemory();
-        }
       }
     }
+    if (!ended_ && !CountMemory()) {
+      FailWithoutMemory();
+    }
     if (!ended_ && discarded_bytes_ >
                        (is_foreign_ ? kMaxForeignBytes : kMaxDiscardedBytes)) {
       Fail(http_failure::broken, "the answer is too long");
@@ -484,6 +492,12 @@
     }
   }
 
+  // False if the answer has to be given up.
+  bool CountMemory() {
+    const std::size_t received = handlers_.held ? handlers_.held() : 0;
+    return memory_->Resize(input_.capacity() + header_bytes_ + received);
+  }
+
   // The new connection serves the next request.
   void ConfirmEnd() {
     keeps_connection_ = false;
@@ -536,6 +550,8 @@
     http_headers headers;
     for (const auto& field : parser_->get()) {
       headers.Add(std::string(field.name_string()), std::string(field.value()));
+      header_bytes_ +=
+          kFieldBytes + 2 * (field.name_string().size() + field.value().size());
     }
     const int status = static_cast<int>(parser_->get().result_int());
     const bool is_first = !reused_ && foreign_answers_ == 0;
@@ -623,6 +639,8 @@
   bool keeps_connection_ = true;
   bool ends_with_connection_ = false;
   bool header_read_ = false;
+  /** Memory of the fields of the header. */
+  std::size_t header_bytes_ = 0;
   /** The answer that is being read belongs to another request. */
   bool is_foreign_ = false;
   int foreign_answers_ = 0;
@@ -667,7 +685,7 @@
   handlers.on_body = [answer](std::string_view bytes) {
     answer->body += bytes;
   };
-  handlers.held = [answer] { return answer->body.size(); };
+  handlers.held = [answer] { return answer->body.capacity(); };
   handlers.on_end = [answer, on_answer = std::move(on_answer)] {
     on_answer(std::move(*answer));
   };
--- a/tests/net/memory_budget_test.cc
+++ b/tests/net/memory_budget_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "support/loopback_server.h"
 #include "support/raw_connection.h"
 #include "support/raw_server.h"
 #include "support/synchronous_http.h"
@@ -126,3 +127,72 @@
   }
   pool.Stop();
 }
+
+// Guards against many answers that each stay below the bounds of a message, and
+// fill the memory of the process together.
+Test(memory_budget, unfinished_headers_are_counted, .timeout = 60) {
+  constexpr int kCalls = 150;
+  const std::string part = "HTTP/1.1 200 OK\r\nA: " + std::string(60'000, 'x');
+  io_pool pool(1);
+  pool.message_memory().SetCapacity(4 * kMegabyte);
+  {
+    loopback_server endless([&part](int peer) {
+      ::send(peer, part.data(), part.size(), MSG_NOSIGNAL);
+      char byte = 0;
+      while (::recv(peer, &byte, 1, 0) > 0) {
+      }
+    });
+    http_server sound(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+      exchange->Respond(http_response());
+    });
+    cr_assert(!Failed(sound.Listen("127.0.0.1:0")));
+    http_client client(pool);
+    std::atomic<int> given_up{0};
+    std::vector<std::shared_ptr<http_call>> calls;
+    for (int i = 0; i < kCalls; ++i) {
+      http_client_request request;
+      request.address = endless.address();
+      calls.push_back(client.Fetch(
+          request, [](const http_response&) {},
+          [&given_up](http_failure failure, const std::string&) {
+            given_up += failure == http_failure::no_memory ? 1 : 0;
+          }));
+    }
+    // Of 9 MB of headers, 4 MB fit.
+    cr_assert(WaitFor([&given_up] { return given_up > kCalls / 2; }),
+              "%d of %d", given_up.load(), kCalls);
+    cr_assert(pool.message_memory().used() <= 4 * kMegabyte);
+    http_client_request request;
+    request.address = sound.address();
+    cr_assert(Fetch(client, request).response.status == 200);
+    for (const auto& call : calls) {
+      call->Cancel();
+    }
+  }
+  pool.Stop();
+}
+
+// Guards against a header of many short fields, which take many times their
+// text.
+Test(memory_budget, the_fields_of_a_header_are_counted, .timeout = 60) {
+  std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n";
+  while (text.size() < 60'000) {
+    text += "a:\r\n";
+  }
+  text += "\r\n";
+  io_pool pool(1);
+  pool.message_memory().SetCapacity(kMegabyte);
+  {
+    loopback_server server([&text](int peer) {
+      ::send(peer, text.data(), text.size(), MSG_NOSIGNAL);
+      char byte = 0;
+      while (::recv(peer, &byte, 1, 0) > 0) {
+      }
+    });
+    http_client client(pool);
+    http_client_request request;
+    request.address = server.address();
+    cr_assert(Fetch(client, request).failure == http_failure::no_memory);
+  }
+  pool.Stop();
+}
