Answer requests that were just accepted when a server stops

Callers saw: a reset in place of an answer to a request that they sent on a new connection, in a planned stop under load. Cause: the listener closes while connections wait in the queue of the kernel, which resets them, and a connection that was accepted but not handled yet is dropped. Change: a stop takes what waits in the queue, and what was just accepted, and ends these connections as it ends the others: after their answer.

--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -92,8 +92,12 @@
               me->Close();
               return;
             }
-            me->ArmReceiveTimer(me->refusal_ ? kLinger
-                                             : me->limits().idle_deadline);
+            if (me->draining_ && !me->refusal_ && me->IsIdle()) {
+              me->CloseIfQuiet();
+            } else {
+              me->ArmReceiveTimer(me->refusal_ ? kLinger
+                                               : me->limits().idle_deadline);
+            }
             me->SetIdle(true);
             me->Read();
           });
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -47,6 +48,8 @@
 }  // namespace
 
 struct http_server::state : std::enable_shared_from_this<state> {
+  using end_function = std::function<void(detail::http_connection&)>;
+
   explicit state(asio::io_context& io) : context(io), acceptor(io), pause(io) {}
 
   void Accept() {
@@ -60,6 +63,10 @@
   void OnAccept(error_code failure, tcp::socket socket) {
     const std::lock_guard<std::mutex> lock(mutex);
     if (stopped) {
+      // It was accepted just before.
+      if (!failure) {
+        AddEnding(std::move(socket));
+      }
       return;
     }
     if (failure) {
@@ -74,19 +81,25 @@
       });
       return;
     }
+    Place(std::move(socket));
+    Accept();
+  }
+
+  // Returns nothing if there is not even room for a refusal that is sent in
+  // order.
+  std::shared_ptr<detail::http_connection> Place(tcp::socket socket) {
     const std::size_t most =
         std::atomic_load(&environment->limits)->max_connections;
     if (connections.size() >= most) {
       CountRefused(kNoPlace);
       RefuseAtOnce(socket);
-    } else if (connections.size() < most - most / kSpareShare ||
-               CloseLongestIdle()) {
-      AddConnection(std::move(socket), std::nullopt);
-    } else {
-      CountRefused(kNoPlace);
-      AddConnection(std::move(socket), NoPlace());
+      return nullptr;
     }
-    Accept();
+    if (connections.size() < most - most / kSpareShare || CloseLongestIdle()) {
+      return AddConnection(std::move(socket), std::nullopt);
+    }
+    CountRefused(kNoPlace);
+    return AddConnection(std::move(socket), NoPlace());
   }
 
   // What has come of the request is read, so that the caller reads an answer
@@ -131,7 +144,9 @@
     }
   }
 
-  void AddConnection(tcp::socket socket, const std::optional<error>& refusal) {
+  std::shared_ptr<detail::http_connection> AddConnection(
+      tcp::socket socket,
+      const std::optional<error>& refusal) {
     const std::uint64_t id = ++last_id;
     auto stream = detail::MakeByteStream(std::move(socket),
                                          tls ? tls->current() : nullptr);
@@ -148,16 +163,57 @@
       connection->RefuseAll(*refusal);
     }
     connection->Start();
+    return connection;
+  }
+
+  void AddEnding(tcp::socket socket) {
+    const auto connection = end ? Place(std::move(socket)) : nullptr;
+    if (connection) {
+      end(*connection);
+    }
+  }
+
+  // Ends all connections in order, and those that were not handled yet.
+  void EndConnections(end_function how) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    stopped = true;
+    end = std::move(how);
+    for (const auto& [id, connection] : connections) {
+      end(*connection);
+    }
+    TakeQueued();
+    CloseAcceptor();
   }
 
-  std::map<std::uint64_t, std::shared_ptr<detail::http_connection>>
-  CloseAcceptor() {
+  void StopConnections() {
     const std::lock_guard<std::mutex> lock(mutex);
     stopped = true;
+    end = nullptr;
+    for (const auto& [id, connection] : connections) {
+      connection->Stop();
+    }
+    CloseAcceptor();
+  }
+
+  void CloseAcceptor() {
     error_code ignored;
     acceptor.close(ignored);
     pause.cancel();
-    return connections;
+  }
+
+  // Closing the acceptor would reset what waits in the queue of the kernel,
+  // whose callers may have sent their requests.
+  void TakeQueued() {
+    error_code failure;
+    acceptor.non_blocking(true, failure);
+    for (int i = 0; i < asio::socket_base::max_listen_connections && !failure;
+         ++i) {
+      tcp::socket socket(asio::make_strand(context));
+      acceptor.accept(socket, failure);
+      if (!failure) {
+        AddEnding(std::move(socket));
+      }
+    }
   }
 
   asio::io_context& context;
@@ -168,9 +224,14 @@
   std::mutex mutex;
   std::condition_variable emptied;
   bool stopped = false;
+<<<<<<< HEAD
   refused_connections refused;
   std::function<void(const refused_connections&)> on_refused;
   std::chrono::steady_clock::time_point last_report;
+=======
+  /** How connections that are accepted late end; nullptr to close them. */
+  end_function end;
+>>>>>>> d2a66cd (Answer requests that were just accepted when a server stops)
   std::uint64_t last_id = 0;
   std::map<std::uint64_t, std::shared_ptr<detail::http_connection>> connections;
 };
@@ -243,9 +304,8 @@
 }
 
 void http_server::StopAccepting() {
-  for (const auto& [id, connection] : state_->CloseAcceptor()) {
-    connection->Drain();
-  }
+  state_->EndConnections(
+      [](detail::http_connection& connection) { connection.Drain(); });
 }
 
 std::size_t http_server::open_connections() const {
@@ -263,15 +323,13 @@
 }
 
 void http_server::EndReceiving(const error& reason) {
-  for (const auto& [id, connection] : state_->CloseAcceptor()) {
-    connection->EndReceiving(reason);
-  }
+  state_->EndConnections([reason](detail::http_connection& connection) {
+    connection.EndReceiving(reason);
+  });
 }
 
 void http_server::Stop() {
-  for (const auto& [id, connection] : state_->CloseAcceptor()) {
-    connection->Stop();
-  }
+  state_->StopConnections();
 }
 
 }  // namespace gentian
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <fstream>
+#include <memory>
 #include <thread>
+#include <vector>
 
 #include "support/raw_connection.h"
 #include "support/synchronous_http.h"
@@ -275,6 +277,43 @@
   pool.Stop();
 }
 
+// Guards against connections that are reset because a stop finds them in the
+// kernel's queue, or just taken from it: their requests have been sent.
+Test(http, requests_just_accepted_are_answered_in_a_stop, .timeout = 60) {
+  io_pool pool(1);
+  http_server server(pool, [](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond({200, http_headers(), "whole"});
+  });
+  cr_assert(!Failed(server.Listen(kAnyPort)));
+  std::atomic<bool> is_held{false};
+  std::atomic<bool> has_stopped{false};
+  pool.After(milliseconds(0), [&] {
+    is_held = true;
+    cr_assert(WaitFor([&has_stopped] { return has_stopped.load(); }));
+  });
+  cr_assert(WaitFor([&is_held] { return is_held.load(); }));
+  constexpr std::size_t kCallers = 20;
+  std::vector<std::unique_ptr<raw_connection>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<raw_connection>(server.address()));
+    cr_assert(callers.back()->connected());
+    callers.back()->Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  server.StopAccepting();
+  has_stopped = true;
+  std::size_t answered = 0;
+  for (const auto& caller : callers) {
+    if (caller->Read(milliseconds(5'000)).rfind("HTTP/1.1 200", 0) == 0) {
+      ++answered;
+    }
+  }
+  cr_assert(answered == kCallers, "%zu of %zu requests were answered", answered,
+            kCallers);
+  cr_assert(server.WaitUntilIdle(milliseconds(5'000)));
+  server.Stop();
+  pool.Stop();
+}
+
 // Guards against a connection that is closed after an answer whose header did
 // not say so: the caller has sent its next request.
 Test(http, a_caller_that_was_not_told_is_answered, .timeout = 30) {
