Write no record once a registration has ended

Callers saw: after a stop, others go on to send to a process that has ended; in a hand-over, the successor's record is replaced by that of its predecessor. Cause: an answer of the key-value service that comes after the end of a registration continues it: a conflict writes the record over the one of the successor, with no lease, so that it stays; a lease that was just granted writes a record that nothing removes until it expires. Change: nothing is written after the end, and a write that was on its way is removed by its version.

--- a/source/gentian_gateway_daemon/lease_registration.cc
+++ b/source/gentian_gateway_daemon/lease_registration.cc
@@ -77,6 +77,9 @@
 }
 
 void lease_registration::Write(std::function<void(bool is_written)> on_done) {
+  if (ended_) {
+    return;
+  }
   const steady_time asked_at = BootTimeNow();
   store_.Call(
       kv_compare_and_swap{key_, version_, record_(), lease_}, kCallTimeout,
@@ -84,6 +87,10 @@
         switch (answer.outcome) {
           case kv_answer::status::ok:
             version_ = answer.revision;
+            if (ended_) {
+              Remove();
+              return;
+            }
             registered_before_ = true;
             on_call_(true, asked_at);
             on_done(true);
@@ -147,6 +154,11 @@
     return;
   }
   lease_ = 0;
+  Remove();
+}
+
+// Never removes the record of another process, whose version is another one.
+void lease_registration::Remove() {
   store_.Call(kv_delete{key_, version_}, kCallTimeout, [](const kv_answer&) {
     // If the call fails, the record expires with its lease.
   });
--- a/source/gentian_gateway_daemon/lease_registration.h
+++ b/source/gentian_gateway_daemon/lease_registration.h
@@ -52,6 +52,7 @@
 
       @param on_done  receives whether it was written */
   void Write(std::function<void(bool is_written)> on_done);
+  void Remove();
 
   key_value_store& store_;
   std::string key_;
