Answer what has come to a turn store before it ends

Callers saw: in a planned stop, a turn store cuts off requests that have come in part or are not answered after 300 ms; gateways learn only that their connection broke, and not whether the turn was kept. Cause: the store ends 300 ms after SIGTERM, whatever is at work. Change: it ends once nothing is at work, at most 1 s before the forced end, and refuses then what has come in part (503, draining). Result: kept_turns/a_store_that_stops_answers_what_has_come: no answer before ("got ''"), 503 since.

--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -19,8 +19,11 @@
 constexpr milliseconds kRegistryInterval{1'500};
 constexpr milliseconds kSettleInterval{200};
 constexpr milliseconds kExpiryInterval{5'000};
-// Time to commit and answer what has arrived before the process ends.
+// Time for what is on its way to arrive before the process ends.
 constexpr milliseconds kStopDelay{300};
+constexpr milliseconds kStopPollInterval{50};
+// Of the time before the forced end, for the end itself.
+constexpr milliseconds kStopReserve{1'000};
 // A host whose store has not run for this long has been removed or has lost its
 // disk; every turn on it has another copy or has expired.
 constexpr std::chrono::minutes kLostDiskAge{10};
@@ -351,9 +354,24 @@
   // Gateways write to other stores once the record is gone.
   registration_.End();
   server_.StopAccepting();
-  pool_.After(kStopDelay, [on_stopped = std::move(on_stopped)] {
-    Log(log_level::info, "stopped");
-    on_stopped();
+  on_stopped_ = std::move(on_stopped);
+  stop_ends_at_ = BootTimeNow() + settings_.stop_grace - kStopReserve;
+  pool_.After(kStopDelay, [this] { FinishStop(); });
+}
+
+void turn_store_daemon::FinishStop() {
+  const std::size_t busy_connections = server_.busy_connections();
+  if (busy_connections > 0 && BootTimeNow() < stop_ends_at_) {
+    pool_.After(kStopPollInterval, [this] { FinishStop(); });
+    return;
+  }
+  server_.EndReceiving(error{error_kind::draining,
+                             "this turn store is stopping",
+                             "send the request to another one"});
+  // Time to send the last bytes.
+  pool_.After(2 * kStopPollInterval, [this, busy_connections] {
+    Log(log_level::info, "stopped", {{"busy_connections", busy_connections}});
+    on_stopped_();
   });
 }
 
--- a/source/gentian_turn_daemon/turn_store_daemon.h
+++ b/source/gentian_turn_daemon/turn_store_daemon.h
@@ -27,7 +27,7 @@
   /** Opens the database and the listener and registers the store. */
   result<success> Start();
 
-  /** Stores what has arrived, and ends the registration.
+  /** Stores and answers what has arrived, and ends the registration.
 
       @param on_stopped  runs once this is done */
   void Stop(std::function<void()> on_stopped);
@@ -70,6 +70,8 @@
   void CompleteDrain();
   void RemoveDiskRecord();
 
+  /** Ends once everything that has come is answered, or the time is over. */
+  void FinishStop();
   void CheckSettled();
   void RemoveExpired();
   void UpdateTotals();
@@ -92,6 +94,8 @@
   bool registered_ = false;
   bool settled_ = false;
   bool stopping_ = false;
+  steady_time stop_ends_at_;
+  std::function<void()> on_stopped_;
   /** Where the progress of draining is written; empty unless draining. */
   std::string drain_status_key_;
   bool drained_ = false;
--- a/tests/platform/turn_store_daemon_test.cc
+++ b/tests/platform/turn_store_daemon_test.cc
@@ -11,6 +11,7 @@
 #include "gentian_gateway_daemon/history_paths.h"
 #include "platform/gateway_fixture.h"
 #include "platform/store_process.h"
+#include "support/raw_connection.h"
 
 using namespace gentian;
 using gentian::testing::fake_target;
@@ -18,6 +19,7 @@
 using gentian::testing::gateway_fixture;
 using gentian::testing::http_outcome;
 using gentian::testing::PostRequest;
+using gentian::testing::raw_connection;
 using gentian::testing::store_process;
 using gentian::testing::WaitFor;
 
@@ -293,6 +295,25 @@
   cr_assert(subject.Turn("r1", "", "one").response.status == 200);
 }
 
+// Guards against a planned stop that cuts a request off which has come in part:
+// its sender learns only that the connection broke.
+Test(kept_turns, a_store_that_stops_answers_what_has_come, .timeout = 60) {
+  kept_turns_fixture subject(2);
+  const raw_connection sender(subject.stores[1]->address);
+  sender.Write(std::string("POST ") + kStoreTurnPath +
+               " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1");
+  std::this_thread::sleep_for(milliseconds(100));
+  std::atomic<bool> has_stopped{false};
+  store_process& store = *subject.stores[1];
+  store.pool.After(milliseconds(0), [&] {
+    store.daemon->Stop([&has_stopped] { has_stopped = true; });
+  });
+  cr_assert(WaitFor([&has_stopped] { return has_stopped.load(); }));
+  subject.stores.erase(1);
+  const std::string answer = sender.Read(milliseconds(1'000));
+  cr_assert(answer.rfind("HTTP/1.1 503", 0) == 0, "got '%s'", answer.c_str());
+}
+
 // Guards against a caller that is answered before the turn is kept: it asks
 // again with the same ID and other content, which must not replace the turn.
 Test(kept_turns,
