Soak signals, hand-overs, unfinished settings and limits of processes

Change: nine disturbances, and a promise: a process ends by SIGKILL, or with status 0 after SIGTERM.

--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -51,9 +51,11 @@
   Tick();
   for (int i = 0; i < size.stores; ++i) {
     const std::string host = "store-" + std::to_string(i + 1);
-    stores_.push_back(std::make_unique<product_process>(process_options{
-        "turn-store", host, FailureDomain(i), HostAddress(kFirstStore + i),
-        store_.Serve(host), folder, size.memory}));
+    stores_.push_back(std::make_unique<product_process>(
+        process_options{"turn-store", host, FailureDomain(i),
+                        HostAddress(kFirstStore + i), store_.Serve(host),
+                        folder, size.memory},
+        seen_));
     stores_.back()->Start(binary);
   }
   for (int i = 0; i < size.gateways; ++i) {
@@ -61,7 +63,8 @@
     store_links_.push_back(std::make_unique<link>(store_.Serve(host)));
     gateways_.push_back(std::make_unique<product_process>(
         process_options{"gateway", host, FailureDomain(i), HostAddress(i),
-                        store_links_.back()->address(), folder, size.memory}));
+                        store_links_.back()->address(), folder, size.memory},
+        seen_));
     gateways_.back()->Start(binary);
   }
 }
@@ -136,13 +139,21 @@
   return found->second.server->Entry(path->address());
 }
 
-std::vector<product_process*> deployment::BeyondMemory() {
-  std::vector<product_process*> beyond;
+std::vector<product_process*> deployment::Hosts() const {
+  std::vector<product_process*> all;
   for (const auto* hosts : {&gateways_, &stores_}) {
     for (const auto& host : *hosts) {
-      if (host->memory() > 0 && host->ResidentMemory() > host->memory()) {
-        beyond.push_back(host.get());
-      }
+      all.push_back(host.get());
+    }
+  }
+  return all;
+}
+
+std::vector<product_process*> deployment::BeyondMemory() {
+  std::vector<product_process*> beyond;
+  for (product_process* host : Hosts()) {
+    if (host->memory() > 0 && host->ResidentMemory() > host->memory()) {
+      beyond.push_back(host);
     }
   }
   return beyond;
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -48,6 +48,8 @@
     return gateways_;
   }
   std::vector<std::unique_ptr<product_process>>& stores() { return stores_; }
+  /** Gateways and turn stores. */
+  std::vector<product_process*> Hosts() const;
   /** The link of a gateway to the key-value service. */
   link& StoreLink(std::size_t gateway) { return *store_links_[gateway]; }
   /** Applies to all links of a gateway to targets, later ones included. */
--- a/tests/soak/disturbances.cc
+++ b/tests/soak/disturbances.cc
@@ -13,6 +13,11 @@
 constexpr milliseconds kStopLimit{9'000};
 constexpr milliseconds kPollInterval{50};
 constexpr milliseconds kReplaceGap{400};
+// On a processor. Before this, no program can have set its handlers: the system
+// still loads it.
+constexpr milliseconds kLoadTime{2};
+constexpr std::size_t kLogLimit = 256 * 1024;
+constexpr std::size_t kFewDescriptors = 128;
 
 }  // namespace
 
@@ -32,7 +37,16 @@
       {"damage_answers", &disturbances::DamageAnswers, 6},
       {"endless_answers", &disturbances::SendEndlessAnswers, 6},
       {"unfinished_bodies", &disturbances::SendUnfinishedBodies, 4},
-      {"release", &disturbances::Release, 6}};
+      {"release", &disturbances::Release, 6},
+      {"signal_host", &disturbances::SignalHost, 6},
+      {"signal_at_start", &disturbances::SignalAtStart, 6},
+      {"signal_through_stop", &disturbances::SignalThroughStop, 4},
+      {"hand_over", &disturbances::HandOver, 6},
+      {"change_settings", &disturbances::ChangeSettings, 4},
+      {"unfinished_settings", &disturbances::StartOnUnfinishedSettings, 4},
+      {"limit_file_size", &disturbances::LimitFileSize, 4},
+      {"limit_address_space", &disturbances::LimitAddressSpace, 2},
+      {"limit_descriptors", &disturbances::LimitDescriptors, 2}};
   return table;
 }
 
@@ -92,9 +106,15 @@
     return;
   }
   product_process& host = *upgrades_.back();
+  if (!busy_.insert(&host).second) {
+    After(kPollInterval, "", [this] { UpgradeNext(); });
+    return;
+  }
   upgrades_.pop_back();
-  StopAndStart(host,
-               [this] { After(kReplaceGap, "", [this] { UpgradeNext(); }); });
+  StopAndStart(host, [this, &host] {
+    Free(host);
+    After(kReplaceGap, "", [this] { UpgradeNext(); });
+  });
 }
 
 void disturbances::After(milliseconds delay,
@@ -116,6 +136,7 @@
 
 void disturbances::EndAll() {
   due_.clear();
+  signals_.clear();
   unfinished_.clear();
   late_.clear();
   for (const char* service : {"models", "services"}) {
@@ -137,8 +158,9 @@
 
 std::optional<std::size_t> disturbances::TakeGateway() {
   const std::size_t chosen = random_.Below(subject_.gateways().size());
-  return busy_gateways_.insert(chosen).second ? std::optional(chosen)
-                                              : std::nullopt;
+  return busy_.insert(subject_.gateways()[chosen].get()).second
+             ? std::optional(chosen)
+             : std::nullopt;
 }
 
 void disturbances::OnTrouble(std::size_t gateway, milliseconds length) {
@@ -172,8 +194,7 @@
   done();
 }
 
-void disturbances::StopAndStart(product_process& process,
-                                const std::function<void()>& done) {
+void disturbances::Stop(product_process& process) {
   log_("stop of " + process.host());
   seen_.OnStop(process.caller_address());
   late_.push_back(std::make_unique<late_callers>(
@@ -182,6 +203,11 @@
       seen_));
   process.Signal(SIGCONT);
   process.Signal(SIGTERM);
+}
+
+void disturbances::StopAndStart(product_process& process,
+                                const std::function<void()>& done) {
+  Stop(process);
   RestartWhenEnded(process, BootTimeNow() + kStopLimit, done);
 }
 
@@ -192,7 +218,7 @@
     subject_.gateways()[*chosen]->Kill();
     After(down, "start of a killed gateway", [this, chosen] {
       Restart(*subject_.gateways()[*chosen]);
-      busy_gateways_.erase(*chosen);
+      Free(*subject_.gateways()[*chosen]);
     });
   }
 }
@@ -201,7 +227,8 @@
   const milliseconds down = Length(milliseconds(300), milliseconds(1'500));
   std::vector<std::size_t> killed;
   for (std::size_t i = 0; i < subject_.gateways().size(); ++i) {
-    if (random_.Below(4) > 0 && busy_gateways_.insert(i).second) {
+    if (random_.Below(4) > 0 &&
+        busy_.insert(subject_.gateways()[i].get()).second) {
       OnTrouble(i, down);
       subject_.gateways()[i]->Kill();
       killed.push_back(i);
@@ -210,7 +237,7 @@
   After(down, "start of all killed gateways", [this, killed] {
     for (const std::size_t i : killed) {
       Restart(*subject_.gateways()[i]);
-      busy_gateways_.erase(i);
+      Free(*subject_.gateways()[i]);
     }
   });
 }
@@ -222,7 +249,7 @@
     subject_.gateways()[*chosen]->Signal(SIGSTOP);
     After(length, "end of a freeze", [this, chosen] {
       subject_.gateways()[*chosen]->Signal(SIGCONT);
-      busy_gateways_.erase(*chosen);
+      Free(*subject_.gateways()[*chosen]);
     });
   }
 }
@@ -230,7 +257,7 @@
 void disturbances::StopGateway() {
   if (const auto chosen = TakeGateway()) {
     StopAndStart(*subject_.gateways()[*chosen],
-                 [this, chosen] { busy_gateways_.erase(*chosen); });
+                 [this, chosen] { Free(*subject_.gateways()[*chosen]); });
   }
 }
 
@@ -274,10 +301,16 @@
 void disturbances::KillTurnStore() {
   const milliseconds down = Length(milliseconds(300), milliseconds(1'500));
   OnTroubleOutside(down);
-  const std::size_t chosen = random_.Below(subject_.stores().size());
-  subject_.stores()[chosen]->Kill();
-  After(down, "start of a turn store",
-        [this, chosen] { Restart(*subject_.stores()[chosen]); });
+  product_process& chosen =
+      *subject_.stores()[random_.Below(subject_.stores().size())];
+  if (!busy_.insert(&chosen).second) {
+    return;
+  }
+  chosen.Kill();
+  After(down, "start of a turn store", [this, &chosen] {
+    Restart(chosen);
+    Free(chosen);
+  });
 }
 
 void disturbances::CrashEngines() {
@@ -373,4 +406,186 @@
   }
 }
 
+void disturbances::RestartEnded() {
+  for (product_process* next : subject_.Hosts()) {
+    if (next->CheckEnds() && !next->current()->IsAskedToStop()) {
+      OnTroubleAt(*next, milliseconds(0));
+      next->Start(binary_);
+    }
+  }
+}
+
+product_process* disturbances::TakeHost() {
+  const std::vector<product_process*> hosts = subject_.Hosts();
+  product_process* chosen = hosts[random_.Below(hosts.size())];
+  return busy_.insert(chosen).second ? chosen : nullptr;
+}
+
+void disturbances::Free(product_process& process) {
+  busy_.erase(&process);
+}
+
+void disturbances::SendSignals(product_process& process, signal_plan plan) {
+  signals_.push_back(std::make_unique<signal_series>(
+      process.current(), std::move(plan), random_.Next()));
+}
+
+void disturbances::OnTroubleAt(product_process& process, milliseconds length) {
+  seen_.OnTrouble(process.is_gateway() ? process.caller_address() : "", length);
+}
+
+void disturbances::SignalHost() {
+  const milliseconds length = Length(milliseconds(50), milliseconds(3'000));
+  const std::chrono::microseconds gap(Length(milliseconds(1), kReplaceGap));
+  if (product_process* host = TakeHost()) {
+    SendSignals(*host, {{SIGHUP}, {}, gap, length});
+    After(length, "end of signals to " + host->host(),
+          [this, host] { Free(*host); });
+  }
+}
+
+void disturbances::SignalAtStart() {
+  const milliseconds first = Length(milliseconds(0), milliseconds(12));
+  const std::chrono::microseconds gap(Length(milliseconds(1), milliseconds(5)));
+  const bool is_stopped = random_.Below(4) == 0;
+  product_process* host = TakeHost();
+  if (host == nullptr) {
+    return;
+  }
+  OnTroubleAt(*host, milliseconds(0));
+  Restart(*host);
+  constexpr milliseconds kSeries{300};
+  if (!is_stopped) {
+    SendSignals(*host, {{SIGHUP}, kLoadTime + first, gap, kSeries});
+    After(kSeries, "", [this, host] { Free(*host); });
+    return;
+  }
+  log_("stop of " + host->host() + " at its start");
+  SendSignals(*host, {{SIGHUP, SIGTERM}, kLoadTime + first, gap, kStopLimit});
+  RestartWhenEnded(*host, BootTimeNow() + kStopLimit,
+                   [this, host] { Free(*host); });
+}
+
+void disturbances::SignalThroughStop() {
+  const std::chrono::microseconds gap(
+      Length(milliseconds(1), milliseconds(20)));
+  if (product_process* host = TakeHost()) {
+    Stop(*host);
+    SendSignals(*host, {{SIGHUP, SIGTERM}, {}, gap, kStopLimit});
+    RestartWhenEnded(*host, BootTimeNow() + kStopLimit,
+                     [this, host] { Free(*host); });
+  }
+}
+
+void disturbances::HandOver() {
+  const milliseconds delay = Length(milliseconds(0), milliseconds(2'000));
+  const bool is_signalled = random_.Below(2) == 0;
+  product_process* host = TakeHost();
+  if (host == nullptr) {
+    return;
+  }
+  const steady_time limit = BootTimeNow() + kStopLimit;
+  Stop(*host);
+  if (is_signalled) {
+    SendSignals(*host, {{SIGHUP, SIGTERM}, {}, milliseconds(20), kStopLimit});
+  }
+  After(delay, "successor of " + host->host(),
+        [this, host, limit, is_signalled] {
+          host->StartSuccessor(binary_);
+          if (is_signalled) {
+            SendSignals(*host,
+                        {{SIGHUP}, kLoadTime, milliseconds(20), kReplaceGap});
+          }
+          ResumeAfterHandOver(*host, limit);
+        });
+}
+
+void disturbances::ResumeAfterHandOver(product_process& process,
+                                       steady_time limit) {
+  if (process.HasPredecessor() && BootTimeNow() < limit) {
+    After(kPollInterval, "",
+          [this, &process, limit] { ResumeAfterHandOver(process, limit); });
+    return;
+  }
+  if (process.HasPredecessor()) {
+    log_(process.host() + " did not stop in time");
+    Restart(process);
+  } else {
+    log_("end of the predecessor of " + process.host());
+  }
+  Free(process);
+}
+
+void disturbances::RewriteSettings(product_process& process,
+                                   const std::function<void()>& done) {
+  process.WriteSettings(0);
+  const milliseconds part = Length(milliseconds(0), milliseconds(300));
+  const milliseconds whole = part + Length(milliseconds(0), milliseconds(300));
+  constexpr std::uint64_t kPercent = 100;
+  const double share = static_cast<double>(random_.Below(kPercent)) / kPercent;
+  After(part, "settings of " + process.host() + " in part", [&process, share] {
+    process.WriteSettings(share);
+    process.Signal(SIGHUP);
+  });
+  After(whole, "settings of " + process.host(), [&process, done] {
+    process.WriteSettings(1);
+    process.Signal(SIGHUP);
+    done();
+  });
+}
+
+void disturbances::ChangeSettings() {
+  if (product_process* host = TakeHost()) {
+    RewriteSettings(*host, [this, host] { Free(*host); });
+    host->Signal(SIGHUP);
+  }
+}
+
+void disturbances::StartOnUnfinishedSettings() {
+  if (product_process* host = TakeHost()) {
+    OnTroubleAt(*host, milliseconds(0));
+    host->Kill();
+    RewriteSettings(*host, [this, host] { Free(*host); });
+    host->StartWithoutSettings(binary_);
+  }
+}
+
+void disturbances::LimitFileSize() {
+  constexpr std::size_t kMaxLeft = 4'096;
+  const std::size_t left = random_.Below(kMaxLeft);
+  if (product_process* host = TakeHost()) {
+    host->FillLog(kLogLimit - left);
+    process_limits limits;
+    limits.file_size = kLogLimit;
+    StartLimited(*host, limits);
+  }
+}
+
+void disturbances::LimitAddressSpace() {
+  if (product_process* host = TakeHost()) {
+    process_limits limits;
+    limits.address_space = host->memory();
+    StartLimited(*host, limits);
+  }
+}
+
+void disturbances::LimitDescriptors() {
+  if (product_process* host = TakeHost()) {
+    process_limits limits;
+    limits.descriptors = kFewDescriptors;
+    StartLimited(*host, limits);
+  }
+}
+
+void disturbances::StartLimited(product_process& process,
+                                const process_limits& limits) {
+  const milliseconds length = Length(milliseconds(500), milliseconds(6'000));
+  OnTroubleAt(process, length);
+  process.Kill();
+  process.Start(binary_, limits);
+  After(length, "end of the limit of " + process.host(), [this, &process] {
+    StopAndStart(process, [this, &process] { Free(process); });
+  });
+}
+
 }  // namespace gentian::soak
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -9,6 +9,7 @@
 
 #include "deployment.h"
 #include "late_callers.h"
+#include "signal_series.h"
 #include "unfinished_bodies.h"
 
 namespace gentian::soak {
@@ -35,6 +36,8 @@
   void Tick();
   /** Kills a process and starts it again. */
   void Restart(product_process& process);
+  /** Starts processes that ended by themselves again. */
+  void RestartEnded();
   /** Ends all that has an end, for the rest of the run. */
   void EndAll();
 
@@ -66,6 +69,19 @@
   void StopAndStart(product_process& process,
                     const std::function<void()>& done);
   void UpgradeNext();
+  /** A gateway or turn store that nothing else happens to, or nullptr. */
+  product_process* TakeHost();
+  void Free(product_process& process);
+  /** Begins to send signals to the process that was started last. */
+  void SendSignals(product_process& process, signal_plan plan);
+  /** Asks a process to stop, with callers that come late. */
+  void Stop(product_process& process);
+  /** Something unplanned begins at a gateway or turn store. */
+  void OnTroubleAt(product_process& process, milliseconds length);
+  /** Leaves the settings file empty, and then written in part, for a while. */
+  void RewriteSettings(product_process& process,
+                       const std::function<void()>& done);
+  void ResumeAfterHandOver(product_process& process, steady_time limit);
 
   void KillGateway();
   void KillMostGateways();
@@ -83,6 +99,18 @@
   /** Callers that send large bodies and never finish them. */
   void SendUnfinishedBodies();
   void Release();
+  void SignalHost();
+  void SignalAtStart();
+  /** SIGHUP and SIGTERM all through a planned stop. */
+  void SignalThroughStop();
+  /** A successor starts while its predecessor still stops. */
+  void HandOver();
+  void ChangeSettings();
+  void StartOnUnfinishedSettings();
+  void LimitFileSize();
+  void LimitAddressSpace();
+  void LimitDescriptors();
+  void StartLimited(product_process& process, const process_limits& limits);
 
   /** Something unplanned begins at a gateway. */
   void OnTrouble(std::size_t gateway, milliseconds length);
@@ -96,7 +124,8 @@
   std::function<void(const std::string&)> log_;
   steady_time started_at_;
   std::multimap<steady_time, action> due_;
-  std::set<std::size_t> busy_gateways_;
+  std::set<product_process*> busy_;
+  std::vector<std::unique_ptr<signal_series>> signals_;
   std::vector<std::unique_ptr<unfinished_bodies>> unfinished_;
   std::vector<std::unique_ptr<late_callers>> late_;
   /** Hosts whose build is still to be replaced, the next one last. */
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -112,6 +112,7 @@
   while (BootTimeNow() - begin < options.length) {
     trouble.Tick();
     subject.Tick();
+    trouble.RestartEnded();
     for (product_process* next : subject.BeyondMemory()) {
       seen.Report("MEMORY", next->host() + " uses " +
                                 std::to_string(next->ResidentMemory()) +
@@ -126,6 +127,9 @@
   for (std::thread& next : threads) {
     next.join();
   }
+  for (product_process* next : subject.Hosts()) {
+    next->CheckEnds();
+  }
   const std::vector<std::string> broken = seen.Finish();
   for (const auto& [outcome, count] : seen.counts()) {
     std::cout << outcome << ": " << count << "\n";
--- a/tests/soak/product_process.cc
+++ b/tests/soak/product_process.cc
@@ -1,14 +1,11 @@
 #include "product_process.h"
 
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
-#include <csignal>
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -26,11 +23,12 @@
 constexpr std::size_t kMegabyte = 1024 * 1024;
 constexpr milliseconds kPollInterval{20};
 constexpr milliseconds kAnswerLimit{500};
+constexpr std::size_t kLastBytes = 600;
 
 }  // namespace
 
-product_process::product_process(process_options options)
-    : options_(std::move(options)) {}
+product_process::product_process(process_options options, judge& seen)
+    : options_(std::move(options)), seen_(seen) {}
 
 product_process::~product_process() {
   Kill();
@@ -44,10 +42,13 @@
   return options_.folder + "/" + options_.host + ".json";
 }
 
-void product_process::WriteSettings() const {
+std::string product_process::LogPath() const {
+  return options_.folder + "/" + options_.host + ".log";
+}
+
+std::string product_process::SettingsText() const {
   const bool is_store = options_.role == "turn-store";
   const std::string data = options_.folder + "/" + options_.host + ".data";
-  std::filesystem::create_directories(data);
   const auto at = [this](int port) {
     return options_.ip + ":" + std::to_string(port);
   };
@@ -70,60 +71,107 @@
       {"tolerate", {{"machines", 1}}},
       {"bounds", {{"grace_s", 8}, {"revoke_ms", 5'000}}},
       {"platform", {{"address", options_.store_address}}}};
-  std::ofstream(SettingsPath()) << settings.dump(1) << "\n";
+  return settings.dump(1) + "\n";
 }
 
-void product_process::Start(const std::string& binary) {
-  WriteSettings();
-  has_started_ = true;
-  std::string settings = "GENTIANRUN_NODE_FILE=" + SettingsPath();
-  std::string role = options_.role;
-  std::string program = binary;
-  const std::string log = options_.folder + "/" + options_.host + ".log";
-  const std::array<char*, 3> words = {program.data(), role.data(), nullptr};
-  const std::array<char*, 2> variables = {settings.data(), nullptr};
-  id_ = ::fork();
-  // The other threads don't exist in the child, and may hold locks.
-  if (id_ == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    ::dup2(out, STDOUT_FILENO);
-    ::dup2(out, STDERR_FILENO);
-    ::execve(words[0], words.data(), variables.data());
-    ::_exit(127);
+void product_process::WriteSettings(double share) const {
+  const std::string text = SettingsText();
+  std::ofstream(SettingsPath()) << text.substr(
+      0, static_cast<std::size_t>(share * static_cast<double>(text.size())));
+}
+
+void product_process::FillLog(std::size_t size) const {
+  std::error_code ignored;
+  const std::size_t used = std::filesystem::exists(LogPath())
+                               ? std::filesystem::file_size(LogPath(), ignored)
+                               : 0;
+  if (used < size) {
+    std::ofstream(LogPath(), std::ios::app) << std::string(size - used, '\n');
   }
 }
 
+void product_process::Start(const std::string& binary,
+                            const process_limits& limits) {
+  WriteSettings(1);
+  Launch(binary, limits);
+}
+
+void product_process::StartWithoutSettings(const std::string& binary) {
+  Launch(binary, {});
+}
+
+void product_process::StartSuccessor(const std::string& binary) {
+  predecessor_ = std::move(current_);
+  Start(binary);
+}
+
+void product_process::Launch(const std::string& binary,
+                             const process_limits& limits) {
+  std::filesystem::create_directories(options_.folder + "/" + options_.host +
+                                      ".data");
+  CheckEnds();
+  has_started_ = true;
+  current_ = std::make_shared<process_instance>(
+      process_launch{binary, options_.role, SettingsPath(), LogPath(), limits});
+}
+
 void product_process::Signal(int number) const {
-  if (id_ > 0) {
-    ::kill(id_, number);
+  if (current_) {
+    current_->Signal(number);
   }
 }
 
 void product_process::Kill() {
-  if (id_ > 0) {
-    Signal(SIGKILL);
-    ::waitpid(id_, nullptr, 0);
-    id_ = 0;
+  for (const auto& subject : {predecessor_, current_}) {
+    if (subject) {
+      subject->Kill();
+    }
   }
+  CheckEnds();
+  predecessor_ = nullptr;
+  current_ = nullptr;
 }
 
 bool product_process::IsRunning() {
-  if (id_ > 0 && ::waitpid(id_, nullptr, WNOHANG) == id_) {
-    id_ = 0;
+  CheckEnds();
+  return HasPredecessor() || (current_ && current_->IsRunning());
+}
+
+bool product_process::HasPredecessor() {
+  return predecessor_ && predecessor_->IsRunning();
+}
+
+bool product_process::CheckEnds() {
+  CheckEnd(predecessor_, "predecessor");
+  return CheckEnd(current_, predecessor_ ? "successor" : "process");
+}
+
+bool product_process::CheckEnd(const std::shared_ptr<process_instance>& subject,
+                               const char* part) {
+  const auto failure = subject ? subject->TakeFailure() : std::nullopt;
+  if (failure) {
+    seen_.Report("FAULT", options_.host + ": its " + part + " " + *failure +
+                              "; last lines:\n" + LastLines());
   }
-  return id_ > 0;
+  return failure.has_value();
 }
 
-std::size_t product_process::ResidentMemory() const {
-  if (id_ <= 0) {
-    return 0;
+std::string product_process::LastLines() const {
+  std::ifstream log(LogPath());
+  std::ostringstream text;
+  text << log.rdbuf();
+  std::string lines = text.str();
+  lines.erase(std::min(lines.find_last_not_of('\n') + 1, lines.size()));
+  const std::size_t filler = lines.rfind("\n\n");
+  if (filler != std::string::npos) {
+    lines.erase(0, filler + 2);
   }
-  std::ifstream pages("/proc/" + std::to_string(id_) + "/statm");
-  std::size_t whole = 0;
-  std::size_t resident = 0;
-  pages >> whole >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  return lines.substr(lines.size() - std::min(lines.size(), kLastBytes));
+}
+
+std::size_t product_process::ResidentMemory() const {
+  return std::max(current_ ? current_->ResidentMemory() : 0,
+                  predecessor_ ? predecessor_->ResidentMemory() : 0);
 }
 
 bool product_process::AwaitReady(milliseconds limit) const {
