Have a tunnel pass on that a server ended with its answer

Callers saw: half a stream that ends as a whole one (ORDER, ends early), when its target is killed while it answers through a tunnel of another gateway. Cause: the connections of a killed process end in order. On a direct connection, confirm_end tells by a new connection that is refused; a tunnel server passed the end on as that of a whole answer. Change: the tunnel server asks in the same way (ProbeServer, which both use), and closes without the mark of an end if the server takes no connections.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -13,6 +13,7 @@
 
 #include "gentian_net/connection_cache.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/server_probe.h"
 #include "gentian_net/tunnel_frames.h"
 #include "gentian_net/tunnel_server.h"
 
@@ -53,9 +54,6 @@
 // Bounds of one of them.
 constexpr std::size_t kMaxForeignBytes = 1024 * 1024;
 constexpr milliseconds kForeignLimit{500};
-// Time to connect to a server that may have ended with its answer. Within a
-// region, a connection or its refusal takes a few milliseconds.
-constexpr milliseconds kConfirmLimit{250};
 // Bounds of the rest of an answer that is read only to keep its connection.
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
 constexpr milliseconds kDiscardLimit{250};
@@ -502,33 +500,28 @@
   void ConfirmEnd() {
     keeps_connection_ = false;
     stream_->Close();
-    auto next = detail::MakeByteStream(
-        asio::ip::tcp::socket(stream_->executor()), nullptr);
-    silence_timer_->expires_after(kConfirmLimit);
-    silence_timer_->async_wait([next](error_code failure) {
-      if (!failure) {
-        next->Close();
-      }
-    });
-    next->Connect(*endpoint_,
-                  [me = this->shared_from_this(), next](error_code failure) {
-                    me->OnEndConfirmed(next, failure);
-                  });
+    silence_timer_->cancel();
+    detail::ProbeServer(
+        stream_->executor(), *endpoint_,
+        [me = this->shared_from_this()](detail::server_state state,
+                                        std::shared_ptr<byte_stream> next) {
+          me->OnEndConfirmed(state, std::move(next));
+        });
   }
 
-  // A server that can't be reached may go on; only a refusal shows its end.
-  void OnEndConfirmed(const std::shared_ptr<byte_stream>& next,
-                      error_code failure) {
+  void OnEndConfirmed(detail::server_state state,
+                      std::shared_ptr<byte_stream> next) {
     if (ended_) {
-      next->Close();
-    } else if (failure == asio::error::connection_refused) {
+      return;
+    }
+    if (state == detail::server_state::ended) {
       Fail(http_failure::broken, "the server ended with its answer");
-    } else {
-      if (!failure && request_.reuse_connection && !owner_->tls) {
-        owner_->cache.Put(CacheKey(), next);
-      }
-      Complete();
+      return;
+    }
+    if (next && request_.reuse_connection && !owner_->tls) {
+      owner_->cache.Put(CacheKey(), std::move(next));
     }
+    Complete();
   }
 
   void AwaitNextAnswer() {
--- a/source/gentian_net/http_client.h
+++ b/source/gentian_net/http_client.h
@@ -65,7 +65,7 @@
   bool send_once = false;
   /** An answer that ends with its connection counts as broken if the server
       takes no connections any more: those of a process that is killed end in
-      order, too. Not used through a tunnel. */
+      order, too. Through a tunnel, the tunnel server sees to this. */
   bool confirm_end = false;
   std::size_t max_header_bytes = 64 * 1024;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
--- a/source/gentian_net/tunnel_server.cc
+++ b/source/gentian_net/tunnel_server.cc
@@ -15,6 +15,7 @@
 
 #include "gentian_net/byte_stream.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/server_probe.h"
 #include "gentian_net/tunnel_frames.h"
 
 namespace gentian {
@@ -142,7 +143,8 @@
         me->server_->Close();
       }
     });
-    server_->Connect(ValueOf(endpoint),
+    server_endpoint_ = ValueOf(endpoint);
+    server_->Connect(server_endpoint_,
                      [me = shared_from_this()](error_code failure) {
                        me->OnConnected(failure);
                      });
@@ -239,6 +241,23 @@
       client_->ShutdownSend();
       return;
     }
+    detail::ProbeServer(
+        client_->executor(), server_endpoint_,
+        [me = shared_from_this()](detail::server_state state,
+                                  const std::shared_ptr<byte_stream>&) {
+          if (me->closed_) {
+            return;
+          }
+          if (state == detail::server_state::ended) {
+            // Without the mark, an answer that has no length is not whole.
+            me->client_->ShutdownSend();
+          } else {
+            me->MarkEnd();
+          }
+        });
+  }
+
+  void MarkEnd() {
     end_mark_ = detail::EncodeTunnelFrame(0);
     client_->Write(asio::buffer(end_mark_),
                    [me = shared_from_this()](error_code failure, std::size_t) {
@@ -283,6 +302,7 @@
   tunnel_server::resolver resolve_;
   tunnel_server::connect_handler on_connect_;
   std::string name_;
+  tcp::endpoint server_endpoint_;
   std::function<void()> on_closed_;
   asio::steady_timer timer_;
   std::string line_;
--- a/tests/net/tunnel_test.cc
+++ b/tests/net/tunnel_test.cc
@@ -1,9 +1,11 @@
 // Tests connections through a tunnel server, between real sockets.
 #include <criterion/criterion.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
+#include "support/loopback_server.h"
 #include "support/raw_connection.h"
 #include "support/scripted_target.h"
 #include "support/scripted_tunnel.h"
@@ -118,6 +120,39 @@
   cr_assert(cut.Send().failure == http_failure::broken);
 }
 
+// Guards against half an answer that looks whole: its server was killed, whose
+// connections end in order. Over a direct connection, confirm_end tells.
+Test(tunnel, the_end_of_a_server_ends_no_answer, .timeout = 60) {
+  gentian::testing::loopback_server* listening = nullptr;
+  gentian::testing::loopback_server server([&listening](int peer) {
+    std::array<char, 4096> request{};
+    const std::string half = "HTTP/1.1 200 OK\r\n\r\nhalf";
+    if (::recv(peer, request.data(), request.size(), 0) > 0 &&
+        ::send(peer, half.data(), half.size(), MSG_NOSIGNAL) > 0) {
+      listening->StopListening();
+      ::shutdown(peer, SHUT_RDWR);
+    }
+  });
+  listening = &server;
+  io_pool pool(2);
+  {
+    tunnel_server tunnels(pool, [&server](const std::string&) {
+      return result<std::string>(server.address());
+    });
+    cr_assert(!Failed(tunnels.Listen("127.0.0.1:0")));
+    http_client client(pool);
+    http_client_request request;
+    request.address = server.address();
+    request.tunnel = tunnels.address();
+    request.tunnel_name = "s";
+    request.deadline = milliseconds(5'000);
+    const http_outcome outcome = Fetch(client, request);
+    cr_assert(outcome.failure == http_failure::broken, "got '%s' as whole",
+              outcome.response.body.c_str());
+    pool.Stop();
+  }
+}
+
 // Guards against a target that works on for a caller who has left.
 Test(tunnel, a_client_that_leaves_closes_the_server_side, .timeout = 60) {
   tunnel_fixture subject([](const std::string&, int) { return step{""}; });
