Go on after a damaged turn database that cannot be replaced at once

A turn store ended itself if its damaged database could not be opened anew, as on a full disk. Cause: std::terminate in place of another try. Change: the disk thread tries again each 500 ms until it succeeds or the process stops; requests wait meanwhile.

--- a/source/gentian_turn_storage/turn_storage.cc
+++ b/source/gentian_turn_storage/turn_storage.cc
@@ -16,6 +16,7 @@
 
 // Histories that wait for the disk. Hosts with disks have little memory.
 constexpr std::size_t kMaxQueuedBytes = 16 * 1024 * 1024;
+constexpr milliseconds kReopenInterval{500};
 
 error QueueFull() {
   return error{error_kind::overloaded, "too many turns wait for the disk",
@@ -152,6 +153,9 @@
     lock.unlock();
     GoOnAfterExceptions([this] { Commit(); });
     for (const job& next : jobs) {
+      if (!state_->database) {
+        return;
+      }
       GoOnAfterExceptions([&] {
         if (const std::optional<error> failure = next(*state_->database)) {
           Recover(*failure);
@@ -216,20 +220,27 @@
   ReplaceDatabase();
 }
 
-// Ends the process after an exception, as there is no database to go on with.
-void turn_storage::ReplaceDatabase() noexcept {
+// Tries again until there is a database to go on with, or the process stops.
+void turn_storage::ReplaceDatabase() {
   state_->database.reset();
   turn_database::Discard(state_->directory);
-  result<std::unique_ptr<turn_database>> opened =
-      turn_database::Open(state_->directory, false);
-  if (Failed(opened)) {
+  while (true) {
+    result<std::unique_ptr<turn_database>> opened = error{};
+    GoOnAfterExceptions(
+        [&] { opened = turn_database::Open(state_->directory, false); });
+    if (!Failed(opened)) {
+      state_->database = std::move(ValueOf(opened));
+      break;
+    }
     Log(log_level::error, "turn database cannot be replaced",
         {{"reason", ErrorOf(opened).message},
          {"remedy", ErrorOf(opened).remedy}});
-    // The supervisor starts the process again.
-    std::terminate();
+    std::unique_lock<std::mutex> lock(state_->mutex);
+    if (state_->changed.wait_for(lock, kReopenInterval,
+                                 [this] { return state_->stopping; })) {
+      return;
+    }
   }
-  state_->database = std::move(ValueOf(opened));
   Log(log_level::warning, "turn database replaced by an empty one");
 }
 
--- a/source/gentian_turn_storage/turn_storage.h
+++ b/source/gentian_turn_storage/turn_storage.h
@@ -93,7 +93,7 @@
   bool Queue(std::vector<Entry>& queue, Entry& entry, std::size_t size);
   duration TakeRunningTime();
   void Recover(const error& reason);
-  void ReplaceDatabase() noexcept;
+  void ReplaceDatabase();
 
   executor run_handlers_;
   std::unique_ptr<state> state_;
