--- a/source/gentian_app/crash_report.cc
+++ b/source/gentian_app/crash_report.cc
@@ -1,5 +1,6 @@
 #include "gentian_app/crash_report.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <array>
@@ -29,7 +30,9 @@
 // Allocates nothing: the process may be out of memory, or in the middle of an
 // allocation.
 void WriteText(std::string_view text) {
-  while (!text.empty()) {
+  // A reader that doesn't read must not keep the process from ending.
+  pollfd writable{STDERR_FILENO, POLLOUT, 0};
+  while (!text.empty() && ::poll(&writable, 1, 0) == 1) {
     const ssize_t count = ::write(STDERR_FILENO, text.data(), text.size());
     if (count <= 0) {
       return;
@@ -99,12 +102,14 @@
 
 void ReportCrashes() {
   std::set_terminate(&OnTerminate);
+#ifndef __SANITIZE_ADDRESS__
   for (const fault_row& row : kFaults) {
     struct sigaction action {};
     action.sa_handler = &OnFault;
     action.sa_flags = static_cast<int>(SA_RESETHAND);
     ::sigaction(row.number, &action, nullptr);
   }
+#endif
 }
 
 }  // namespace gentian
--- a/source/gentian_app/dev_command.cc
+++ b/source/gentian_app/dev_command.cc
@@ -77,6 +77,7 @@
                  initial_settings(std::get<configuration>(built), tree,
                                   BuildConfiguration),
                  pool, daemon_platform{&key_values, &targets, &hosts});
+  const io_pool_stop stop_first(pool);
   const result<success> started =
       RetryUntilReady(kAddressLimit, [&subject] { return subject.Start(); });
   if (Failed(started)) {
@@ -131,6 +132,8 @@
     std::cerr << "gentianrun dev: " << failure.what()
               << "; see gentianrun dev --help\n";
     return 2;
+  } catch (const std::exception& failure) {
+    return Fail(NoResources(failure));
   }
 }
 
--- a/source/gentian_app/main.cc
+++ b/source/gentian_app/main.cc
@@ -16,14 +16,14 @@
      gentian::RunCheck},
     {"admin", "show and change the settings of a fleet", gentian::RunAdmin},
     {"serve", "run a daemon as its settings file describes it",
-     gentian::RunServe},
+     gentian::RunServe, true},
     {"gateway", "run a daemon on the users' platform",
-     gentian::RunGatewayCommand},
+     gentian::RunGatewayCommand, true},
     {"turn-store", "keep turns on a host's disk on the users' platform",
-     gentian::RunTurnStoreCommand},
+     gentian::RunTurnStoreCommand, true},
     {"explain", "tell from logs what became of a request", gentian::RunExplain},
-    {"dev", "run one daemon with fakes of all outside systems",
-     gentian::RunDev},
+    {"dev", "run one daemon with fakes of all outside systems", gentian::RunDev,
+     true},
 }};
 
 void PrintHelp(std::ostream& out) {
@@ -53,6 +53,9 @@
   gentian::HoldSignals();
   for (const auto& next : kSubcommands) {
     if (name == next.name) {
+      if (!next.takes_signals) {
+        gentian::ReleaseSignals();
+      }
       const int status = next.run(argc - 1, argv + 1);
       gentian::Log(gentian::log_level::info, "process ends",
                    {{"status", status}});
--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -106,13 +106,7 @@
   while (BootTimeNow() < end && !IsStopHeld()) {
     std::this_thread::sleep_for(kStopPollInterval);
   }
-  return 1;
-}
-
-error NoResources(const std::exception& failure) {
-  return error{error_kind::internal,
-               std::string("the process could not start: ") + failure.what(),
-               "give it more memory, threads or descriptors"};
+  return IsStopHeld() ? 0 : 1;
 }
 
 void LogStarting(const platform_command& command) {
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -66,9 +66,6 @@
     @returns  the exit status */
 int FailToRun(const platform_command& command, const error& reason);
 
-/** The error that an exception during the start stands for. */
-error NoResources(const std::exception& failure);
-
 /** Logs that the process starts, with the limits that the host sets for it. */
 void LogStarting(const platform_command& command);
 
@@ -106,6 +103,7 @@
   metadata_store store(pool, settings.key_value_address);
   const platform_protocol protocol;
   Daemon daemon(pool, store, protocol, settings, incarnation);
+  const io_pool_stop stop_first(pool);
   const result<success> started =
       RetryUntilReady(settings.stop_grace + detail::kPredecessorMargin, [&] {
         return detail::RunOnPool(pool, [&daemon] { return daemon.Start(); });
--- a/source/gentian_app/process_signals.cc
+++ b/source/gentian_app/process_signals.cc
@@ -93,13 +93,32 @@
 
 void HoldSignals() {
   for (const int number : held_signals::kNumbers) {
-    SetHandler(number, &HoldSignal);
+    // nohup and shells have a process ignore some of them.
+    struct sigaction inherited {};
+    ::sigaction(number, nullptr, &inherited);
+    if (inherited.sa_handler != SIG_IGN || number == SIGTERM) {
+      SetHandler(number, &HoldSignal);
+    }
   }
   for (const int number : {SIGPIPE, SIGXFSZ}) {
     SetHandler(number, SIG_IGN);
   }
 }
 
+void ReleaseSignals() {
+  for (std::size_t i = 0; i < held_signals::kNumbers.size(); ++i) {
+    const int number = held_signals::kNumbers[i];
+    struct sigaction current {};
+    ::sigaction(number, nullptr, &current);
+    if (current.sa_handler == &HoldSignal) {
+      SetHandler(number, SIG_DFL);
+    }
+    if (held.came[i]) {
+      ::raise(number);
+    }
+  }
+}
+
 bool IsStopHeld() {
   for (std::size_t i = 0; i < held_signals::kNumbers.size(); ++i) {
     if (held_signals::kNumbers[i] != SIGHUP && held.came[i]) {
--- a/source/gentian_app/process_signals.h
+++ b/source/gentian_app/process_signals.h
@@ -16,6 +16,10 @@
     Runs before main, and again in main. */
 void HoldSignals();
 
+/** Gives the signals back their default actions, and takes those that came. For
+    commands without a signal_watch. */
+void ReleaseSignals();
+
 /** True if SIGTERM or SIGINT came and no signal_watch has taken it. */
 bool IsStopHeld();
 
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -42,6 +42,7 @@
     platform.hosts = nullptr;
   }
   daemon subject(options, initial_settings(configuration()), pool, platform);
+  const io_pool_stop stop_first(pool);
   const result<success> started =
       RetryUntilReady(options.stop_deadline + kPredecessorMargin,
                       [&subject] { return subject.Start(); });
@@ -118,6 +119,8 @@
     std::cerr << "gentianrun serve: " << failure.what()
               << "; see gentianrun serve --help\n";
     return 2;
+  } catch (const std::exception& failure) {
+    return Fail(NoResources(failure));
   }
 }
 
--- a/source/gentian_app/startup_wait.cc
+++ b/source/gentian_app/startup_wait.cc
@@ -45,4 +45,10 @@
   }
 }
 
+error NoResources(const std::exception& failure) {
+  return error{error_kind::internal,
+               std::string("the process could not start: ") + failure.what(),
+               "give it more memory, threads or descriptors"};
+}
+
 }  // namespace gentian
--- a/source/gentian_app/startup_wait.h
+++ b/source/gentian_app/startup_wait.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_APP_STARTUP_WAIT_H_
 #define GENTIAN_APP_STARTUP_WAIT_H_
 
+#include <exception>
 #include <functional>
 
 #include "gentian_core/gentian_core.h"
@@ -18,6 +19,9 @@
     milliseconds limit,
     const std::function<result<success>()>& attempt);
 
+/** The error that an exception during the start stands for. */
+error NoResources(const std::exception& failure);
+
 }  // namespace gentian
 
 #endif  // GENTIAN_APP_STARTUP_WAIT_H_
--- a/source/gentian_app/subcommand.h
+++ b/source/gentian_app/subcommand.h
@@ -9,6 +9,8 @@
   const char* summary;
   /** Runs it. `argv[0]` is the subcommand's name. Returns the exit status. */
   int (*run)(int argc, char** argv);
+  /** It takes the signals that come itself. */
+  bool takes_signals = false;
 };
 
 /** Checks settings files. */
--- a/source/gentian_net/io_pool.h
+++ b/source/gentian_net/io_pool.h
@@ -54,6 +54,18 @@
   std::unique_ptr<state> state_;
 };
 
+/** Stops a pool at the end of a scope, before what its handlers use is gone. */
+class io_pool_stop {
+ public:
+  explicit io_pool_stop(io_pool& pool) : pool_(pool) {}
+  ~io_pool_stop() { pool_.Stop(); }
+  io_pool_stop(const io_pool_stop&) = delete;
+  io_pool_stop& operator=(const io_pool_stop&) = delete;
+
+ private:
+  io_pool& pool_;
+};
+
 /** Runs a function repeatedly on an io_pool until it is destroyed, also after
    it has thrown. */
 class periodic_timer {
--- a/source/gentian_net/ip_endpoint.cc
+++ b/source/gentian_net/ip_endpoint.cc
@@ -67,10 +67,11 @@
     // It can be bound again later.
     boost::system::error_code ignored;
     acceptor.close(ignored);
-    return error{error_kind::unavailable,
-                 "cannot listen on " + address + ": " + failure.message(),
-                 "end the process that has it, or choose an address of this host "
-                 "and a port that is free"};
+    return error{
+        error_kind::unavailable,
+        "cannot listen on " + address + ": " + failure.message(),
+        "end the process that has it, or choose an address of this host "
+        "and a port that is free"};
   }
   return success{};
 }
