--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -60,8 +60,6 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
-  pid_t id() const { return id_; }
-
   void Signal(int number) const { ::kill(id_, number); }
 
   /** Waits for the end; the exit status, or minus the number of the signal that
