--- a/source/gentian_app/crash_report.cc
+++ b/source/gentian_app/crash_report.cc
@@ -90,7 +90,7 @@
 
 // A constructor of a library may throw an exception.
 __attribute__((section(".preinit_array"),
-               used)) void (*const report_crashes_early)() = &ReportCrashes;
+               used)) void (*const kReportCrashesEarly)() = &ReportCrashes;
 
 }  // namespace
 
--- a/source/gentian_app/process_signals.cc
+++ b/source/gentian_app/process_signals.cc
@@ -66,7 +66,7 @@
 // The loader runs this before the constructors of libraries, which take a
 // millisecond and may start threads.
 __attribute__((section(".preinit_array"),
-               used)) void (*const hold_signals_early)() = &HoldSignals;
+               used)) void (*const kHoldSignalsEarly)() = &HoldSignals;
 
 // Wakes the current signal_watch. It stays open, because a signal handler may
 // be about to write to it.
--- a/tests/soak/process_instance.cc
+++ b/tests/soak/process_instance.cc
@@ -43,6 +43,8 @@
   // The other threads don't exist in the child, and may hold locks.
   if (id_ == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // A soak that runs under nohup ignores it.
+    ::signal(SIGHUP, SIG_DFL);
     const int out = ::open(launch.log_path.c_str(),
                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     ::dup2(out, STDOUT_FILENO);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -43,6 +43,8 @@
     if (id_ == 0) {
       const int out = ::open(file.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
       ::dup2(out, STDOUT_FILENO);
+      // Tests that run under nohup ignore it.
+      ::signal(SIGHUP, SIG_DFL);
       if (prepare) {
         prepare();
       }
