Decode cold targets, evacuations, homes, paces and shared prompts

Cause: the platform's records and headers for cold targets (cold_left_ms, Cold-Ms, cold_per_s), evacuated failure domains (op/evacuate/ZONE), homes (allowed_regions), the pace in a load report, the memory of an engine (kv_capacity) and the parts of a prompt (Prompt-Prefix) were not read. A load report of four figures was dropped as a whole.

Change: they are decoded in platform/ into the gateway's types.

--- a/source/gentian_gateway/gateway_route.h
+++ b/source/gentian_gateway/gateway_route.h
@@ -56,6 +56,8 @@
   /** 0 is the most urgent. */
   int priority = 0;
   std::vector<weighted_service> services;
+  /** Regions in which requests may be handled; empty for any. */
+  std::vector<std::string> allowed_regions;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway/gateway_team.h
+++ b/source/gentian_gateway/gateway_team.h
@@ -17,6 +17,8 @@
   double burst = 0;
   /** Overrides the priority of the route; 0 is the most urgent. */
   std::optional<int> priority;
+  /** Regions in which the team's requests may be handled; empty for any. */
+  std::vector<std::string> allowed_regions;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway/target_record.h
+++ b/source/gentian_gateway/target_record.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "gentian_core/gentian_core.h"
+
 namespace gentian {
 
 /** The record under which a target registers itself. */
@@ -22,6 +24,9 @@
   int slots = 1;
   /** The target accepts no new requests and will exit. */
   bool draining = false;
+  /** Time for which the target stays cold, from the writing of the record; the
+      maximum if the record has a value that can't be read. */
+  milliseconds cold_left{0};
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -18,6 +18,9 @@
   int running = 0;
   int waiting = 0;
   steady_time at;
+  /** Time that work takes on the target's host at that moment, relative to the
+      usual time; nothing if the target doesn't report it. */
+  std::optional<double> pace{};
 };
 
 /** State of one target as seen by this daemon. */
--- a/source/gentian_gateway_daemon/caller_call.h
+++ b/source/gentian_gateway_daemon/caller_call.h
@@ -9,6 +9,13 @@
 
 namespace gentian {
 
+/** The part of a prompt that requests of several programs have in common. */
+struct shared_prompt {
+  /** Empty if the request names no shared part. */
+  std::string id;
+  std::int64_t tokens = 0;
+};
+
 /** The decoded metadata of a caller's request. */
 struct caller_call {
   std::string request_id;
@@ -25,6 +32,9 @@
   std::optional<std::int64_t> token_budget;
   /** Tokens that this request generates at most. */
   std::int64_t max_output_tokens = 0;
+  /** Tokens of the prompt; 0 if the request doesn't say. */
+  std::int64_t prompt_tokens = 0;
+  shared_prompt prompt;
   /** Time until the whole program should be finished. */
   std::optional<milliseconds> finish_within;
   /** Request ID of the turn that this one continues from; empty if there is
--- a/source/gentian_gateway_daemon/gateway_protocol.h
+++ b/source/gentian_gateway_daemon/gateway_protocol.h
@@ -22,6 +22,14 @@
   std::string status_key;
 };
 
+/** A caller's question which gateways it may connect to. */
+struct directory_query {
+  /** Value of the Host header that the caller is going to send. */
+  std::string host;
+  std::string region;
+  std::string failure_domain;
+};
+
 /** Translates between the gateway and the names and formats of one platform.
     Makes no decisions. */
 class gateway_protocol {
@@ -60,6 +68,11 @@
   /** Encodes the progress of a drain request. */
   virtual std::string DrainStatus(bool completed) const = 0;
 
+  /** The failure domain that an operator has evacuated; nothing if the entry of
+      ConfigurationPrefix is no evacuation. */
+  virtual std::optional<std::string> DecodeEvacuation(
+      const kv_entry& entry) const = 0;
+
   virtual std::string TargetsPrefix() const = 0;
   /** Decodes an entry of TargetsPrefix. Any program may have written it; one
       that names no target to use gives the reason. */
@@ -68,6 +81,8 @@
   /** Paths of the readiness check and of the directory of daemon addresses. */
   virtual std::string ReadinessPath() const = 0;
   virtual std::string DirectoryPath() const = 0;
+  virtual directory_query DecodeDirectoryQuery(
+      const http_request& request) const = 0;
   /** The directory response: where callers may connect, and for how long they
       may cache it. */
   virtual http_response DirectoryAnswer(
--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -2,6 +2,7 @@
 #define GENTIAN_GATEWAY_DAEMON_GATEWAY_SETTINGS_H_
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 #include "gentian_core/gentian_core.h"
@@ -13,6 +14,9 @@
 struct gateway_settings {
   std::string host;
   std::string failure_domain;
+  std::string region;
+  /** Region of each failure domain. */
+  std::map<std::string, std::string> regions;
   std::string caller_address;
   std::string readiness_address;
   std::string directory_address;
@@ -29,6 +33,13 @@
   milliseconds configuration_bound{2'000};
   /** Maximum time for which a target that drains still gets requests. */
   milliseconds drain_bound{2'000};
+  /** Maximum time for which targets of an evacuated failure domain still get
+      requests. */
+  milliseconds evacuation_bound{5'000};
+  /** Requests of one second that a cold target takes at most: its rate times
+      the factor, plus the slack. */
+  double cold_factor = 1.5;
+  double cold_slack = 5;
   /** Memory that the process may use, in bytes; 0 if it is not known. */
   std::size_t memory = 0;
   /** Descriptors that the process may have open, besides those of its program
--- a/source/gentian_gateway_daemon/target_answer.h
+++ b/source/gentian_gateway_daemon/target_answer.h
@@ -26,6 +26,8 @@
   /** Requests per second that the target takes from all gateways together;
       nothing if it names no limit. */
   std::optional<double> rate_limit;
+  /** Time for which the target stays cold; nothing if it doesn't say. */
+  std::optional<milliseconds> cold_left;
 };
 
 }  // namespace gentian
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -327,3 +327,135 @@
     cr_assert(!request_history::MeaningOf(name).empty(), "%s", name);
   }
 }
+
+// Guards against targets without a reported load because their services send a
+// fourth figure.
+Test(platform_protocol, reads_load_reports_with_and_without_a_pace) {
+  const auto load_of = [](const char* text) {
+    http_headers headers;
+    headers.Add("Server-Load", text);
+    return platform_protocol().DecodeAnswer(200, headers).load;
+  };
+  const auto plain = load_of("3,1,8");
+  cr_assert(plain && plain->running == 3 && plain->waiting == 1);
+  cr_assert(!plain->pace);
+  const auto paced = load_of("3,1,8,250");
+  cr_assert(paced && paced->running == 3 && paced->waiting == 1);
+  cr_assert(paced->pace && *paced->pace == 2.5);
+  const auto extended = load_of("3,1,8,100,7");
+  cr_assert(extended && extended->pace && *extended->pace == 1);
+  const auto impossible = load_of("3,1,8,0");
+  cr_assert(impossible && !impossible->pace);
+  for (const char* damaged : {"3,1", "3,1,8,x", "3,,8,100", "", "-1,0,8"}) {
+    cr_assert(!load_of(damaged), "%s", damaged);
+  }
+}
+
+// Guards against prompts that are taken for shared although they belong to one
+// request, and against damaged lists.
+Test(platform_protocol, reads_the_shared_part_of_a_prompt) {
+  const auto prompt_of = [](const std::string& text) {
+    http_request request = CallerRequest();
+    request.headers.Add("Prompt-Prefix", text);
+    return platform_protocol().DecodeCall(request)->prompt;
+  };
+  const shared_prompt shared = prompt_of("5c1e07a2:12600,e4402b7d:1680");
+  cr_assert(shared.id == "5c1e07a2" && shared.tokens == 12'600);
+  for (const std::string& text :
+       {std::string("e4402b7d:1680"), std::string(":1,2:3"),
+        std::string("a:x,b:1"), std::string(100, 'a') + ":1,b:2",
+        std::string()}) {
+    cr_assert(prompt_of(text).id.empty(), "%s", text.c_str());
+  }
+  cr_assert(platform_protocol().DecodeCall(CallerRequest())->prompt_tokens ==
+            1'840);
+}
+
+// Guards against a cold target that is taken for a warm one.
+Test(platform_protocol, reads_how_long_a_target_stays_cold) {
+  const auto cold_left = [](const std::string& field) {
+    const auto record = platform_protocol().DecodeTarget(
+        {"servers/i",
+         R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":4,)"
+         R"("state":"ready","seq":1,"version":"v1")" +
+             field + "}"});
+    cr_assert(!Failed(record));
+    return ValueOf(record).cold_left;
+  };
+  cr_assert(cold_left("") == milliseconds(0));
+  cr_assert(cold_left(R"(,"cold_left_ms":0)") == milliseconds(0));
+  cr_assert(cold_left(R"(,"cold_left_ms":2500.5)") == milliseconds(2'500));
+  for (const char* odd : {"-1", "1e300", R"("soon")", "[]"}) {
+    cr_assert(cold_left(std::string(R"(,"cold_left_ms":)") + odd) ==
+                  milliseconds::max(),
+              "%s", odd);
+  }
+  http_headers headers;
+  headers.Add("Cold-Ms", "1200");
+  cr_assert(platform_protocol().DecodeAnswer(200, headers).cold_left ==
+            milliseconds(1'200));
+  cr_assert(!platform_protocol().DecodeAnswer(200, {}).cold_left);
+}
+
+// Guards against a drain request or a configuration that is taken for an
+// evacuation, and the other way round.
+Test(platform_protocol, reads_evacuations_and_regions) {
+  const platform_protocol protocol;
+  cr_assert(protocol.DecodeEvacuation({"op/evacuate/z-a", "{}"}) == "z-a");
+  cr_assert(!protocol.DecodeEvacuation({"op/retire/z-a", "{}"}));
+  cr_assert(!protocol.DecodeEvacuation({"op/config", "{}"}));
+  const auto configuration = protocol.DecodeConfiguration(
+      {"op/config",
+       R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/r/",)"
+       R"("service":"s","allowed_regions":["north","south"]}],"services":[)"
+       R"({"name":"s","cold_start_s":3.0,"cold_per_s":26.0,)"
+       R"("engine":{"kv_capacity":465675}}],"tenants":[{"name":"t",)"
+       R"("api_keys":["k"],"allowed_regions":["north"]}]})"});
+  cr_assert(!Failed(configuration));
+  const gateway_configuration& content = *ValueOf(configuration);
+  cr_assert(content.FindRoute("h", "/r/")->allowed_regions ==
+            std::vector<std::string>({"north", "south"}));
+  cr_assert(content.FindTeam("t")->allowed_regions ==
+            std::vector<std::string>({"north"}));
+  cr_assert(content.FindService("s")->cold_time == milliseconds(3'000));
+  cr_assert(content.FindService("s")->cold_rate == 26);
+  cr_assert(content.FindService("s")->memory_tokens == 465'675);
+}
+
+// Guards against a directory that doesn't see where its caller is.
+Test(platform_protocol, reads_where_a_caller_asks_from) {
+  http_request request;
+  request.target = "/resolve?name=a%2Eexample&zone=z-a&region=north";
+  const directory_query query =
+      platform_protocol().DecodeDirectoryQuery(request);
+  cr_assert(query.host == "a.example");
+  cr_assert(query.failure_domain == "z-a");
+  cr_assert(query.region == "north");
+  request.target = "/resolve?zone";
+  cr_assert(
+      platform_protocol().DecodeDirectoryQuery(request).failure_domain.empty());
+}
+
+// Guards against a gateway that takes its own region for every region, or the
+// bounds of cold targets for those of another deployment.
+Test(node_file, names_regions_and_bounds_of_cold_targets) {
+  const std::string begin =
+      R"({"node_name":"n","ip":"10.0.0.1","inner_ports":[7780],)"
+      R"("zone":"z-a","region":"north","platform":{"address":"10.0.0.2:1"})";
+  const auto named = ParseNodeFile(
+      begin + R"(,"zones":{"z-a":"north","z-b":"south","z-c":1},)"
+              R"("bounds":{"cold_over":2,"cold_slack":3,"evac_ms":4000}})",
+      "file");
+  cr_assert(!Failed(named));
+  const gateway_settings& settings = ValueOf(named);
+  cr_assert(settings.region == "north");
+  const std::map<std::string, std::string> expected = {{"z-a", "north"},
+                                                       {"z-b", "south"}};
+  cr_assert(settings.regions == expected);
+  cr_assert(settings.cold_factor == 2 && settings.cold_slack == 3);
+  cr_assert(settings.evacuation_bound == milliseconds(4'000));
+  const auto absent = ParseNodeFile(begin + "}", "file");
+  cr_assert(!Failed(absent));
+  cr_assert(ValueOf(absent).regions.empty());
+  cr_assert(ValueOf(absent).cold_factor == gateway_settings().cold_factor);
+}
