Throw an exception when there are no random numbers

A debugger shows the abort in system_random::Next, because OpenSSL's generator could not allocate memory.

--- a/source/gentian_core/random_source.cc
+++ b/source/gentian_core/random_source.cc
@@ -3,7 +3,7 @@
 #include <openssl/rand.h>
 
 #include <cassert>
-#include <cstdlib>
+#include <stdexcept>
 
 namespace gentian {
 
@@ -21,10 +21,10 @@
 std::uint64_t system_random::Next() {
   std::uint64_t value = 0;
   // Session ids must not be guessable, so there is no fallback to a weaker
-  // generator.
+  // generator. The generator fails if it can't allocate memory.
   if (RAND_bytes(reinterpret_cast<unsigned char*>(&value), sizeof(value)) !=
       1) {
-    std::abort();
+    throw std::runtime_error("no random numbers, probably for want of memory");
   }
   return value;
 }
--- a/source/gentian_core/random_source.h
+++ b/source/gentian_core/random_source.h
@@ -33,7 +33,8 @@
   std::mt19937_64 engine_;
 };
 
-/** Unpredictable random numbers from the operating system, for daemons. */
+/** Unpredictable random numbers from the operating system, for daemons. Throws
+    std::runtime_error if there are none. */
 class system_random : public random_source {
  public:
   std::uint64_t Next() override;
