Ask a second holder and wait before a request is refused over its allowance

Cause: in fleets of many gateways, the share of one gateway refills every 100 to 400 ms, while requests of a team come in clusters. A gateway whose share was used up refused at once.

Change: from 16 gateways on, a holder without a token asks one other, and waits up to 300 ms for the first token of both. The token is reserved when the wait begins, so the allowance holds. A team that got no token from either is refused without questions for up to 250 ms. Smaller fleets decide as before.

--- a/source/gentian_core/random_source.h
+++ b/source/gentian_core/random_source.h
@@ -33,8 +33,7 @@
   std::mt19937_64 engine_;
 };
 
-/** Unpredictable random numbers from the operating system, for daemons. Throws
-    std::runtime_error if there are none. */
+/** Unpredictable random numbers from the operating system, for daemons. */
 class system_random : public random_source {
  public:
   std::uint64_t Next() override;
--- a/source/gentian_gateway/allowance_meter.cc
+++ b/source/gentian_gateway/allowance_meter.cc
@@ -29,9 +29,17 @@
 std::optional<milliseconds> allowance_meter::Take(const gateway_team& team,
                                                   std::size_t holder_count,
                                                   steady_time now) {
+  const reservation taken = Reserve(team, holder_count, milliseconds(0), now);
+  return taken.made ? std::nullopt : std::optional(taken.wait);
+}
+
+allowance_meter::reservation allowance_meter::Reserve(const gateway_team& team,
+                                                      std::size_t holder_count,
+                                                      milliseconds max_wait,
+                                                      steady_time now) {
   assert(holder_count > 0);
   if (team.rate <= 0) {
-    return std::nullopt;
+    return {true, milliseconds(0)};
   }
   const double rate = team.rate / static_cast<double>(holder_count);
   const auto [place, is_new] = buckets_.try_emplace(team.name);
@@ -45,12 +53,17 @@
   team_bucket.refilled_at = now;
   team_bucket.tokens =
       std::min(team_bucket.tokens, BucketCapacity(team, holder_count));
-  if (team_bucket.tokens >= 1) {
-    team_bucket.tokens -= 1;
-    return std::nullopt;
+  milliseconds wait{0};
+  if (team_bucket.tokens < 1) {
+    wait = milliseconds(static_cast<milliseconds::rep>(
+        std::ceil(1000 * (1 - team_bucket.tokens) / rate)));
+  }
+  if (wait > max_wait) {
+    return {false, wait};
   }
-  return milliseconds(static_cast<milliseconds::rep>(
-      std::ceil(1000 * (1 - team_bucket.tokens) / rate)));
+  // Below zero, the tokens of the next refills are taken already.
+  team_bucket.tokens -= 1;
+  return {true, wait};
 }
 
 void allowance_meter::Refund(const gateway_team& team,
--- a/source/gentian_gateway/allowance_meter.h
+++ b/source/gentian_gateway/allowance_meter.h
@@ -24,6 +24,13 @@
       burst. */
   static constexpr double kMaxTotalExtraBurst = 14;
 
+  struct reservation {
+    /** False if the wait is longer than the request may take. */
+    bool made = false;
+    /** Time until the request may run, or until it could. */
+    milliseconds wait{0};
+  };
+
   /** Takes a token for one request.
 
       @param holder_count  holders of the team's allowance, at least one
@@ -33,6 +40,14 @@
                                    std::size_t holder_count,
                                    steady_time now);
 
+  /** Takes a token that may only become available later.
+
+      @param max_wait  longest time that the request may wait for it */
+  reservation Reserve(const gateway_team& team,
+                      std::size_t holder_count,
+                      milliseconds max_wait,
+                      steady_time now);
+
   /** Returns the token of a request that has not run. */
   void Refund(const gateway_team& team, std::size_t holder_count);
 
--- a/source/gentian_gateway_daemon/allowance_service.h
+++ b/source/gentian_gateway_daemon/allowance_service.h
@@ -2,6 +2,7 @@
 #define GENTIAN_GATEWAY_DAEMON_ALLOWANCE_SERVICE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,9 +25,11 @@
   };
 
   outcome result = outcome::unavailable;
-  /** When refused: delay after which a token is available. */
+  /** When granted: time until the request may be sent. When refused: delay
+      after which a token is available. */
   milliseconds wait{0};
-  /** When granted: member key of the daemon that granted the token. */
+  /** Member key of the daemon that granted the token, or whose next token is
+      the first to be available. */
   std::string holder;
 };
 
@@ -47,9 +50,11 @@
   /** Takes a token for one request. The handler may run before the function
       returns.
 
-      @param request_id  hashed to spread requests over holders */
+      @param request_id  hashed to spread requests over holders
+      @param max_wait    longest time that the request may wait for a token */
   void Take(const gateway_team& team,
             const std::string& request_id,
+            milliseconds max_wait,
             verdict_handler handler);
 
   /** Returns the token of a request that did not run. */
@@ -65,13 +70,33 @@
     std::string team;
     std::vector<std::string> holders;
     std::size_t next = 0;
+    milliseconds max_wait{0};
+    /** The best one so far. */
     allowance_verdict verdict;
     verdict_handler handler;
   };
 
   bool MayGrant(const gateway_team& team) const;
+  /** True if the shares of the allowances are so small that one of them is
+      often used up while others have tokens left. */
+  bool HasSmallShares() const;
+  /** True if no holder that was asked has had a token lately. */
+  bool IsUsedUp(const gateway_team& team, steady_time now) const;
+  void SetUsedUp(const std::string& team, milliseconds wait);
   /** Precondition: MayGrant(team). */
-  allowance_verdict TakeLocally(const gateway_team& team);
+  allowance_verdict TakeLocally(const gateway_team& team,
+                                milliseconds max_wait);
+  std::vector<std::string> OtherHolders(const gateway_team& team,
+                                        const std::string& request_id,
+                                        std::size_t most) const;
+  void AskHolder(const std::shared_ptr<holder_query>& subject,
+                 const std::string& holder,
+                 milliseconds max_wait,
+                 verdict_handler on_verdict,
+                 std::function<void()> on_failure);
+  /** Ends a query whose holders have no token: waits for the next one, or
+      refuses. */
+  void ReserveNextToken(const std::shared_ptr<holder_query>& subject);
   void QueryNextHolder(const std::shared_ptr<holder_query>& subject);
   void OnHolderVerdict(const std::shared_ptr<holder_query>& subject,
                        const allowance_verdict& verdict);
@@ -80,6 +105,8 @@
   peer_client peers_;
   gateway_state& state_;
   std::string self_;
+  /** By team: until when other holders are not asked for its tokens. */
+  std::map<std::string, steady_time> used_up_until_;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -139,7 +139,7 @@
   // Shares ownership of the configuration, which contains the team.
   std::shared_ptr<const gateway_team> team(configuration_, team_);
   environment_.allowances.Take(
-      *team_, call_->request_id,
+      *team_, call_->request_id, MaxQueueTime(),
       [me = shared_from_this(),
        team = std::move(team)](const allowance_verdict& verdict) {
         me->OnAllowance(team, verdict);
@@ -160,7 +160,16 @@
   }
   switch (verdict.result) {
     case outcome::granted:
-      Admit();
+      allowance_wait_ = verdict.wait;
+      if (verdict.wait.count() == 0) {
+        Admit();
+        return;
+      }
+      environment_.pool.After(verdict.wait, [me = shared_from_this()] {
+        if (me->phase_ != phase::ended) {
+          me->Admit();
+        }
+      });
       return;
     case outcome::refused:
       Refuse({refusal_reason::over_allowance, verdict.wait});
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -237,6 +237,8 @@
   std::shared_ptr<const gateway_team> charged_team_;
   /** Member key of the daemon that granted the allowance. */
   std::string allowance_holder_;
+  /** Time that the request waited for its token. */
+  milliseconds allowance_wait_{0};
   /** Number of the turn request while it is pending. */
   std::optional<std::uint64_t> turn_request_;
   /** The turn that was granted, and the daemon that granted it. */
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -69,6 +69,7 @@
          {"budget", call_ ? call_->token_budget.value_or(-1) : -1},
          {"most", call_ ? call_->max_output_tokens : -1},
          {"allowance_holder", allowance_holder_},
+         {"allowance_wait_ms", allowance_wait_.count()},
          {"owner", turn_owner_},
          {"sends", sends_},
          {"runs", runs_},
--- a/tests/gateway/allowance_holders_test.cc
+++ b/tests/gateway/allowance_holders_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 #include "gentian_gateway/allowance_meter.h"
@@ -50,8 +51,123 @@
   return granted;
 }
 
+struct arrival_outcome {
+  int refused = 0;
+  int asked = 0;
+  /** When the requests run that were not refused, in order. */
+  std::vector<int> starts_ms;
+};
+
+enum class share_policy {
+  /** The share of one daemon decides. */
+  one_share,
+  /** A second daemon is asked, then the request waits for the first token of
+      both. */
+  two_shares_then_wait,
+};
+
+allowance_meter::reservation TakeFrom(allowance_meter& first,
+                                      allowance_meter& second,
+                                      const gateway_team& team,
+                                      std::size_t daemons,
+                                      share_policy policy,
+                                      int ms) {
+  constexpr milliseconds kAtOnce{0};
+  constexpr milliseconds kMaxWait{300};
+  const auto own = first.Reserve(team, daemons, kAtOnce, At(ms));
+  if (own.made || policy == share_policy::one_share) {
+    return own;
+  }
+  const auto other = second.Reserve(team, daemons, kAtOnce, At(ms));
+  if (other.made) {
+    return other;
+  }
+  return (own.wait <= other.wait ? first : second)
+      .Reserve(team, daemons, kMaxWait, At(ms));
+}
+
+// Requests of a team that come in clusters of five, each at a random one of the
+// daemons, at a share of the team's rate.
+arrival_outcome SendClusters(const gateway_team& team,
+                             std::size_t daemons,
+                             double share,
+                             share_policy policy) {
+  constexpr int kDurationMs = 20'000;
+  constexpr int kCluster = 5;
+  std::mt19937 random(7);
+  std::vector<allowance_meter> meters(daemons);
+  const double per_ms = team.rate * share / 1'000;
+  std::uniform_real_distribution<double> chance(0, 1);
+  std::uniform_int_distribution<std::size_t> daemon(0, daemons - 1);
+  arrival_outcome outcome;
+  for (int ms = 0; ms < kDurationMs; ++ms) {
+    if (chance(random) >= per_ms / kCluster) {
+      continue;
+    }
+    for (int i = 0; i < kCluster; ++i) {
+      allowance_meter& first = meters[daemon(random)];
+      allowance_meter& second = meters[daemon(random)];
+      const allowance_meter::reservation taken =
+          TakeFrom(first, second, team, daemons, policy, ms);
+      ++outcome.asked;
+      if (taken.made) {
+        outcome.starts_ms.push_back(ms + static_cast<int>(taken.wait.count()));
+      } else {
+        ++outcome.refused;
+      }
+    }
+  }
+  std::sort(outcome.starts_ms.begin(), outcome.starts_ms.end());
+  return outcome;
+}
+
+// Most requests that run in any five seconds.
+std::size_t MostIn5Seconds(const std::vector<int>& starts_ms) {
+  constexpr int kWindowMs = 5'000;
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < starts_ms.size(); ++last) {
+    while (starts_ms[last] - starts_ms[first] >= kWindowMs) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
 }  // namespace
 
+// The load: a team that stays below its rate, and sends clusters of requests to
+// 64 daemons whose shares refill every 0.25 s. Guards against refusals by one
+// share while the others have tokens left: a second daemon is asked, and the
+// request waits for its token.
+Test(allowance_meter, requests_wait_for_a_small_share) {
+  constexpr std::size_t kDaemons = 64;
+  const gateway_team team = Team(256, 256);
+  const arrival_outcome at_once =
+      SendClusters(team, kDaemons, 0.9, share_policy::one_share);
+  const arrival_outcome waiting =
+      SendClusters(team, kDaemons, 0.9, share_policy::two_shares_then_wait);
+  cr_assert(at_once.refused > at_once.asked / 50, "%d of %d", at_once.refused,
+            at_once.asked);
+  cr_assert(waiting.refused < at_once.refused / 4, "%d and %d", waiting.refused,
+            at_once.refused);
+}
+
+// The load: a team that sends four times its rate. Guards against waits by
+// which a team gets more than its allowance.
+Test(allowance_meter, waiting_requests_stay_within_the_allowance) {
+  for (const std::size_t daemons : {std::size_t{16}, std::size_t{64}}) {
+    const gateway_team team = Team(256, 64);
+    const arrival_outcome outcome =
+        SendClusters(team, daemons, 4, share_policy::two_shares_then_wait);
+    // The users' bound: 10 % more, plus 20 requests.
+    const auto most = static_cast<double>(MostIn5Seconds(outcome.starts_ms));
+    cr_assert(most <= (team.rate * 5 + team.burst) * 1.1 + 20, "%f", most);
+    cr_assert(outcome.refused > outcome.asked / 2);
+  }
+}
+
 // The load: all hosts lose power for a second, and every caller comes back at
 // once. Guards against holders that refuse for five seconds although nobody
 // took over their shares meanwhile.
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -60,6 +60,30 @@
   cr_assert(outcome.response.headers.Find("Response-Seal") == "seal");
 }
 
+// Guards against refusals by a gateway whose small share of an allowance is
+// used up for a moment, while the team is below its rate.
+Test(gateway_daemon, waits_for_its_small_share_of_an_allowance, .timeout = 30) {
+  gateway_fixture subject(
+      [](const std::shared_ptr<http_exchange>& exchange, int) {
+        fake_target::RespondSealed(exchange, "");
+      });
+  // The share of one of 50 gateways refills every 50 ms.
+  constexpr int kOthers = 49;
+  std::map<std::string, std::string> others;
+  for (int i = 0; i < kOthers; ++i) {
+    const std::string host = "other-" + std::to_string(i);
+    others[MemberKey(host)] = EncodeMember({host, "z", "", "", false});
+  }
+  subject.store.PutAll(others);
+  cr_assert(WaitFor([&] { return subject.Gauge("members") == kOthers + 1; }));
+  constexpr int kRequests = 40;
+  for (int i = 0; i < kRequests; ++i) {
+    const int status =
+        Fetch(subject.client, subject.Request("/again/x")).response.status;
+    cr_assert(status == 200, "request %d: status %d", i, status);
+  }
+}
+
 // Guards against rejecting requests because another daemon holds the team's
 // rate allowance, and against admitting requests that the holder denies or that
 // no holder can be asked about.
