Send no request to targets of evacuated failure domains

Cause: keys op/evacuate/ZONE of the configuration listing were read by nothing.

Change: evacuation_list holds the evacuated domains, and target_table leaves their targets out of Find, Serving and HasTarget. Choice by affinity or load, turns of programs, bound, preferred and permitted targets, retries and connections that open late all ask there, so that none leads into the domain. A gateway opens no tunnel to such a target for another gateway, whose listing may be older. A request that only an evacuated target may run again ends with 502, as another target would be one more than max_targets. A stream whose software is left in evacuated domains only is refused with no_target in place of stream_software_gone, as it may be resumed later. The configuration listing counts as stale after 0.65 of evac_ms, if that is sooner than its other bounds. An unknown domain, or an empty name, writes one log line. New gauge evacuated_domains.

--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -13,6 +13,7 @@
 #include "gentian_gateway/budget_ledger.h"
 #include "gentian_gateway/configuration_holder.h"
 #include "gentian_gateway/crash_history.h"
+#include "gentian_gateway/evacuation_list.h"
 #include "gentian_gateway/event_splitter.h"
 #include "gentian_gateway/fraction_of.h"
 #include "gentian_gateway/gateway_configuration.h"
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -123,8 +123,9 @@
 
 const known_target* target_table::Find(const std::string& id) const {
   const auto found = known_.find(id);
-  return found == known_.end() || found->second.IsLeaving() ? nullptr
-                                                            : &found->second;
+  return found == known_.end() || !TakesRequests(found->second)
+             ? nullptr
+             : &found->second;
 }
 
 const known_target* target_table::FindListed(const std::string& id) const {
@@ -145,7 +146,7 @@
     const std::string& service) const {
   std::vector<const known_target*> serving;
   for (const auto& [id, target] : known_) {
-    if (target.record.service == service && !target.IsLeaving()) {
+    if (target.record.service == service && TakesRequests(target)) {
       serving.push_back(&target);
     }
   }
@@ -154,7 +155,25 @@
 
 bool target_table::HasTarget(const std::string& service) const {
   return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
-    return entry.second.record.service == service && !entry.second.IsLeaving();
+    return entry.second.record.service == service &&
+           TakesRequests(entry.second);
+  });
+}
+
+bool target_table::TakesRequests(const known_target& target) const {
+  return !target.IsLeaving() &&
+         !evacuations_.Contains(target.record.failure_domain);
+}
+
+bool target_table::IsEvacuated(const std::string& id) const {
+  const known_target* target = FindListed(id);
+  return target != nullptr &&
+         evacuations_.Contains(target->record.failure_domain);
+}
+
+bool target_table::HasDomain(const std::string& failure_domain) const {
+  return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
+    return entry.second.record.failure_domain == failure_domain;
   });
 }
 
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gentian_core/gentian_core.h"
+#include "gentian_gateway/evacuation_list.h"
 #include "gentian_gateway/target_limit.h"
 #include "gentian_gateway/target_record.h"
 
@@ -77,10 +78,25 @@
       @param asked_at  when it was asked */
   void OnServiceHeard(steady_time asked_at);
 
+  /** The evacuated failure domains. Their targets take no requests: Find,
+      Serving and HasTarget leave them out. */
+  evacuation_list& evacuations() { return evacuations_; }
+  const evacuation_list& evacuations() const { return evacuations_; }
+
+  /** True if a target is known and in an evacuated failure domain. */
+  bool IsEvacuated(const std::string& id) const;
+
+  /** True if a target is known in a failure domain. */
+  bool HasDomain(const std::string& failure_domain) const;
+
+  /** True if a listing has been applied. */
+  bool is_loaded() const { return last_listing_.has_value(); }
+
   /** True if a target of the service takes requests. */
   bool HasTarget(const std::string& service) const;
 
-  /** A target by identifier; nullptr if it is unknown or leaving. */
+  /** A target by identifier; nullptr if it is unknown, leaving or in an
+      evacuated failure domain. */
   const known_target* Find(const std::string& id) const;
 
   /** A target by identifier, draining or not; nullptr if it is unknown. */
@@ -95,7 +111,7 @@
   std::optional<std::string> OnlyVersion(const std::string& service,
                                          steady_time now) const;
 
-  /** Targets of a service that are not leaving. */
+  /** Targets of a service that take requests. */
   std::vector<const known_target*> Serving(const std::string& service) const;
 
   /** True if a target is known, draining or not. */
@@ -133,8 +149,10 @@
 
  private:
   known_target* FindMutable(const std::string& id);
+  bool TakesRequests(const known_target& target) const;
 
   std::map<std::string, known_target> known_;
+  evacuation_list evacuations_;
   /** When each version of a service was last listed. */
   std::map<std::string, std::map<std::string, steady_time>> versions_;
   /** Start of the listings without a gap. */
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -191,8 +191,9 @@
   }
   if (!HasTarget()) {
     // Before tokens are claimed for it.
-    Refuse(origin_ ? refusal{refusal_reason::stream_software_gone, std::nullopt}
-                   : refusal{refusal_reason::no_target, kNoTargetRetryAfter});
+    Refuse(origin_ && !HasEvacuatedTarget()
+               ? refusal{refusal_reason::stream_software_gone, std::nullopt}
+               : refusal{refusal_reason::no_target, kNoTargetRetryAfter});
     return;
   }
   if (NeedsHistory() && !continued_) {
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -184,6 +184,9 @@
   /** True if no listed restart contradicts which software began the stream. */
   bool IsOriginCertain() const;
   bool HasTarget() const;
+  /** True if a target that could run the request is in an evacuated failure
+      domain. */
+  bool HasEvacuatedTarget() const;
   void RecordOrigin(const known_target& target);
   /** Sends events to the caller, or holds them until the origin of the stream
       is recorded. */
--- a/source/gentian_gateway_daemon/gateway_call_stream.cc
+++ b/source/gentian_gateway_daemon/gateway_call_stream.cc
@@ -127,6 +127,16 @@
       });
 }
 
+bool gateway_call::HasEvacuatedTarget() const {
+  const target_table& targets = environment_.state.targets;
+  const std::vector<const known_target*> all = targets.All();
+  return std::any_of(all.begin(), all.end(), [&](const known_target* target) {
+    return target->record.service == service_ && !target->IsLeaving() &&
+           (!origin_ || target->record.version == origin_->version) &&
+           targets.IsEvacuated(target->record.id);
+  });
+}
+
 // Starts with the send, so that the record is durable before the first event
 // comes.
 void gateway_call::RecordOrigin(const known_target& target) {
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -26,6 +26,10 @@
     // No other target may run it, even if this one has no room.
     return may_send(bound_target_) ? targets.Find(bound_target_) : nullptr;
   }
+  if (targets.IsEvacuated(bound_target_)) {
+    // It may not run the request again, and no other target may run it.
+    return nullptr;
+  }
   for (const std::string* id : {&permitted_target_, &preferred_target_}) {
     if (IsUsable(*id) && may_send(*id) &&
         now >= targets.Find(*id)->avoid_until) {
@@ -60,6 +64,9 @@
 
 const known_target* gateway_call::FindSoonestRoom(steady_time now) const {
   const known_target* soonest = nullptr;
+  if (environment_.state.targets.IsEvacuated(bound_target_)) {
+    return nullptr;
+  }
   for (const known_target* target :
        environment_.state.targets.Serving(service_)) {
     const std::string& id = target->record.id;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -256,6 +256,9 @@
   state_.metrics.SetGauge(
       "limited_targets",
       static_cast<double>(state_.targets.LimitedTargets().size()));
+  state_.metrics.SetGauge(
+      "evacuated_domains",
+      static_cast<double>(state_.targets.evacuations().size()));
   state_.metrics.SetGauge(
       "turn_stores_accepting",
       static_cast<double>(state_.turn_stores.accepting().size()));
--- a/source/gentian_gateway_daemon/path_service.cc
+++ b/source/gentian_gateway_daemon/path_service.cc
@@ -213,6 +213,12 @@
     return error{error_kind::unavailable, "no target has the name",
                  "ask another gateway"};
   }
+  if (state_.targets.IsEvacuated(target)) {
+    // The other gateway may not know of the evacuation yet.
+    return error{error_kind::unavailable,
+                 "the target's failure domain is evacuated",
+                 "choose another target"};
+  }
   return known->record.address;
 }
 
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 #include "gentian_gateway_daemon/turn_store_listing.h"
@@ -92,9 +93,10 @@
                   &state_reader::ApplyRegistry}}},
       contents_(
           {{listings_[kConfigurationListing].name,
-            std::min(FractionOf(kStaleFractionOfWithdrawal,
-                                settings.withdrawal_bound),
-                     FractionOf(kStaleFraction, settings.configuration_bound))},
+            std::min({FractionOf(kStaleFractionOfWithdrawal,
+                                 settings.withdrawal_bound),
+                      FractionOf(kStaleFraction, settings.configuration_bound),
+                      FractionOf(kStaleFraction, settings.evacuation_bound)})},
            {listings_[kTargetsListing].name,
             FractionOf(kStaleFraction, settings.drain_bound)},
            {listings_[kMembersListing].name,
@@ -439,6 +441,8 @@
     }
     return;
   }
+  // Also with a configuration that can't be decoded.
+  ApplyEvacuations();
   is_configuration_read_ = false;
   for (const kv_entry& entry :
        contents_[kConfigurationListing].content().Entries()) {
@@ -474,6 +478,51 @@
   }
 }
 
+void state_reader::ApplyEvacuations() {
+  std::set<std::string> evacuated;
+  for (const kv_entry& entry :
+       contents_[kConfigurationListing].content().Entries()) {
+    if (auto domain = protocol_.DecodeEvacuation(entry)) {
+      evacuated.insert(std::move(*domain));
+    }
+  }
+  state_.targets.evacuations().Update(evacuated);
+  ReportEvacuations();
+}
+
+void state_reader::ReportEvacuations() {
+  using kind = evacuation_list::event::kind;
+  const auto exists = [this](const std::string& domain) {
+    const auto& members = state_.membership.members();
+    return domain == settings_.failure_domain ||
+           settings_.regions.count(domain) > 0 ||
+           state_.targets.HasDomain(domain) ||
+           std::any_of(members.begin(), members.end(),
+                       [&domain](const auto& member) {
+                         return member.second.failure_domain == domain;
+                       });
+  };
+  for (const evacuation_list::event& event :
+       state_.targets.evacuations().TakeEvents(exists,
+                                               state_.targets.is_loaded())) {
+    switch (event.what) {
+      case kind::evacuated:
+        Log(log_level::warning, "failure domain evacuated",
+            {{"failure_domain", event.failure_domain}});
+        break;
+      case kind::returned:
+        Log(log_level::info, "failure domain no longer evacuated",
+            {{"failure_domain", event.failure_domain}});
+        break;
+      case kind::unknown:
+        Log(log_level::warning, "evacuated failure domain doesn't exist",
+            {{"failure_domain", event.failure_domain},
+             {"remedy", "name a failure domain of the targets"}});
+        break;
+    }
+  }
+}
+
 void state_reader::DecodeTargets() {
   std::vector<target_record> records;
   std::map<std::string, std::uint64_t> odd_entries;
@@ -506,10 +555,16 @@
   for (const std::string& id :
        state_.targets.Update(target_records_, asked_at)) {
     const bool usable = state_.targets.Find(id) != nullptr;
+    const bool evacuated = state_.targets.IsEvacuated(id);
     Log(log_level::info,
-        usable ? "target usable" : "target draining or removed",
+        usable      ? "target usable"
+        : evacuated ? "target in an evacuated failure domain"
+                    : "target draining or removed",
         {{"target", id}, {"listed", state_.targets.IsListed(id)}});
   }
+  if (has_changed) {
+    ReportEvacuations();
+  }
 }
 
 void state_reader::ApplyRegistry(bool /*has_changed*/, steady_time asked_at) {
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -123,6 +123,9 @@
   void Apply(std::size_t index, shared_listing::outcome outcome);
   void ApplyContent(std::size_t index, shared_listing::outcome outcome);
   void ApplyConfiguration(bool has_changed, steady_time asked_at);
+  void ApplyEvacuations();
+  /** Logs which failure domains are evacuated, once each. */
+  void ReportEvacuations();
   void ApplyTargets(bool has_changed, steady_time asked_at);
   void DecodeTargets();
   void ApplyRegistry(bool has_changed, steady_time asked_at);
--- a/tests/platform/partition_test.cc
+++ b/tests/platform/partition_test.cc
@@ -153,6 +153,28 @@
   cr_assert(subject.CountServed(0, kRequests) == kRequests);
 }
 
+// Guards against requests to targets of an evacuated failure domain through the
+// tunnels of another gateway, and against ones that wait for a tunnel in vain.
+Test(partition, no_tunnel_leads_to_an_evacuated_domain, .timeout = 120) {
+  partition subject;
+  for (const auto& link : subject.links) {
+    link->Cut(true);
+  }
+  cr_assert(WaitFor([&] {
+    subject.IsServed(0, "/once/x");
+    return subject.IsPartitioned(0);
+  }));
+  constexpr int kRequests = 10;
+  cr_assert(subject.CountServed(0, kRequests) == kRequests);
+  subject.fleet.first.store.Put("op/evacuate/z", "{}");
+  std::this_thread::sleep_for(milliseconds(1'000));
+  const int runs = subject.Runs();
+  cr_assert(subject.CountServed(0, kRequests) == 0);
+  cr_assert(subject.Runs() == runs);
+  subject.fleet.first.store.Remove("op/evacuate/z");
+  cr_assert(WaitFor([&] { return subject.IsServed(0, "/once/x"); }));
+}
+
 // Guards against a stream that ends as complete because the gateway that
 // carries it to a target, of this build or of the one before, is killed.
 Test(partition, a_stream_outlives_the_gateway_that_carries_it, .timeout = 120) {
