Limit the requests of all gateways to cold targets

Cause: the time for which a target stays cold and the rate of its service were decoded but not used, so a target that had just started got the load of a warm one.

Change: known_target has a cold_period (from its record, by version, and from answers), target_table the cold_limit of each service. A cold target counts as limited. Its pacer grants the lower of the limits that it and the asker know, with a burst that follows from the bound, and only while its list of members is younger than the delay of a successor. A pacer that was replaced starts anew. Gateways that were refused ask again after a time that grows with their number. SelectTarget ranks cold targets by load, and chooses only targets with free slots while a cold one has no room. Permits for cold targets are asked of gateways that registered peer_protocol::cold_targets.

--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -11,6 +11,8 @@
 #include "gentian_gateway/allowance_meter.h"
 #include "gentian_gateway/blocked_requests.h"
 #include "gentian_gateway/budget_ledger.h"
+#include "gentian_gateway/cold_limit.h"
+#include "gentian_gateway/cold_period.h"
 #include "gentian_gateway/configuration_holder.h"
 #include "gentian_gateway/crash_history.h"
 #include "gentian_gateway/event_splitter.h"
--- a/source/gentian_gateway/member_record.h
+++ b/source/gentian_gateway/member_record.h
@@ -14,7 +14,9 @@
   first = 1,
   /** Tunnels whose bytes come in frames. */
   framed_tunnels = 2,
-  latest = framed_tunnels,
+  /** Permits for cold targets. */
+  cold_targets = 3,
+  latest = cold_targets,
 };
 
 /** The record under which a daemon registers with the others. */
--- a/source/gentian_gateway/target_pacer.cc
+++ b/source/gentian_gateway/target_pacer.cc
@@ -9,8 +9,6 @@
 // A target that takes nothing still gets a request now and then: its answer
 // tells when the limit ends.
 constexpr double kMinRatePerSecond = 0.25;
-// Requests of this time may be sent at once after a pause.
-constexpr milliseconds kBurst{500};
 constexpr milliseconds kRetention{60'000};
 
 }  // namespace
@@ -22,9 +20,10 @@
       FromSeconds(1 / std::max(kMinRatePerSecond, subject.rate));
   // A new target starts without a burst: it is in need already.
   const auto [place, is_new] = next_.try_emplace(
-      subject.target, std::max(now, subject.earliest) + kBurst);
+      subject.target, std::max(now, subject.earliest) + subject.burst);
   steady_time& next = place->second;
-  const duration wait = std::max<duration>(duration(0), next - kBurst - now);
+  const duration wait =
+      std::max<duration>(duration(0), next - subject.burst - now);
   if (wait > subject.max_wait) {
     return {false, wait};
   }
@@ -32,6 +31,13 @@
   return {true, wait};
 }
 
+void target_pacer::Retain(
+    const std::function<bool(const std::string& target)>& is_paced) {
+  for (auto next = next_.begin(); next != next_.end();) {
+    next = is_paced(next->first) ? std::next(next) : next_.erase(next);
+  }
+}
+
 void target_pacer::EvictIdle(steady_time now) {
   if (now - last_eviction_ < kRetention) {
     return;
--- a/source/gentian_gateway/target_pacer.h
+++ b/source/gentian_gateway/target_pacer.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_GATEWAY_TARGET_PACER_H_
 #define GENTIAN_GATEWAY_TARGET_PACER_H_
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -23,6 +24,8 @@
     /** Nothing is reserved before this time if this gateway has just begun to
         pace the target. */
     steady_time earliest;
+    /** Time whose requests may be sent at once after a pause. */
+    duration burst = milliseconds(500);
   };
 
   struct reservation {
@@ -37,6 +40,10 @@
   /** Forgets a target that has no limit any more. */
   void Remove(const std::string& target) { next_.erase(target); }
 
+  /** Forgets the targets that this gateway no longer paces, so that it starts
+      anew if it paces them again. */
+  void Retain(const std::function<bool(const std::string& target)>& is_paced);
+
  private:
   void EvictIdle(steady_time now);
 
--- a/source/gentian_gateway/target_record.h
+++ b/source/gentian_gateway/target_record.h
@@ -27,6 +27,8 @@
   /** Time for which the target stays cold, from the writing of the record; the
       maximum if the record has a value that can't be read. */
   milliseconds cold_left{0};
+  /** Version of the entry in the key-value service. */
+  std::uint64_t entry_version = 0;
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -29,8 +29,9 @@
 
 // Smaller is better: reachable targets first, then those with free slots, then
 // those with the preferred software. The rest is ordered by hash if there is an
-// affinity key, otherwise by whether they have a limit, load and failure
-// domain.
+// affinity key, otherwise by whether they name a limit, load and failure
+// domain. A cold target ranks by its load, so that it gets all that its limit
+// lets it take, and more as it warms up.
 using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
@@ -51,12 +52,30 @@
   return {avoided,
           IsFull(target, now),
           other_software,
-          !has_affinity && target.IsLimited(),
+          !has_affinity && target.NamesLimit(),
           load,
           far,
           hash};
 }
 
+// True if a cold target has no room for the request, which must not overload
+// the others in its place. A request that has been tried already is not
+// refused for that: it may have run.
+bool LacksColdTarget(const std::vector<const known_target*>& serving,
+                     const target_requirements& demand,
+                     steady_time now) {
+  return demand.excluded.empty() &&
+         std::any_of(serving.begin(), serving.end(),
+                     [&](const known_target* target) {
+                       return target->cold.Rate(now) &&
+                              (demand.skip_limited || target->HasNoRoom(now));
+                     });
+}
+
+bool HasFreeSlot(const known_target& target, steady_time now) {
+  return ExpectedLoad(target, now) < std::max(1, target.record.slots);
+}
+
 }  // namespace
 
 const known_target* SelectTarget(const target_table& targets,
@@ -65,7 +84,10 @@
   const std::uint64_t seed = StableHash(demand.affinity_key);
   const known_target* best = nullptr;
   rank best_rank;
-  for (const known_target* target : targets.Serving(demand.service)) {
+  const std::vector<const known_target*> serving =
+      targets.Serving(demand.service);
+  const bool needs_free_slot = LacksColdTarget(serving, demand, now);
+  for (const known_target* target : serving) {
     const bool excluded =
         std::find(demand.excluded.begin(), demand.excluded.end(),
                   target->record.id) != demand.excluded.end();
@@ -74,7 +96,8 @@
         !demand.version.empty() && target->record.version != demand.version;
     if (excluded || wrong_software ||
         target->avoid_until == steady_time::max() || target->HasNoRoom(now) ||
-        (demand.skip_limited && target->IsLimited())) {
+        (demand.skip_limited && target->IsLimited(now)) ||
+        (needs_free_slot && !HasFreeSlot(*target, now))) {
       continue;
     }
     const rank candidate = RankOf(*target, demand, seed, now);
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -32,8 +32,10 @@
     daemons send the requests of one program to the same target without
     coordination; targets that are full or failing rank last. Targets whose
     limits leave no room are left out.
-    Without a key, the least loaded target is chosen, and one with a limit only
-    if the others are full.
+    Without a key, the least loaded target is chosen, and one that names a limit
+    only if the others are full.
+    While a cold target has no room, others are chosen only if they have free
+    slots.
 */
 const known_target* SelectTarget(const target_table& targets,
                                  const target_requirements& demand,
--- a/source/gentian_gateway/target_table.cc
+++ b/source/gentian_gateway/target_table.cc
@@ -34,10 +34,26 @@
 
 }  // namespace
 
+std::optional<double> known_target::RateLimit(steady_time now) const {
+  const std::optional<double> cold_rate = cold.Rate(now);
+  if (!NamesLimit()) {
+    return cold_rate;
+  }
+  return std::min(*limit->rate, cold_rate.value_or(*limit->rate));
+}
+
 std::vector<std::string> target_table::Update(
     std::vector<target_record> listing,
     steady_time asked_at) {
+  return Update(std::move(listing), asked_at, asked_at);
+}
+
+std::vector<std::string> target_table::Update(
+    std::vector<target_record> listing,
+    steady_time asked_at,
+    steady_time read_at) {
   std::vector<std::string> changed;
+  cold_changes_ = cold_news();
   OnServiceHeard(asked_at);
   const bool was_silent = longest_silence_ > kOutageThreshold;
   longest_silence_ = duration(0);
@@ -83,17 +99,71 @@
     if (restarted) {
       target.load.reset();
       target.limit.reset();
+      target.cold = cold_period();
       target.no_room_until = steady_time();
       target.failures = 0;
       target.avoid_until = steady_time();
       target.has_said_leaving = false;
     }
+    const bool is_new_version =
+        is_new || restarted ||
+        target.record.entry_version != record.entry_version;
     target.record = std::move(record);
     target.listed_since_outage = true;
+    if (is_new_version) {
+      LearnColdTime(target, read_at);
+    }
   }
   return changed;
 }
 
+// A listing is applied again while it doesn't change. A record that is known
+// already must not begin its cold time anew.
+void target_table::LearnColdTime(known_target& target, steady_time read_at) {
+  target.cold.SetLimit(ColdLimitFor(target.record.service));
+  const bool was_cold = target.cold.IsCold(read_at);
+  if (!target.cold.OnRecord(target.record.cold_left, read_at)) {
+    cold_changes_.malformed.push_back(target.record.id);
+  }
+  if (!was_cold && target.cold.IsCold(read_at)) {
+    cold_changes_.turned_cold.push_back(target.record.id);
+  }
+}
+
+cold_limit target_table::ColdLimitFor(const std::string& service) const {
+  const auto found = cold_limits_.find(service);
+  return found == cold_limits_.end() ? cold_limit() : found->second;
+}
+
+void target_table::SetColdLimits(std::map<std::string, cold_limit> limits) {
+  cold_limits_ = std::move(limits);
+  for (auto& [id, target] : known_) {
+    target.cold.SetLimit(ColdLimitFor(target.record.service));
+  }
+}
+
+bool target_table::ReportCold(const std::string& id,
+                              milliseconds left,
+                              steady_time now) {
+  known_target* target = FindMutable(id);
+  if (target == nullptr) {
+    return false;
+  }
+  const bool was_cold = target->cold.IsCold(now);
+  target->cold.OnAnswer(left, now);
+  return !was_cold && target->cold.IsCold(now);
+}
+
+std::vector<std::string> target_table::ColdTargets(steady_time now) const {
+  std::vector<std::string> cold;
+  for (const auto& [id, target] : known_) {
+    if (target.cold.Rate(now)) {
+      cold.push_back(id);
+    }
+  }
+  return cold;
+}
+
 void target_table::OnServiceHeard(steady_time asked_at) {
   if (last_heard_) {
     longest_silence_ = std::max(longest_silence_, asked_at - *last_heard_);
@@ -204,7 +274,7 @@
 std::vector<std::string> target_table::LimitedTargets() const {
   std::vector<std::string> limited;
   for (const auto& [id, target] : known_) {
-    if (target.IsLimited()) {
+    if (target.NamesLimit()) {
       limited.push_back(id);
     }
   }
--- a/source/gentian_gateway/target_table.h
+++ b/source/gentian_gateway/target_table.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "gentian_core/gentian_core.h"
+#include "gentian_gateway/cold_limit.h"
+#include "gentian_gateway/cold_period.h"
 #include "gentian_gateway/target_limit.h"
 #include "gentian_gateway/target_record.h"
 
@@ -31,6 +33,8 @@
   std::optional<reported_load> load;
   /** Nothing if it has never said whether it has a limit. */
   std::optional<target_limit> limit;
+  /** Whether it is cold, and its limit meanwhile. */
+  cold_period cold;
   /** Its limit leaves no room for a request before this time. */
   steady_time no_room_until;
   /** Consecutive failures to reach it. */
@@ -47,10 +51,18 @@
 
   /** True if it takes no new requests. */
   bool IsLeaving() const { return record.draining || has_said_leaving; }
-  bool IsLimited() const { return limit && limit->rate; }
+  /** True if it has named a limit itself. */
+  bool NamesLimit() const { return limit && limit->rate; }
+  /** Requests per second that it takes from all gateways together: the lower of
+      the limit that it names and that of a cold target. Nothing for no
+      limit. */
+  std::optional<double> RateLimit(steady_time now) const;
+  bool IsLimited(steady_time now) const {
+    return NamesLimit() || cold.Rate(now).has_value();
+  }
   /** True if its limit is known to leave no room for a request. */
   bool HasNoRoom(steady_time now) const {
-    return IsLimited() && now < no_room_until;
+    return now < no_room_until && IsLimited(now);
   }
 };
 
@@ -71,6 +83,35 @@
   std::vector<std::string> Update(std::vector<target_record> listing,
                                   steady_time asked_at);
 
+  /** Applies a complete listing.
+
+      @param read_at  when the listing was read, from which the cold times in it
+                      are counted */
+  std::vector<std::string> Update(std::vector<target_record> listing,
+                                  steady_time asked_at,
+                                  steady_time read_at);
+
+  /** What the latest listing told about cold targets. */
+  struct cold_news {
+    /** Targets that became cold. */
+    std::vector<std::string> turned_cold;
+    /** Targets with a new version of their record that has a malformed cold
+        time. */
+    std::vector<std::string> malformed;
+  };
+  const cold_news& cold_changes() const { return cold_changes_; }
+
+  /** Sets the limits of cold targets, by service. */
+  void SetColdLimits(std::map<std::string, cold_limit> limits);
+
+  /** Records that a target said in an answer how long it stays cold.
+
+      @returns  true if it was taken for warm before */
+  bool ReportCold(const std::string& id, milliseconds left, steady_time now);
+
+  /** Targets with the limit of a cold target. */
+  std::vector<std::string> ColdTargets(steady_time now) const;
+
   /** Records that the key-value service was heard, whatever it answered: a gap
       between listings is no outage then.
 
@@ -113,7 +154,7 @@
   std::optional<target_limit> Limit(const std::string& id) const;
   /** Records that a target's limit leaves no room before this time. */
   void ReportNoRoom(const std::string& id, steady_time until);
-  /** Targets that have a limit. */
+  /** Targets that name a limit. */
   std::vector<std::string> LimitedTargets() const;
   /** Records that the target was unreachable or closed the connection early. */
   void ReportFailure(const std::string& id, steady_time now);
@@ -133,8 +174,12 @@
 
  private:
   known_target* FindMutable(const std::string& id);
+  void LearnColdTime(known_target& target, steady_time read_at);
+  cold_limit ColdLimitFor(const std::string& service) const;
 
   std::map<std::string, known_target> known_;
+  std::map<std::string, cold_limit> cold_limits_;
+  cold_news cold_changes_;
   /** When each version of a service was last listed. */
   std::map<std::string, std::map<std::string, steady_time>> versions_;
   /** Start of the listings without a gap. */
--- a/source/gentian_gateway/turn_scheduler.cc
+++ b/source/gentian_gateway/turn_scheduler.cc
@@ -135,7 +135,7 @@
 
 bool turn_scheduler::MayGetTurn(const known_target& target,
                                 steady_time now) const {
-  if (!target.IsLimited()) {
+  if (!target.IsLimited(now)) {
     return true;
   }
   const auto used = share_used_until_.find(target.record.id);
@@ -144,10 +144,11 @@
 }
 
 void turn_scheduler::Pace(const known_target& target, steady_time now) {
-  if (!target.IsLimited()) {
+  const std::optional<double> rate = target.RateLimit(now);
+  if (!rate) {
     return;
   }
-  const double share = *target.limit->rate / static_cast<double>(daemon_count_);
+  const double share = *rate / static_cast<double>(daemon_count_);
   const duration interval = share * ToSeconds(kMaxShareDebt) > 1
                                 ? FromSeconds(1 / share)
                                 : kMaxShareDebt;
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -87,6 +87,8 @@
     std::string version;
     /** Requests per second that the target takes; nothing for no limit. */
     std::optional<double> rate_limit;
+    /** Time for which the target stays cold. */
+    duration cold_left{0};
     steady_time sent_at;
   };
 
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -93,7 +93,7 @@
     if (sends_ >= kMaxSends || !WaitForRoom()) {
       RefuseWithoutTarget();
     }
-  } else if (target->IsLimited() && target->record.id != permitted_target_) {
+  } else if (target->IsLimited(now) && target->record.id != permitted_target_) {
     RequestPermit(target->record.id, milliseconds(0));
   } else {
     Send(*target, time_left);
@@ -116,6 +116,7 @@
 }
 
 void gateway_call::Send(const known_target& target, milliseconds time_left) {
+  const steady_time now = BootTimeNow();
   ++sends_;
   permitted_target_.clear();
   is_crash_checked_ = false;
@@ -128,8 +129,9 @@
              target.failures,
              target.record.started_at_ms,
              target.record.version,
-             target.limit ? target.limit->rate : std::nullopt,
-             BootTimeNow()};
+             target.RateLimit(now),
+             target.cold.TimeLeft(now),
+             now};
   if (choice_.rate_limit) {
     environment_.state.counters.Add("sent_to_limited_target");
   }
@@ -172,7 +174,7 @@
   request.confirm_end = true;
   // A second send would not be counted against the limit.
   request.send_once =
-      route_->kind != route_kind::idempotent || target.IsLimited();
+      route_->kind != route_kind::idempotent || target.IsLimited(now);
   RecordOrigin(target);
   environment_.state.targets.RequestStarted(target_);
   environment_.paths.OnSent(target_, tunnel_);
@@ -294,6 +296,9 @@
   if (!answer_.wrong_target && (answer_.is_signed || answer_.rate_limit)) {
     environment_.limits.OnAnswer(target_, answer_.rate_limit);
   }
+  if (!answer_.wrong_target && answer_.cold_left) {
+    environment_.limits.OnColdAnswer(target_, *answer_.cold_left);
+  }
   if (answer_.is_leaving && !answer_.wrong_target &&
       (answer_.is_signed || answer_.not_run) &&
       environment_.state.targets.ReportLeaving(target_)) {
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -28,6 +28,9 @@
       {"target_open_here", choice_.open_requests},
       {"target_failures", choice_.failures},
       {"target_limit", choice_.rate_limit.value_or(-1)},
+      {"target_cold_ms", choice_.cold_left > duration(0)
+                             ? ToMilliseconds(choice_.cold_left).count()
+                             : kUnknown.count()},
       {"attempt_ms", ToMilliseconds(now - choice_.sent_at).count()}};
 }
 
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -20,7 +20,7 @@
   const auto may_send = [&](const std::string& id) {
     const known_target& target = *targets.Find(id);
     return id == permitted_target_ ||
-           (!target.HasNoRoom(now) && (may_ask || !target.IsLimited()));
+           (!target.HasNoRoom(now) && (may_ask || !target.IsLimited(now)));
   };
   if (IsUsable(bound_target_)) {
     // No other target may run it, even if this one has no room.
@@ -86,6 +86,10 @@
   if (soonest == nullptr || soonest->no_room_until - now > limit) {
     return false;
   }
+  if (soonest->cold.Rate(now) && soonest->record.id != bound_target_) {
+    // Callers may try elsewhere sooner than the target warms up.
+    return false;
+  }
   RequestPermit(soonest->record.id, limit);
   return true;
 }
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -256,6 +256,7 @@
   state_.metrics.SetGauge(
       "limited_targets",
       static_cast<double>(state_.targets.LimitedTargets().size()));
+  limits_.ReportColdTargets();
   state_.metrics.SetGauge(
       "turn_stores_accepting",
       static_cast<double>(state_.turn_stores.accepting().size()));
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -38,6 +38,12 @@
   turn_store_directory turn_stores;
   /** When the list of members last changed. */
   steady_time members_changed_at;
+  /** When the latest list of members was read that differed from the one
+      before, and when the latest one was asked for. */
+  steady_time members_change_read_at;
+  std::optional<steady_time> members_asked_at;
+  /** Age of the list of members from which on it is stale. */
+  duration members_max_age{0};
   /** When the last renewal of this daemon's record that succeeded was asked
       for. */
   std::optional<steady_time> registered_at;
--- a/source/gentian_gateway_daemon/state_reader.cc
+++ b/source/gentian_gateway_daemon/state_reader.cc
@@ -133,6 +133,7 @@
              [this](std::size_t index, shared_listing::outcome outcome) {
                OnRelayed(index, outcome);
              }) {
+  state_.members_max_age = contents_[kMembersListing].max_age();
   for (std::size_t i = 0; i < listings_.size(); ++i) {
     polls_.push_back(std::make_unique<repeating_task>(
         pool_, kMinRetryDelay,
@@ -469,6 +470,8 @@
            {"reads_key_value_service", state_.relays.IsReader()},
            {"read_ms", ToMilliseconds(BootTimeNow() - asked_at).count()}});
       UpdateHolders();
+      state_.targets.SetColdLimits(ColdLimitsOf(
+          *ValueOf(decoded), settings_.cold_factor, settings_.cold_slack));
       on_configuration_();
     }
   }
@@ -504,12 +507,36 @@
     DecodeTargets();
   }
   for (const std::string& id :
-       state_.targets.Update(target_records_, asked_at)) {
+       state_.targets.Update(target_records_, asked_at, BootTimeNow())) {
     const bool usable = state_.targets.Find(id) != nullptr;
     Log(log_level::info,
         usable ? "target usable" : "target draining or removed",
         {{"target", id}, {"listed", state_.targets.IsListed(id)}});
   }
+  LogColdTargets();
+}
+
+void state_reader::LogColdTargets() {
+  const target_table::cold_news& news = state_.targets.cold_changes();
+  for (const std::string& id : news.malformed) {
+    state_.counters.Add("target_cold_time_unreadable");
+    Log(log_level::warning, "cold time of a target can't be read",
+        {{"target", id},
+         {"entry_version", state_.targets.FindListed(id)->record.entry_version},
+         {"reason",
+          "cold_left_ms is no number of milliseconds up to the cold "
+          "time of the service"},
+         {"remedy", "the target counts as cold for at most that time"}});
+  }
+  const steady_time now = BootTimeNow();
+  for (const std::string& id : news.turned_cold) {
+    Log(log_level::info, "target is cold",
+        {{"target", id},
+         {"source", "listing"},
+         {"cold_left_ms",
+          ToMilliseconds(state_.targets.FindListed(id)->cold.TimeLeft(now))
+              .count()}});
+  }
 }
 
 void state_reader::ApplyRegistry(bool /*has_changed*/, steady_time asked_at) {
@@ -539,11 +566,13 @@
 void state_reader::ApplyMembers(std::map<std::string, member_record> listed,
                                 steady_time asked_at) {
   gateway_members& membership = state_.membership;
+  state_.members_asked_at = asked_at;
   const std::size_t listed_count = listed.size();
   const std::size_t before = membership.members().size();
   const std::vector<std::string> could_grant = membership.PossibleGranters();
   if (membership.Update(std::move(listed), asked_at)) {
     state_.members_changed_at = asked_at;
+    state_.members_change_read_at = BootTimeNow();
     state_.relays.Update(membership.members(), MemberKey(settings_.host));
     Log(log_level::info, "members changed",
         {{"count", membership.members().size()},
--- a/source/gentian_gateway_daemon/state_reader.h
+++ b/source/gentian_gateway_daemon/state_reader.h
@@ -125,6 +125,7 @@
   void ApplyConfiguration(bool has_changed, steady_time asked_at);
   void ApplyTargets(bool has_changed, steady_time asked_at);
   void DecodeTargets();
+  void LogColdTargets();
   void ApplyRegistry(bool has_changed, steady_time asked_at);
   void ApplyMembers(std::map<std::string, member_record> listed,
                     steady_time asked_at);
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -22,6 +22,10 @@
 // After a change of members, the gateway that paced a target before may go on
 // until it has seen the change.
 constexpr milliseconds kHandoverDelay{1'500};
+// See ColdRetryDelay.
+constexpr milliseconds kMaxColdRetryDelay{2'000};
+constexpr double kQuestionsPerPermit = 2;
+constexpr double kMinColdRate = 0.1;
 // A record outlives the limit by this time at most if its gateway has ended.
 constexpr milliseconds kRecordLifetime{30'000};
 // Bound the times in a message of another gateway, in case it is damaged.
@@ -40,6 +44,29 @@
              : std::nullopt;
 }
 
+// The rate of a target at this moment if it is cold or warms up.
+std::optional<double> ColdRate(const target_table& targets,
+                               const std::string& target) {
+  const known_target* known = targets.FindListed(target);
+  return known == nullptr ? std::nullopt : known->cold.Rate(BootTimeNow());
+}
+
+// Nothing stands for no limit.
+std::optional<double> LowerOf(std::optional<double> a,
+                              std::optional<double> b) {
+  return a && b ? std::min(*a, *b) : a ? a : b;
+}
+
+// Time after a refusal in which a gateway doesn't ask again. All gateways
+// together ask about twice as often as permits become free; without this, each
+// of some hundred gateways would ask for nearly every request.
+duration ColdRetryDelay(std::size_t gateways, double rate) {
+  return std::min<duration>(
+      kMaxColdRetryDelay,
+      FromSeconds(static_cast<double>(gateways) /
+                  (kQuestionsPerPermit * std::max(rate, kMinColdRate))));
+}
+
 }  // namespace
 
 target_limit_service::target_limit_service(http_client& peers,
@@ -60,6 +87,20 @@
       });
 }
 
+const member_record* target_limit_service::PermitGranterOf(
+    const std::string& target,
+    bool is_cold) const {
+  if (!is_cold) {
+    return PacerOf(target);
+  }
+  return OwnerOf(
+      "limit " + target, state_.membership.members(),
+      [this](const member_record& member) {
+        return member.Knows(peer_protocol::cold_targets) &&
+               !(state_.stop.HasBegun() && member.host == settings_.host);
+      });
+}
+
 bool target_limit_service::IsSelf(const member_record* pacer) const {
   return pacer == nullptr || pacer->host == settings_.host;
 }
@@ -71,9 +112,14 @@
 void target_limit_service::Take(const std::string& target,
                                 milliseconds max_wait,
                                 permit_handler handler) {
-  const member_record* pacer = PacerOf(target);
+  const bool is_cold = ColdRate(state_.targets, target).has_value();
+  const member_record* pacer = PermitGranterOf(target, is_cold);
   if (IsSelf(pacer)) {
-    handler(TakeLocally(target, std::nullopt, max_wait));
+    const permit decided = TakeLocally(target, asker_knowledge(), max_wait);
+    if (!decided.granted) {
+      ReportNoRoom(target, decided.wait);
+    }
+    handler(decided);
   } else if (peers_.IsAvoided(pacer->peer_address)) {
     state_.targets.ReportNoRoom(target,
                                 BootTimeNow() + peer_client::kAvoidDuration);
@@ -83,22 +129,64 @@
   }
 }
 
+duration target_limit_service::ColdHandoverDelay() const {
+  return std::max<duration>(kHandoverDelay, state_.members_max_age);
+}
+
+// A gateway whose list of members is older may have been replaced: the delay of
+// its successor ends after its list has become too old.
+bool target_limit_service::MayPaceColdTargets(steady_time now) const {
+  return !state_.membership.members().empty() && state_.members_asked_at &&
+         now - *state_.members_asked_at <= ColdHandoverDelay();
+}
+
+void target_limit_service::ReportNoRoom(const std::string& target,
+                                        duration wait) {
+  const std::optional<double> cold_rate = ColdRate(state_.targets, target);
+  if (cold_rate) {
+    wait = std::max(
+        wait, ColdRetryDelay(state_.membership.members().size(), *cold_rate));
+  }
+  state_.targets.ReportNoRoom(target, BootTimeNow() + wait);
+}
+
 target_limit_service::permit target_limit_service::TakeLocally(
     const std::string& target,
-    std::optional<double> asked_rate,
+    const asker_knowledge& asker,
     milliseconds max_wait) {
+  const steady_time now = BootTimeNow();
   const std::optional<target_limit> limit = state_.targets.Limit(target);
-  const std::optional<double> rate = limit ? limit->rate : asked_rate;
-  if (!rate) {
-    return {true, milliseconds(0)};
+  const std::optional<double> rate = limit ? limit->rate : asker.rate;
+  const std::optional<double> cold_rate =
+      LowerOf(ColdRate(state_.targets, target), asker.cold_rate);
+  if (!cold_rate) {
+    return rate ? Reserve({target, *rate, max_wait,
+                           state_.members_changed_at + kHandoverDelay},
+                          now)
+                : permit{true, milliseconds(0)};
   }
-  const steady_time now = BootTimeNow();
-  const target_pacer::reservation reserved = pacer_.Reserve(
-      {target, *rate, max_wait, state_.members_changed_at + kHandoverDelay},
-      now);
+  if (!MayPaceColdTargets(now)) {
+    state_.counters.Add("cold_permit.members_unknown");
+    return {false, kMovedRetryAfter};
+  }
+  const known_target* known = state_.targets.FindListed(target);
+  const permit decided =
+      Reserve({target, *LowerOf(rate, cold_rate), max_wait,
+               state_.members_change_read_at + ColdHandoverDelay(),
+               known == nullptr ? duration(0) : known->cold.burst()},
+              now);
+  state_.counters.Add(decided.granted ? "cold_permit.granted"
+                                      : "cold_permit.refused");
+  return decided;
+}
+
+target_limit_service::permit target_limit_service::Reserve(
+    const target_pacer::request& subject,
+    steady_time now) {
+  const target_pacer::reservation reserved = pacer_.Reserve(subject, now);
   state_.counters.Add(reserved.made ? "limit.granted" : "limit.refused");
   if (!reserved.made) {
-    state_.targets.ReportNoRoom(target, now + reserved.wait);
+    state_.targets.ReportNoRoom(subject.target, now + reserved.wait);
   }
   // Rounded up, so that a request is not sent early.
   return {reserved.made, std::chrono::ceil<milliseconds>(reserved.wait)};
@@ -109,6 +197,9 @@
                                     milliseconds max_wait,
                                     permit_handler handler) {
   json question = Statement(target);
+  if (const auto cold_rate = ColdRate(state_.targets, target)) {
+    question["cold_rate"] = *cold_rate;
+  }
   question["max_wait_ms"] = max_wait.count();
   const auto shared = std::make_shared<permit_handler>(std::move(handler));
   peers_.Post(
@@ -126,7 +217,7 @@
           state_.counters.Add("limit.answer_unreadable");
         }
         if (!answer.granted) {
-          state_.targets.ReportNoRoom(target, BootTimeNow() + answer.wait);
+          ReportNoRoom(target, answer.wait);
         }
         (*shared)(answer);
       },
@@ -162,6 +253,32 @@
       });
 }
 
+void target_limit_service::OnColdAnswer(const std::string& target,
+                                        milliseconds left) {
+  if (!state_.targets.ReportCold(target, left, BootTimeNow())) {
+    return;
+  }
+  // The others learn it from the target's record, and its pacer from the next
+  // question.
+  Log(log_level::info, "target is cold",
+      {{"target", target},
+       {"source", "answer"},
+       {"cold_left_ms", left.count()}});
+}
+
+void target_limit_service::ReportColdTargets() {
+  const std::vector<std::string> cold =
+      state_.targets.ColdTargets(BootTimeNow());
+  double granted_rate = 0;
+  for (const std::string& target : cold) {
+    if (IsSelf(PermitGranterOf(target, true))) {
+      granted_rate += ColdRate(state_.targets, target).value_or(0);
+    }
+  }
+  state_.metrics.SetGauge("cold_targets", static_cast<double>(cold.size()));
+  state_.metrics.SetGauge("cold_targets_granted_rate", granted_rate);
+}
+
 bool target_limit_service::Learn(const std::string& target,
                                  const target_limit& limit,
                                  const char* source) {
@@ -224,6 +341,9 @@
     }
   }
   listed_ = std::move(listed);
+  pacer_.Retain([this](const std::string& target) {
+    return Paces(target) || IsSelf(PermitGranterOf(target, true));
+  });
 }
 
 json target_limit_service::Statement(const std::string& target) const {
@@ -265,9 +385,16 @@
       return true;
     }
     const auto target = body.at("target").get<std::string>();
+    asker_knowledge asker;
+    asker.rate = told ? told->rate : std::nullopt;
+    if (body.contains("cold_rate")) {
+      asker.cold_rate = std::max(0.0, body.at("cold_rate").get<double>());
+    }
+    const bool is_cold =
+        LowerOf(ColdRate(state_.targets, target), asker.cold_rate).has_value();
     const permit decided =
-        IsSelf(PacerOf(target))
-            ? TakeLocally(target, told ? told->rate : std::nullopt,
+        IsSelf(PermitGranterOf(target, is_cold))
+            ? TakeLocally(target, asker,
                           ReadMilliseconds(body, "max_wait_ms", kMaxWait))
             : permit{false, kMovedRetryAfter};
     json answer = Statement(target);
--- a/source/gentian_gateway_daemon/target_limit_service.h
+++ b/source/gentian_gateway_daemon/target_limit_service.h
@@ -52,6 +52,12 @@
   /** Records what a target says about its limit in an answer. */
   void OnAnswer(const std::string& target, std::optional<double> rate);
 
+  /** Records that a target says in an answer how long it stays cold. */
+  void OnColdAnswer(const std::string& target, milliseconds left);
+
+  /** Brings the metrics of cold targets up to date. */
+  void ReportColdTargets();
+
   /** Learns the limits that other gateways have published, and keeps the
      records of the targets that this gateway paces up to date. */
   void OnRegistry(const std::vector<kv_entry>& entries);
@@ -64,11 +70,30 @@
   /** The gateway that paces a target; nullptr if no other is known. */
   const member_record* PacerOf(const std::string& target) const;
   bool IsSelf(const member_record* pacer) const;
-  /** @param asked_rate  limit that applies if this gateway doesn't list the
-                         target */
+  /** As PacerOf, for permits. A cold target is paced by a gateway that knows
+      of cold targets. */
+  const member_record* PermitGranterOf(const std::string& target,
+                                       bool is_cold) const;
+  /** What a gateway that asks for a permit knows of the target. */
+  struct asker_knowledge {
+    /** Limit that applies if this gateway doesn't list the target. */
+    std::optional<double> rate{};
+    /** Rate of a cold target. The asker may know sooner than this gateway that
+        the target is cold. */
+    std::optional<double> cold_rate{};
+  };
   permit TakeLocally(const std::string& target,
-                     std::optional<double> asked_rate,
+                     const asker_knowledge& asker,
                      milliseconds max_wait);
+  permit Reserve(const target_pacer::request& subject, steady_time now);
+  /** Time after a change of members before which a cold target gets nothing
+      from its new pacer, and age of the list of members up to which its pacer
+      grants. */
+  duration ColdHandoverDelay() const;
+  /** True if no other gateway can pace cold targets of this one. */
+  bool MayPaceColdTargets(steady_time now) const;
+  /** Records that a permit was refused to this gateway. */
+  void ReportNoRoom(const std::string& target, duration wait);
   void AskPacer(const std::string& address,
                 const std::string& target,
                 milliseconds max_wait,
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -45,6 +45,10 @@
     first.pool.Stop();
   }
 
+  /** Ends a gateway, other than the first, as a kill does: it answers nothing,
+      and its record stays. */
+  void Kill(std::size_t index) { others_[index - 1]->pool.Stop(); }
+
   /** A request for the gateway with this index. */
   http_client_request Request(std::size_t index, const std::string& path) {
     http_client_request request = first.Request(path);
