Test the choice of a cold target's pacer and its list of members

Cause: that a pacer with an old list of members stops, and that permits are asked only of gateways that know of cold targets, had no tests. Change: two tests with fakes in tests/platform.

--- a/tests/platform/cold_target_test.cc
+++ b/tests/platform/cold_target_test.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -327,6 +329,71 @@
   }
 }
 
+// Guards against a gateway that is cut off from the key-value service and goes
+// on to grant permits when another one paces the target already.
+Test(cold_target, a_pacer_with_an_old_list_of_members_stops, .timeout = 60) {
+  gateway_fixture subject(
+      [](const std::shared_ptr<http_exchange>& exchange, int) {
+        fake_target::RespondSealed(exchange, "whole");
+      });
+  const auto is_granted = [&subject] {
+    const http_response answer =
+        Fetch(subject.client,
+              PostRequest(subject.peer_address, "/limits/take",
+                          R"({"max_wait_ms":0,"target":"i-1","cold_rate":50})"))
+            .response;
+    return json::parse(answer.body).at("granted").get<bool>();
+  };
+  cr_assert(WaitFor([&subject] { return subject.Gauge("members") == 1; }));
+  cr_assert(WaitFor(is_granted));
+  subject.store.SetUnavailable(true);
+  std::this_thread::sleep_for(kHandover);
+  for (int i = 0; i < 10; ++i) {
+    cr_assert(!is_granted());
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  subject.store.SetUnavailable(false);
+  cr_assert(WaitFor(is_granted));
+}
+
+// Guards against asking gateways of the build before for permits: they would
+// grant any number. Dead gateways of this build are asked in vain.
+Test(cold_target, is_paced_by_a_gateway_that_knows_of_it, .timeout = 60) {
+  for (const bool others_know : {false, true}) {
+    gateway_fixture subject(
+        [](const std::shared_ptr<http_exchange>& exchange, int) {
+          fake_target::RespondSealed(exchange, "whole");
+        });
+    const std::string nobody = ProcessAddress(1);
+    std::map<std::string, std::string> others;
+    for (int i = 0; i < 1'000; ++i) {
+      member_record other{"other-" + std::to_string(i), "z", "", nobody, false};
+      other.protocol = static_cast<int>(
+          others_know ? peer_protocol::latest : peer_protocol::framed_tunnels);
+      others[MemberKey(other.host)] = EncodeMember(other);
+    }
+    subject.store.PutAll(others);
+    ConfigureCold(subject, 20.0);
+    RegisterCold(subject, "i-1", 20'000);
+    cr_assert(WaitFor([&subject] {
+      return subject.Gauge("members") == 1'001 &&
+             subject.Gauge("cold_targets") == 1;
+    }));
+    std::this_thread::sleep_for(kHandover);
+    http_client_request request = subject.Request("/again/x");
+    request.headers = http_headers();
+    request.headers.Add("Host", "h");
+    request.headers.Add("Request-Id", "r");
+    request.headers.Add("X-Api-Key", "k2");
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+      served += Fetch(subject.client, request).response.status == 200 ? 1 : 0;
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    cr_assert((served == 0) == others_know, "%d, %d", served, others_know);
+  }
+}
+
 // Guards against changes for services without a rate for cold targets.
 Test(cold_target, without_a_rate_nothing_changes, .timeout = 60) {
   arrival_log arrivals;
