--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -40,6 +40,10 @@
          std::max(1.0, kFullLoadFraction * target.record.slots);
 }
 
+bool HasFreeSlot(const known_target& target, steady_time now) {
+  return ExpectedLoad(target, now) < std::max(1, target.record.slots);
+}
+
 bool IsMuchLater(const known_target& target,
                  const service_performance& service,
                  const request_work& work,
@@ -54,8 +58,9 @@
 
 // Smaller is better: reachable targets first, then those with free slots, then
 // those with the preferred software. The rest is ordered by hash if there is an
-// affinity key, otherwise by whether they have a limit, load and failure
-// domain.
+// affinity key, otherwise by whether they name a limit, load and failure
+// domain. A cold target ranks by its load, so that it gets all that its limit
+// lets it take, and more as it warms up.
 using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
@@ -78,7 +83,7 @@
       IsFull(target, now) || (has_affinity && service.reports_pace &&
                               IsMuchLater(target, service, demand.work, now));
   return {
-      avoided, full, other_software, !has_affinity && target.IsLimited(), load,
+      avoided, full, other_software, !has_affinity && target.NamesLimit(), load,
       far,     hash};
 }
 
@@ -88,7 +93,7 @@
               steady_time now) {
   if (!table.TakesRequests(target) ||
       target.avoid_until == steady_time::max() || target.HasNoRoom(now) ||
-      (demand.skip_limited && target.IsLimited())) {
+      (demand.skip_limited && target.IsLimited(now))) {
     return false;
   }
   // The address now belongs to another target, which can't run the request.
@@ -110,7 +115,7 @@
                               target.record.version != demand.preferred_version;
   const bool full =
       RequestsAhead(target, service, now) >= std::max(1, target.record.slots);
-  return {now < target.avoid_until, full, other_software, target.IsLimited()};
+  return {now < target.avoid_until, full, other_software, target.NamesLimit()};
 }
 
 // Chooses among targets by class, then expected completion.
@@ -168,8 +173,13 @@
 const known_target* SelectSoonest(const target_table& table,
                                   const service_targets& service,
                                   const target_requirements& demand,
+                                  bool needs_free_slot,
                                   steady_time now) {
   const std::vector<const known_target*>& targets = service.targets;
+  const auto may_choose = [&](const known_target& target) {
+    return IsUsable(table, target, demand, now) &&
+           (!needs_free_slot || HasFreeSlot(target, now));
+  };
   soonest_target chosen(demand, service.performance, now);
   std::array<const known_target*, kComparedTargets> drawn{};
   std::size_t drawn_count = 0;
@@ -180,8 +190,7 @@
                          service.performance.greatest_capacity;
     const auto end = drawn.begin() + static_cast<std::ptrdiff_t>(drawn_count);
     if (ToFraction(NextDraw(state)) < share &&
-        std::find(drawn.begin(), end, target) == end &&
-        IsUsable(table, *target, demand, now)) {
+        std::find(drawn.begin(), end, target) == end && may_choose(*target)) {
       drawn[drawn_count++] = target;
       chosen.Consider(*target);
     }
@@ -194,7 +203,7 @@
   // spread.
   soonest_target other(demand, service.performance, now);
   for (const known_target* target : targets) {
-    if (IsUsable(table, *target, demand, now)) {
+    if (may_choose(*target)) {
       other.Consider(*target);
     }
   }
@@ -203,6 +212,21 @@
              : other.best();
 }
 
+// True if a cold target has no room for the request, which must not overload
+// the others in its place. A request that has been tried already is not
+// refused for that: it may have run.
+bool LacksColdTarget(const target_table& table,
+                     const std::vector<const known_target*>& targets,
+                     const target_requirements& demand,
+                     steady_time now) {
+  return demand.excluded.empty() &&
+         std::any_of(
+             targets.begin(), targets.end(), [&](const known_target* target) {
+               return target->cold.Rate(now) && table.TakesRequests(*target) &&
+                      (demand.skip_limited || target->HasNoRoom(now));
+             });
+}
+
 }  // namespace
 
 const known_target* SelectTarget(const target_table& targets,
@@ -212,14 +236,17 @@
   if (service == nullptr) {
     return nullptr;
   }
+  const bool needs_free_slot =
+      LacksColdTarget(targets, service->targets, demand, now);
   if (service->performance.reports_pace && demand.affinity_key.empty()) {
-    return SelectSoonest(targets, *service, demand, now);
+    return SelectSoonest(targets, *service, demand, needs_free_slot, now);
   }
   const std::uint64_t seed = StableHash(demand.affinity_key);
   const known_target* best = nullptr;
   rank best_rank;
   for (const known_target* target : service->targets) {
-    if (!IsUsable(targets, *target, demand, now)) {
+    if (!IsUsable(targets, *target, demand, now) ||
+        (needs_free_slot && !HasFreeSlot(*target, now))) {
       continue;
     }
     const rank candidate =
--- a/tests/gateway/uneven_targets_test.cc
+++ b/tests/gateway/uneven_targets_test.cc
@@ -81,7 +81,7 @@
             0 ||
         (!demand.version.empty() && record.version != demand.version) ||
         target->avoid_until == steady_time::max() || target->HasNoRoom(now) ||
-        (demand.skip_limited && target->IsLimited())) {
+        (demand.skip_limited && target->IsLimited(now))) {
       continue;
     }
     int reported = 0;
@@ -94,7 +94,7 @@
         held >= std::max(1.0, 0.75 * record.slots),
         !demand.preferred_version.empty() &&
             record.version != demand.preferred_version,
-        !keyed && target->IsLimited(),
+        !keyed && target->IsLimited(now),
         keyed ? 0.0 : static_cast<double>(held) / std::max(1, record.slots),
         !keyed && record.failure_domain != demand.failure_domain,
         StableHash(record.id, seed)};
