--- a/tests/platform/cold_target_test.cc
+++ b/tests/platform/cold_target_test.cc
@@ -195,6 +195,31 @@
   cr_assert(warm_count > 104, "%zu", warm_count);
 }
 
+// Guards against gateways that go on to send as much as before to a target that
+// becomes cold under load, or restarts with the same ID at the same address.
+Test(cold_target, becomes_cold_under_load, .timeout = 60) {
+  constexpr milliseconds kCold{4'000};
+  constexpr milliseconds kListingTime{1'000};
+  arrival_log arrivals;
+  gateway_fleet fleet(3, CountingTarget(arrivals));
+  ConfigureCold(fleet.first, 4.0);
+  std::this_thread::sleep_for(kHandover);
+  steady_load load(fleet, {0, 1, 2});
+  std::this_thread::sleep_for(milliseconds(1'000));
+  const auto restarted = test_clock::now();
+  RegisterCold(fleet.first, "i-1", kCold.count());
+  std::this_thread::sleep_until(restarted + kCold);
+  load.End();
+  fleet.StopPools();
+  const std::size_t before =
+      arrivals.CountAfter({}) - arrivals.CountAfter(restarted);
+  const std::size_t most =
+      arrivals.MostInASecond(restarted + kListingTime, restarted + kCold);
+  cr_assert(before > kBound, "%zu", before);
+  cr_assert(most <= kBound && most >= 13, "%zu", most);
+  cr_assert(load.unexpected() == 0, "%d", load.unexpected());
+}
+
 // Guards against two gateways that pace a target at the same time after one of
 // them was lost, and against a target that gets nothing from then on.
 Test(cold_target, keeps_to_the_bound_when_its_pacer_dies, .timeout = 60) {
