--- /dev/null
+++ b/tests/process/hostile_answer_test.cc
@@ -0,0 +1,185 @@
+// Gateways whose targets and key-value service answer with what a parser holds
+// in a larger form than it was sent, or without an end.
+#include <criterion/criterion.h>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/key_value_server.h"
+#include "support/limited_gateway.h"
+#include "support/loopback_server.h"
+
+using namespace gentian;
+using namespace gentian::testing;
+
+namespace {
+
+constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kCallers = 40;
+constexpr std::size_t kEndless = 8 * kMegabyte;
+constexpr std::size_t kPart = 4'000;
+
+/** An answer that begins well, and a part of it that is repeated. */
+struct hostile_answer {
+  std::string begin;
+  std::string repeated;
+};
+
+/** Answers each request with bytes that end only with the connection. */
+class hostile_server {
+ public:
+  explicit hostile_server(hostile_answer answer)
+      : answer_(std::move(answer)), server_([this](int peer) { Serve(peer); }) {
+    while (part_.size() < kPart) {
+      part_ += answer_.repeated;
+    }
+  }
+  ~hostile_server() { server_.Stop(); }
+  hostile_server(const hostile_server&) = delete;
+  hostile_server& operator=(const hostile_server&) = delete;
+
+  const std::string& address() const { return server_.address(); }
+  std::size_t requests() const { return requests_; }
+
+ private:
+  void Serve(int peer) {
+    std::string request;
+    std::array<char, 4'096> space{};
+    while (request.find("\r\n\r\n") == std::string::npos) {
+      const ssize_t count = ::recv(peer, space.data(), space.size(), 0);
+      if (count <= 0) {
+        return;
+      }
+      request.append(space.data(), static_cast<std::size_t>(count));
+    }
+    ++requests_;
+    const std::string name = "\r\nRequest-Id: ";
+    const std::size_t at = request.find(name);
+    std::string text = "HTTP/1.1 ";
+    text += answer_.begin;
+    if (at != std::string::npos) {
+      const std::size_t first = at + name.size();
+      text.insert(text.find("\r\n"),
+                  request.substr(at, request.find("\r\n", first) - at) +
+                      "\r\nResponse-Seal: s");
+    }
+    for (std::size_t sent = 0; sent < kEndless; sent += text.size()) {
+      if (::send(peer, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
+        return;
+      }
+      text = part_;
+    }
+    // The rest waits for the gateway to end the connection.
+    while (::recv(peer, space.data(), space.size(), 0) > 0) {
+    }
+  }
+
+  hostile_answer answer_;
+  std::string part_;
+  std::atomic<std::size_t> requests_{0};
+  loopback_server server_;
+};
+
+std::string CallerFields(std::size_t number) {
+  return "Request-Id: r-" + std::to_string(number) +
+         "\r\nX-Api-Key: k\r\nDeadline-Ms: 5000\r\n";
+}
+
+void ExposeToTarget(const hostile_answer& answer) {
+  const exclusive_load alone;
+  hostile_server target(answer);
+  io_pool pool(1);
+  soak::key_value_server store(pool,
+                               [](const std::string&, const std::string&,
+                                  const std::string& value) { return value; });
+  store.Put("op/config",
+            R"({"version":1,"routes":[{"name":"once","host":"h",)"
+            R"("prefix":"/","kind":"non_idempotent","timeout_ms":5000,)"
+            R"("service":"s"}],"limits":{},"services":[{"name":"s"}],)"
+            R"("tenants":[{"name":"t","api_keys":["k"]}]})");
+  store.Put("servers/i-1", R"({"service":"s","address":")" + target.address() +
+                               R"(","zone":"z","slots":100,"state":"ready",)"
+                               R"("seq":1,"born":1,"version":"v1"})");
+  {
+    limited_gateway gateway(store.Serve("host"));
+    std::size_t number = 0;
+    cr_assert(WaitFor([&] {
+      AskAnew(gateway.callers(), "/x", CallerFields(++number));
+      return target.requests() > 0;
+    }));
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      callers.push_back(std::make_unique<raw_connection>(gateway.callers()));
+      callers.back()->Write("GET /x HTTP/1.1\r\nHost: h\r\n" +
+                            CallerFields(++number) + "\r\n");
+    }
+    gateway.process().ObserveUntilSteady();
+    ExpectSound(gateway.process(), gateway.callers(), "/x",
+                limited_gateway::kMemoryMegabytes);
+  }
+  pool.Stop();
+}
+
+void ExposeToStore(const hostile_answer& answer) {
+  const exclusive_load alone;
+  const hostile_server store(answer);
+  limited_gateway gateway(store.address());
+  cr_assert(WaitFor([&] { return store.requests() > 0; }));
+  gateway.process().ObserveUntilSteady();
+  ExpectSound(gateway.process(), gateway.callers(), "/x",
+              limited_gateway::kMemoryMegabytes);
+}
+
+const hostile_answer kTrailers{
+    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n"};
+const hostile_answer kTrailer{
+    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ", "yyyyyyyy"};
+const hostile_answer kExtension{
+    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "yyyyyyyy"};
+const hostile_answer kLines{"200 OK\r\n", "a:\r\n"};
+const hostile_answer kInterim{"100 Continue\r\n\r\n",
+                              "HTTP/1.1 103 Early Hints\r\n\r\n"};
+
+}  // namespace
+
+// These tests guard against a gateway that is killed for want of memory by what
+// one server answers.
+
+Test(hostile_target, trailers_without_end, .timeout = 900) {
+  ExposeToTarget(kTrailers);
+}
+
+Test(hostile_target, a_trailer_without_end, .timeout = 900) {
+  ExposeToTarget(kTrailer);
+}
+
+Test(hostile_target, a_chunk_extension_without_end, .timeout = 900) {
+  ExposeToTarget(kExtension);
+}
+
+Test(hostile_target, a_header_without_end, .timeout = 900) {
+  ExposeToTarget(kLines);
+}
+
+Test(hostile_target, interim_answers_without_end, .timeout = 900) {
+  ExposeToTarget(kInterim);
+}
+
+Test(hostile_store, trailers_without_end, .timeout = 900) {
+  ExposeToStore(kTrailers);
+}
+
+Test(hostile_store, a_chunk_extension_without_end, .timeout = 900) {
+  ExposeToStore(kExtension);
+}
+
+Test(hostile_store, a_header_without_end, .timeout = 900) {
+  ExposeToStore(kLines);
+}
+
+Test(hostile_store, interim_answers_without_end, .timeout = 900) {
+  ExposeToStore(kInterim);
+}
