Bound and count what an HTTP peer can make a process hold

Cause: Beast applies its header limit to what one step sees, so a header in parts had none; each field was a node of about 100 bytes that nothing counted; trailers and chunk extensions had no bound on the server, and input behind a request could not be given up. Change: message_parser derives from Beast's basic_parser, keeps fields as one text, and bounds the whole header, the trailers and each line of a chunk by max_header_bytes. Fields count to the account at the cost of their copies before a request runs (503 no_memory). Input behind a request has a holding of its own. Clients skip up to 16 interim answers.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -13,6 +13,7 @@
 
 #include "gentian_net/connection_cache.h"
 #include "gentian_net/ip_endpoint.h"
+#include "gentian_net/message_parser.h"
 #include "gentian_net/server_probe.h"
 #include "gentian_net/tunnel_frames.h"
 #include "gentian_net/tunnel_server.h"
@@ -57,9 +58,8 @@
 // Bounds of the rest of an answer that is read only to keep its connection.
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
 constexpr milliseconds kDiscardLimit{250};
-// Memory of a field of a header, beside its text, in the parser and in the copy
-// for the receiver.
-constexpr std::size_t kFieldBytes = 128;
+// Interim answers (1xx) to one request before it counts as broken.
+constexpr int kMaxInterimAnswers = 16;
 // Larger bodies are written without a copy, after the header.
 constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
@@ -96,10 +96,6 @@
   return text.str();
 }
 
-// Collects the bytes that a response_parser hands out, so that they can be
-// passed on as they arrive.
-using response_parser = http::response_parser<http::string_body>;
-
 template <typename State>
 class client_call : public http_call,
                     public std::enable_shared_from_this<client_call<State>> {
@@ -322,11 +318,7 @@
   }
 
   void StartAnswer() {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(
-        static_cast<std::uint32_t>(request_.max_header_bytes));
-    parser_->body_limit(request_.max_body_bytes);
+    parser_.emplace(request_.max_header_bytes, request_.max_body_bytes);
     if (request_.method == "HEAD") {
       parser_->skip(true);
     }
@@ -387,23 +379,11 @@
 
   void Parse() {
     error_code parse_failure;
-    while (!input_.empty() && !parser_->is_done()) {
-      const std::size_t used =
-          parser_->put(asio::buffer(input_), parse_failure);
-      input_.erase(0, used);
-      if (parse_failure || used == 0) {
-        break;
-      }
-    }
+    parser_->Feed(input_, parse_failure);
     if (parse_failure && parse_failure != http::error::need_more) {
       Fail(http_failure::broken, parse_failure.message());
       return;
     }
-    // The parser takes the line of a chunk's size, and a trailer, as a whole.
-    if (input_.size() > request_.max_header_bytes) {
-      Fail(http_failure::broken, "a line of the answer is too long");
-      return;
-    }
     Deliver();
   }
 
@@ -452,11 +432,20 @@
       }
       return;
     }
+    if (IsInterim()) {
+      AwaitAnswerAfterInterim();
+      return;
+    }
     if (!header_read_) {
       header_read_ = true;
+      header_bytes_ = parser_->HeaderCost();
+      if (!CountMemory()) {
+        FailWithoutMemory();
+        return;
+      }
       DeliverHeader();
     }
-    std::string& body = parser_->get().body();
+    std::string& body = parser_->body();
     if (!body.empty() && !ended_) {
       const std::string part = std::move(body);
       body.clear();
@@ -493,7 +482,8 @@
   // False if the answer has to be given up.
   bool CountMemory() {
     const std::size_t received = handlers_.held ? handlers_.held() : 0;
-    return memory_->Resize(input_.capacity() + header_bytes_ + received);
+    return memory_->Resize(input_.capacity() + parser_->HeldBytes() +
+                           header_bytes_ + received);
   }
 
   // The new connection serves the next request.
@@ -524,6 +514,26 @@
     Complete();
   }
 
+  // A switch of protocols is final.
+  bool IsInterim() const {
+    constexpr int kSwitch = 101;
+    constexpr int kFirstFinal = 200;
+    return parser_->status() < kFirstFinal && parser_->status() != kSwitch;
+  }
+
+  void AwaitAnswerAfterInterim() {
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      Fail(http_failure::broken, "too many interim answers came");
+      return;
+    }
+    StartAnswer();
+    if (input_.empty()) {
+      Read();
+    } else {
+      Parse();
+    }
+  }
+
   void AwaitNextAnswer() {
     if (++foreign_answers_ > kMaxForeignAnswers) {
       Fail(http_failure::broken, "answers to other requests came");
@@ -540,13 +550,8 @@
   }
 
   void DeliverHeader() {
-    http_headers headers;
-    for (const auto& field : parser_->get()) {
-      headers.Add(std::string(field.name_string()), std::string(field.value()));
-      header_bytes_ +=
-          kFieldBytes + 2 * (field.name_string().size() + field.value().size());
-    }
-    const int status = static_cast<int>(parser_->get().result_int());
+    const http_headers headers = parser_->Headers();
+    const int status = parser_->status();
     const bool is_first = !reused_ && foreign_answers_ == 0;
     is_foreign_ =
         handlers_.is_own && !handlers_.is_own(status, headers, is_first);
@@ -564,13 +569,12 @@
     // Kept before on_end runs, so that the next request finds it. After an
     // answer that came before the whole request was written, the server still
     // reads the rest of that request.
-    if (request_.reuse_connection && parser_->get().keep_alive() &&
+    if (request_.reuse_connection && parser_->keep_alive() &&
         keeps_connection_ && input_.empty() && written_ &&
         foreign_answers_ == 0 && !frames_.HasEnded() &&
         frames_.IsBetweenFrames()) {
-      owner_->cache.Put(
-          CacheKey(), stream_,
-          detail::KeepAliveTime(parser_->get()[http::field::keep_alive]));
+      owner_->cache.Put(CacheKey(), stream_,
+                        detail::KeepAliveTime(parser_->Find("Keep-Alive")));
     } else {
       stream_->Close();
     }
@@ -625,7 +629,7 @@
   std::string input_;
   /** Used for a tunnel whose server sends frames. */
   detail::tunnel_frame_reader frames_;
-  std::optional<response_parser> parser_;
+  std::optional<detail::message_parser<false>> parser_;
   bool reused_ = false;
   bool sent_ = false;
   bool written_ = false;
@@ -637,6 +641,7 @@
   /** The answer that is being read belongs to another request. */
   bool is_foreign_ = false;
   int foreign_answers_ = 0;
+  int interim_answers_ = 0;
   /** The caller takes no more of the answer. */
   bool is_discarded_ = false;
   /** Of an answer whose body nobody takes. */
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "gentian_net/message_parser.h"
+
 namespace gentian::detail {
 
 namespace {
@@ -34,6 +36,8 @@
 constexpr milliseconds kQuietTime{20};
 constexpr steady_time::duration kNotIdle = steady_time::duration::min();
 constexpr milliseconds kNoMemoryRetryAfter{1'000};
+// Status of a request whose header or trailers are too large (RFC 6585).
+constexpr int kHeaderTooLarge = 431;
 
 error NoMemory() {
   return error{error_kind::overloaded,
@@ -48,14 +52,11 @@
 }
 
 // The request without its body.
-http_request HeaderOf(const http::request<http::string_body>& message) {
+http_request HeaderOf(const message_parser<true>& parser) {
   http_request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.Add(std::string(field.name_string()),
-                        std::string(field.value()));
-  }
+  request.method = parser.method();
+  request.target = parser.target();
+  request.headers = parser.Headers();
   return request;
 }
 
@@ -79,6 +80,11 @@
         me->Post([](connection& self) { self.RefuseWithoutMemory(); });
       }
     });
+    ahead_memory_.emplace(environment_->memory, [weak = weak_from_this()] {
+      if (const auto me = weak.lock()) {
+        me->Post([](connection& self) { self.DropInput(); });
+      }
+    });
     output_memory_.emplace(environment_->memory, [weak = weak_from_this()] {
       if (const auto me = weak.lock()) {
         me->Post([](connection& self) { self.Close(); });
@@ -236,6 +242,7 @@
     SetIdle(false);
     UpdateBusy();
     input_memory_->Resize(0);
+    ahead_memory_->Resize(0);
     output_memory_->Resize(0);
     receive_timer_.cancel();
     send_timer_.cancel();
@@ -253,8 +260,6 @@
   }
 
  private:
-  using request_parser = http::request_parser<http::string_body>;
-
   bool IsIdle() const {
     return !answering_ && !discarding_ && !closed_ && !parser_ &&
            input_.empty();
@@ -336,14 +341,25 @@
         });
   }
 
+  // A body comes in large parts, unless its sender waits.
+  std::size_t NextReadSize() const {
+    return parser_ && header_done_ && filled_space_ ? kReadSize
+                                                    : kFirstReadSize;
+  }
+
+  // Of the request that is being received.
+  std::size_t HeldBytes() const {
+    const std::size_t space = NextReadSize();
+    return input_.capacity() + (space > kFirstReadSize ? space : 0) +
+           (parser_ ? parser_->HeldBytes() : 0);
+  }
+
   void Read() {
     if (reading_ || closed_) {
       return;
     }
     reading_ = true;
-    // A body comes in large parts, unless its sender waits.
-    const std::size_t size =
-        parser_ && header_done_ && filled_space_ ? kReadSize : kFirstReadSize;
+    const std::size_t size = NextReadSize();
     if (space_.size() != size) {
       space_ = std::vector<char>(size);
     }
@@ -364,6 +380,9 @@
       Read();
       return;
     }
+    if (drops_input_) {
+      return;
+    }
     filled_space_ = size == space_.size();
     input_.append(space_.data(), size);
     Parse();
@@ -371,19 +390,17 @@
 
   void Parse() {
     if (answering_) {
-      input_memory_->Resize(request_bytes_ + input_.size());
-      if (input_.size() < kMaxReadAhead) {
+      if (!ahead_memory_->Resize(input_.capacity())) {
+        DropInput();
+      }
+      if (input_.size() < kMaxReadAhead && !drops_input_) {
         Read();
       }
       return;
     }
     if (!parser_ && !input_.empty()) {
       TakeLimits();
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->header_limit(
-          static_cast<std::uint32_t>(limits().max_header_bytes));
-      parser_->body_limit(limits().max_body_bytes);
+      parser_.emplace(limits().max_header_bytes, limits().max_body_bytes);
       sent_continue_ = false;
       header_done_ = false;
       is_closing_if_quiet_ = false;
@@ -391,23 +408,14 @@
       ArmReceiveTimer(refusal_ ? kLinger : limits().header_deadline);
     }
     error_code failure;
-    while (parser_ && !input_.empty() && !parser_->is_done()) {
-      const std::size_t used = parser_->put(asio::buffer(input_), failure);
-      input_.erase(0, used);
-      if (failure || used == 0) {
-        break;
-      }
-    }
-    if (input_.empty()) {
-      input_ = std::string();
+    if (parser_ && !input_.empty() && !parser_->is_done()) {
+      parser_->Feed(input_, failure);
     }
     if (parser_ && parser_->is_header_done() && !header_done_) {
       header_done_ = true;
       ArmReceiveTimer(limits().receive_deadline);
     }
-    const bool fits =
-        !parser_ ||
-        input_memory_->Resize(input_.size() + parser_->get().body().size());
+    const bool fits = !parser_ || input_memory_->Resize(HeldBytes());
     if (!fits) {
       RefuseWithoutMemory();
     } else if (refusal_ && header_done_) {
@@ -424,7 +432,7 @@
 
   void SendContinueIfExpected() {
     if (!parser_ || !parser_->is_header_done() || sent_continue_ ||
-        parser_->get()[http::field::expect] != "100-continue") {
+        parser_->Find("Expect") != "100-continue") {
       return;
     }
     sent_continue_ = true;
@@ -438,23 +446,37 @@
     }
   }
 
+  // The requests that wait for the answer in progress are dropped, and the
+  // connection closes after that answer.
+  void DropInput() {
+    if (answering_ && !closed_) {
+      input_ = std::string();
+      ahead_memory_->Resize(0);
+      drops_input_ = true;
+      keep_alive_ = false;
+    }
+  }
+
   void RefuseInput(error_code failure) {
     error reason{error_kind::malformed_request,
                  "the request is not valid HTTP/1.1: " + failure.message(),
                  "use an HTTP/1.1 client"};
     if (failure == http::error::header_limit) {
-      reason = TooLarge("header", limits().max_header_bytes);
+      reason = TooLarge(header_done_ ? "trailer" : "header",
+                        limits().max_header_bytes);
     } else if (failure == http::error::body_limit) {
       reason = TooLarge("body", limits().max_body_bytes);
     }
-    RefuseRequest(reason);
+    RefuseRequest(reason, failure == http::error::header_limit
+                              ? std::optional<int>(kHeaderTooLarge)
+                              : std::nullopt);
   }
 
   // Answers a request that has not been read to its end.
-  void RefuseRequest(const error& reason) {
+  void RefuseRequest(const error& reason, std::optional<int> status = {}) {
     http_request begin;
     if (parser_ && parser_->is_header_done()) {
-      begin = HeaderOf(parser_->get());
+      begin = HeaderOf(*parser_);
     }
     parser_.reset();
     input_ = std::string();
@@ -464,21 +486,20 @@
     answer_ended_ = false;
     ++serial_;
     UpdateBusy();
-    SendWhole(environment_->make_refusal(begin, reason));
+    http_response answer = environment_->make_refusal(begin, reason);
+    answer.status = status.value_or(answer.status);
+    SendWhole(answer);
   }
 
   void BeginExchange();
 
   void FinishExchange() {
     answering_ = false;
-    request_bytes_ = 0;
     input_memory_->Resize(0);
-    if (input_.empty()) {
-      input_.shrink_to_fit();
-    }
+    ahead_memory_->Resize(0);
     on_disconnect_ = nullptr;
     UpdateBusy();
-    if (has_announced_close_) {
+    if (has_announced_close_ || drops_input_) {
       CloseInOrder(kLinger);
       return;
     }
@@ -572,12 +593,12 @@
   asio::steady_timer comment_timer_;
   std::vector<char> space_;
   std::string input_;
-  std::optional<request_parser> parser_;
+  std::optional<message_parser<true>> parser_;
   /** Of the request that is being received, or answered. */
   std::optional<memory_budget::holding> input_memory_;
+  /** Of the input behind the request that is being answered. */
+  std::optional<memory_budget::holding> ahead_memory_;
   std::optional<memory_budget::holding> output_memory_;
-  /** Of the body of the request that is being answered. */
-  std::size_t request_bytes_ = 0;
   std::deque<std::string> output_;
   std::size_t unsent_bytes_ = 0;
   std::chrono::steady_clock::time_point last_sent_{};
@@ -605,6 +626,8 @@
   bool is_busy_ = false;
   bool draining_ = false;
   bool discarding_ = false;
+  /** Input behind the request that is being answered was dropped. */
+  bool drops_input_ = false;
   bool closed_ = false;
 };
 
@@ -679,13 +702,14 @@
 
 void connection::BeginExchange() {
   receive_timer_.cancel();
-  auto message = parser_->release();
+  if (!input_memory_->Resize(parser_->HeaderCost() + parser_->body().size())) {
+    RefuseWithoutMemory();
+    return;
+  }
+  http_request request = HeaderOf(*parser_);
+  request.body = std::move(parser_->body());
+  keep_alive_ = parser_->keep_alive();
   parser_.reset();
-  http_request request = HeaderOf(message);
-  request.body = std::move(message.body());
-  keep_alive_ = message.keep_alive();
-  request_bytes_ = request.body.size();
-  input_memory_->Resize(request_bytes_ + input_.size());
   input_memory_->Keep();
   answering_ = true;
   answer_ended_ = false;
@@ -693,7 +717,7 @@
   UpdateBusy();
   auto exchange = std::make_shared<connection_exchange>(
       shared_from_this(), serial_, std::move(request));
-  Read();
+  Parse();
   environment_->on_request(std::move(exchange));
 }
 
--- a/source/gentian_net/http_message.h
+++ b/source/gentian_net/http_message.h
@@ -23,6 +23,9 @@
   */
   std::string Find(std::string_view name) const;
 
+  /** Makes room for as many fields as will be added. */
+  void Reserve(std::size_t fields) { fields_.reserve(fields); }
+
   const std::vector<field>& fields() const { return fields_; }
 
  private:
--- /dev/null
+++ b/source/gentian_net/message_parser.cc
@@ -0,0 +1,203 @@
+#include "gentian_net/message_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+
+namespace gentian::detail {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Of a field in two copies of a header, beside its text.
+constexpr std::size_t kFieldBytes = 2 * sizeof(http_headers::field);
+// Colon and end of a line.
+constexpr std::size_t kLineBytes = 3;
+
+// Beast takes the line of a chunk's size with its extension, and the last such
+// line with all trailers, as a whole. A chunk that is not the first one begins
+// with the end of the line before.
+bool IsInTrailers(std::string_view rest, std::size_t max_line) {
+  return rest.substr(0, max_line).find('\n', 2) != std::string_view::npos;
+}
+
+}  // namespace
+
+template <bool IsRequest>
+message_parser<IsRequest>::message_parser(std::size_t max_header_bytes,
+                                          std::uint64_t max_body_bytes)
+    : max_header_bytes_(max_header_bytes) {
+  this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+      max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
+  this->body_limit(max_body_bytes);
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::Feed(std::string& input, error_code& failure) {
+  failure = {};
+  std::size_t taken = 0;
+  while (taken < input.size() && !this->is_done()) {
+    const bool is_header = !this->is_header_done();
+    // A step ends at the end of the header, so that its bytes can be counted:
+    // the limit of Beast applies to what one step gets of it only.
+    this->eager(!is_header);
+    const std::size_t rest = input.size() - taken;
+    const std::size_t used =
+        this->put(boost::asio::buffer(input.data() + taken, rest), failure);
+    taken += used;
+    if (is_header) {
+      header_bytes_ += used;
+      const std::size_t all =
+          header_bytes_ + (this->is_header_done() ? 0 : rest - used);
+      if ((!failure || failure == http::error::need_more) &&
+          all > max_header_bytes_) {
+        failure = http::error::header_limit;
+      }
+    }
+    if (failure || used == 0) {
+      break;
+    }
+  }
+  input.erase(0, taken);
+  if (input.empty()) {
+    input = std::string();
+  }
+  if (failure == http::error::need_more && this->is_header_done() &&
+      input.size() > max_header_bytes_) {
+    failure = IsInTrailers(input, max_header_bytes_)
+                  ? http::error::header_limit
+                  : http::error::bad_chunk_extension;
+  }
+}
+
+template <bool IsRequest>
+template <typename Visit>
+void message_parser<IsRequest>::ForEachField(Visit visit) const {
+  std::string_view rest = fields_;
+  while (!rest.empty()) {
+    const std::string_view line = rest.substr(0, rest.find('\n'));
+    rest.remove_prefix(line.size() + 1);
+    const std::size_t colon = line.find(':');
+    if (!visit(line.substr(0, colon), line.substr(colon + 1))) {
+      return;
+    }
+  }
+}
+
+template <bool IsRequest>
+std::string_view message_parser<IsRequest>::Find(std::string_view name) const {
+  std::string_view found;
+  ForEachField([&](std::string_view field, std::string_view value) {
+    const bool is_found =
+        boost::beast::iequals(string_view(field.data(), field.size()),
+                              string_view(name.data(), name.size()));
+    if (is_found) {
+      found = value;
+    }
+    return !is_found;
+  });
+  return found;
+}
+
+template <bool IsRequest>
+http_headers message_parser<IsRequest>::Headers() const {
+  http_headers headers;
+  headers.Reserve(field_count_);
+  ForEachField([&headers](std::string_view name, std::string_view value) {
+    headers.Add(std::string(name), std::string(value));
+    return true;
+  });
+  return headers;
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::HeaderCost() const {
+  return field_count_ * kFieldBytes + 2 * (fields_.size() + target_.size());
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_request_impl(http::verb /*verb*/,
+                                                string_view method,
+                                                string_view target,
+                                                int /*version*/,
+                                                error_code& /*failure*/) {
+  method_.assign(method.data(), method.size());
+  target_.assign(target.data(), target.size());
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_response_impl(int status,
+                                                 string_view /*reason*/,
+                                                 int /*version*/,
+                                                 error_code& /*failure*/) {
+  status_ = status;
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_field_impl(http::field /*known*/,
+                                              string_view name,
+                                              string_view value,
+                                              error_code& failure) {
+  if (this->is_header_done()) {
+    trailer_bytes_ += name.size() + value.size() + kLineBytes;
+    if (trailer_bytes_ > max_header_bytes_) {
+      failure = http::error::header_limit;
+      return;
+    }
+  }
+  fields_.append(name.data(), name.size());
+  fields_ += ':';
+  fields_.append(value.data(), value.size());
+  fields_ += '\n';
+  ++field_count_;
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_header_impl(error_code& /*failure*/) {
+  fields_.shrink_to_fit();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_body_init_impl(
+    const boost::optional<std::uint64_t>& length,
+    error_code& /*failure*/) {
+  if (IsRequest && length) {
+    // Pages that are never written take no memory.
+    body_.reserve(*length);
+  }
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::on_body_impl(string_view body,
+                                                    error_code& /*failure*/) {
+  body_.append(body.data(), body.size());
+  return body.size();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
+                                                     string_view extensions,
+                                                     error_code& failure) {
+  if (extensions.size() > max_header_bytes_) {
+    failure = http::error::bad_chunk_extension;
+  }
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::on_chunk_body_impl(
+    std::uint64_t /*rest*/,
+    string_view body,
+    error_code& failure) {
+  return on_body_impl(body, failure);
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_finish_impl(error_code& /*failure*/) {}
+
+template class message_parser<true>;
+template class message_parser<false>;
+
+}  // namespace gentian::detail
