Test requests of many lines that wait at a silent target

Cause: a request that runs can't be given up, so its parsed fields must fit before it starts. Change: 200 callers whose headers of 15 KB of short lines wait for a target that sends no end of its header.

--- a/tests/process/hostile_answer_test.cc
+++ b/tests/process/hostile_answer_test.cc
@@ -26,6 +26,8 @@
 struct hostile_answer {
   std::string begin;
   std::string repeated;
+  /** Bytes after which the server is silent. */
+  std::size_t bytes = kEndless;
 };
 
 /** Answers each request with bytes that end only with the connection. */
@@ -66,7 +68,7 @@
                   request.substr(at, request.find("\r\n", first) - at) +
                       "\r\nResponse-Seal: s");
     }
-    for (std::size_t sent = 0; sent < kEndless; sent += text.size()) {
+    for (std::size_t sent = 0; sent < answer_.bytes; sent += text.size()) {
       if (::send(peer, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
         return;
       }
@@ -88,7 +90,10 @@
          "\r\nX-Api-Key: k\r\nDeadline-Ms: 5000\r\n";
 }
 
-void ExposeToTarget(const hostile_answer& answer) {
+/** @param lines  more lines of the header of each request */
+void ExposeToTarget(const hostile_answer& answer,
+                    std::size_t callers_count = kCallers,
+                    const std::string& lines = {}) {
   const exclusive_load alone;
   hostile_server target(answer);
   io_pool pool(1);
@@ -111,10 +116,10 @@
       return target.requests() > 0;
     }));
     std::vector<std::unique_ptr<raw_connection>> callers;
-    for (std::size_t i = 0; i < kCallers; ++i) {
+    for (std::size_t i = 0; i < callers_count; ++i) {
       callers.push_back(std::make_unique<raw_connection>(gateway.callers()));
       callers.back()->Write("GET /x HTTP/1.1\r\nHost: h\r\n" +
-                            CallerFields(++number) + "\r\n");
+                            CallerFields(++number) + lines + "\r\n");
     }
     gateway.process().ObserveUntilSteady();
     ExpectSound(gateway.process(), gateway.callers(), "/x",
@@ -168,6 +173,18 @@
   ExposeToTarget(kInterim);
 }
 
+// Guards against fields of requests that wait for a silent target: once a
+// request runs, its memory can't be given up.
+Test(hostile_target, requests_of_many_lines_wait, .timeout = 900) {
+  constexpr std::size_t kMany = 200;
+  constexpr std::size_t kLegalHead = 15'000;
+  std::string lines;
+  while (lines.size() < kLegalHead) {
+    lines += "a:\r\n";
+  }
+  ExposeToTarget({"200 OK\r\n", "a:\r\n", 1}, kMany, lines);
+}
+
 Test(hostile_store, trailers_without_end, .timeout = 900) {
   ExposeToStore(kTrailers);
 }
