Decide which share of a service's requests leaves the failure domain

Cause: the domain of a target is compared last, after load, so about 60% of the requests leave their domain even when every domain has room, and nothing decides how much leaving pays.

Without charges and with an affinity key, the rank is unchanged.

--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -31,7 +31,11 @@
 // those with the preferred software. The rest is ordered by hash if there is an
 // affinity key, otherwise by whether they have a limit, load and failure
 // domain.
-using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
+// With charges, the charge and the wait for a slot come before the load, and
+// take the place of the free slots: a domain whose slots are nearly all taken
+// may still be the better one.
+using rank =
+    std::tuple<bool, bool, bool, bool, double, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
             const target_requirements& demand,
@@ -44,14 +48,21 @@
                           ? 0.0
                           : static_cast<double>(ExpectedLoad(target, now)) /
                                 std::max(1, target.record.slots);
+  const bool is_charged = demand.charges != nullptr && !has_affinity;
+  const double cost =
+      is_charged ? demand.charges->CostOf(target.record.failure_domain, load)
+                 : 0.0;
   const bool far =
       !has_affinity && target.record.failure_domain != demand.failure_domain;
   const bool other_software = !demand.preferred_version.empty() &&
                               target.record.version != demand.preferred_version;
+  const bool is_full =
+      (!is_charged || !demand.preferred_version.empty()) && IsFull(target, now);
   return {avoided,
-          IsFull(target, now),
+          is_full,
           other_software,
           !has_affinity && target.IsLimited(),
+          cost,
           load,
           far,
           hash};
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "gentian_gateway/domain_charges.h"
 #include "gentian_gateway/target_table.h"
 
 namespace gentian {
@@ -24,6 +25,9 @@
   /** Software version that is preferred among targets with free slots; empty
       for none. */
   std::string preferred_version;
+  /** What leaving the failure domain costs; nullptr if only equally loaded
+      targets are compared by domain. Not used with an affinity key. */
+  const domain_charges* charges = nullptr;
 };
 
 /** Chooses a target for a request; nullptr if none is left.
