Keep requests in their failure domain unless leaving pays

Cause: nothing used the shares of domain_router.

Change: domain_routers keeps a router for each service and domain that requests come from, learns the time of a request and gives the charges to SelectTarget and to turn_scheduler, in mode auto only for services whose targets report a pace. A turn names the domain of the gateway that sends it (field failure_domain of /turns/ask; absent: no charges).

Result: the tests of domain_routers, turn_scheduler and target_table pass.

--- a/source/gentian_app/gateway_command.cc
+++ b/source/gentian_app/gateway_command.cc
@@ -10,7 +10,7 @@
 
 constexpr platform_command kGateway{
     "gateway",
-    "Runs a daemon on the users' platform, as its settings file says"};
+    "Runs a daemon on the users' platform, as its settings file says", true};
 
 json DescribeStart(const gateway_settings& settings,
                    const std::string& incarnation) {
--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -8,8 +8,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <cstdint>
 #include <cxxopts.hpp>
 #include <future>
+#include <map>
 #include <thread>
 
 #include "gentian_daemon/version.h"
@@ -28,6 +30,25 @@
 // they are freed.
 constexpr int kLargeBuffer = 128 * 1024;
 
+// No request is worth waiting longer for.
+constexpr milliseconds kMaxDistancePrice{600'000};
+
+bool ReadDomainOptions(const std::string& mode,
+                       std::int64_t price_ms,
+                       domain_options& read) {
+  static const std::map<std::string, own_domain_mode> kModes = {
+      {"auto", own_domain_mode::automatic},
+      {"on", own_domain_mode::on},
+      {"off", own_domain_mode::off}};
+  const auto found = kModes.find(mode);
+  if (found == kModes.end() || price_ms < 0 ||
+      price_ms > kMaxDistancePrice.count()) {
+    return false;
+  }
+  read = {found->second, milliseconds(price_ms)};
+  return true;
+}
+
 struct limit_row {
   decltype(RLIMIT_AS) resource;
   const char* field;
@@ -51,6 +72,17 @@
   options.add_options()("settings", "the settings file that the platform wrote",
                         cxxopts::value<std::string>())(
       "check", "check the settings file and end")("h,help", "Show this help");
+  if (command.has_domain_options) {
+    options.add_options()(
+        "own-domain-first",
+        "auto, on or off: keep requests in the own failure domain; auto does "
+        "so for services whose targets report a pace",
+        cxxopts::value<std::string>()->default_value("auto"))(
+        "distance-price-ms",
+        "time at which a request that leaves its failure domain is valued",
+        cxxopts::value<std::int64_t>()->default_value(
+            std::to_string(domain_options{}.price.count())));
+  }
   try {
     const auto given = options.parse(argc, argv);
     if (given.count("help") > 0) {
@@ -61,6 +93,16 @@
                                ? given["settings"].as<std::string>()
                                : NodeFilePath();
     parsed.check = given.count("check") > 0;
+    if (command.has_domain_options &&
+        !ReadDomainOptions(given["own-domain-first"].as<std::string>(),
+                           given["distance-price-ms"].as<std::int64_t>(),
+                           parsed.domains)) {
+      std::cerr << name
+                << ": --own-domain-first is auto, on or off, and "
+                   "--distance-price-ms from 0 to "
+                << kMaxDistancePrice.count() << "; see " << name << " --help\n";
+      return 2;
+    }
     return std::nullopt;
   } catch (const cxxopts::exceptions::exception& failure) {
     std::cerr << name << ": " << failure.what() << "; see " << name
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -7,12 +7,14 @@
 #include <iostream>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 #include "gentian_app/crash_report.h"
 #include "gentian_app/process_signals.h"
 #include "gentian_app/startup_wait.h"
 #include "gentian_app/text_file.h"
+#include "gentian_gateway_daemon/gentian_gateway_daemon.h"
 #include "gentian_log/gentian_log.h"
 #include "platform/platform.h"
 
@@ -23,6 +25,8 @@
   /** As in `gentianrun gateway`. */
   const char* name;
   const char* summary;
+  /** It has the options for failure domains. */
+  bool has_domain_options = false;
 };
 
 namespace detail {
@@ -32,8 +36,17 @@
   std::string settings_path;
   /** Only check the settings. */
   bool check = false;
+  domain_options domains;
 };
 
+/** Adds what the command line says to settings that have a place for it. */
+template <typename Settings>
+void ApplyOptions(const platform_options& options, Settings& settings) {
+  if constexpr (std::is_same_v<Settings, gateway_settings>) {
+    settings.domains = options.domains;
+  }
+}
+
 /** For a settings file that is being written. */
 constexpr milliseconds kSettingsLimit{10'000};
 /** For the end of a process that was killed at the end of its grace. */
@@ -137,8 +150,14 @@
   }
   const auto read = [&]() -> result<Settings> {
     const result<std::string> text = ReadTextFile(options.settings_path);
-    return Failed(text) ? result<Settings>(ErrorOf(text))
-                        : parse(ValueOf(text), options.settings_path);
+    if (Failed(text)) {
+      return ErrorOf(text);
+    }
+    result<Settings> parsed = parse(ValueOf(text), options.settings_path);
+    if (!Failed(parsed)) {
+      detail::ApplyOptions(options, ValueOf(parsed));
+    }
+    return parsed;
   };
   result<Settings> settings = read();
   if (options.check) {
--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -16,6 +16,7 @@
 #include "gentian_gateway/domain_charges.h"
 #include "gentian_gateway/domain_loads.h"
 #include "gentian_gateway/domain_router.h"
+#include "gentian_gateway/domain_routers.h"
 #include "gentian_gateway/event_splitter.h"
 #include "gentian_gateway/fraction_of.h"
 #include "gentian_gateway/gateway_configuration.h"
--- a/source/gentian_gateway/turn_scheduler.cc
+++ b/source/gentian_gateway/turn_scheduler.cc
@@ -114,8 +114,8 @@
   return decisions;
 }
 
-double turn_scheduler::EstimatedLoad(const known_target& target,
-                                     steady_time now) const {
+double turn_scheduler::TurnsAt(const known_target& target,
+                               steady_time now) const {
   double turns = 0;
   steady_time counted_from;
   if (target.load && now - target.load->at < kMaxLoadReportAge) {
@@ -129,8 +129,14 @@
       turns += 1;
     }
   }
+  return turns;
+}
+
+double turn_scheduler::EstimatedLoad(const known_target& target,
+                                     steady_time now) const {
   const auto speed = speeds_.find(target.record.id);
-  return turns * (speed == speeds_.end() ? 1 : speed->second.idle_interval_s);
+  return TurnsAt(target, now) *
+         (speed == speeds_.end() ? 1 : speed->second.idle_interval_s);
 }
 
 bool turn_scheduler::MayGetTurn(const known_target& target,
@@ -165,6 +171,9 @@
   double current_load = 0;
   double least_load = 0;
   std::uint64_t least_hash = 0;
+  double least_cost = 0;
+  const std::optional<domain_charges> charges =
+      charges_ ? charges_(turn, now) : std::nullopt;
   for (const known_target* target : targets_.Serving(turn.service)) {
     if (now < target->avoid_until) {
       continue;
@@ -175,13 +184,19 @@
     const std::uint64_t hash =
         StableHash(turn.program, StableHash(target->record.id));
     const bool may = MayGetTurn(*target, now);
+    const double cost =
+        charges ? charges->CostOf(
+                      target->record.failure_domain,
+                      TurnsAt(*target, now) / std::max(1, target->record.slots))
+                : 0;
     if (least == nullptr ||
-        std::make_tuple(!may, load, hash) <
-            std::make_tuple(!least_may, least_load, least_hash)) {
+        std::make_tuple(!may, cost, load, hash) <
+            std::make_tuple(!least_may, least_cost, least_load, least_hash)) {
       least = target;
       least_may = may;
       least_load = load;
       least_hash = hash;
+      least_cost = cost;
     }
     if (target->record.id == assigned.target) {
       current = may ? target : nullptr;
--- a/source/gentian_gateway/turn_scheduler.h
+++ b/source/gentian_gateway/turn_scheduler.h
@@ -2,10 +2,13 @@
 #define GENTIAN_GATEWAY_TURN_SCHEDULER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "gentian_gateway/domain_charges.h"
 #include "gentian_gateway/target_table.h"
 
 namespace gentian {
@@ -29,6 +32,9 @@
   /** The program has used far more tokens than programs commonly do, so its
       turns go last. */
   bool is_excessive = false;
+  /** Failure domain of the daemon that sends the turn; empty if it is not
+      known. */
+  std::string failure_domain{};
 };
 
 /** The decision on a waiting turn. */
@@ -68,6 +74,14 @@
     daemon_count_ = count > 0 ? count : 1;
   }
 
+  /** Sets what gives the charges for a turn; nothing where domains don't
+      count. */
+  void SetCharges(
+      std::function<std::optional<domain_charges>(const waiting_turn& turn,
+                                                  steady_time now)> charges) {
+    charges_ = std::move(charges);
+  }
+
   void Add(const waiting_turn& turn);
 
   /** Turns that may start now, and those that have waited for too long. */
@@ -109,6 +123,7 @@
 
   pool& PoolOf(const std::string& service);
   std::string ChooseTarget(const waiting_turn& turn, steady_time now);
+  double TurnsAt(const known_target& target, steady_time now) const;
   double EstimatedLoad(const known_target& target, steady_time now) const;
   bool MayGetTurn(const known_target& target, steady_time now) const;
   void Pace(const known_target& target, steady_time now);
@@ -116,6 +131,9 @@
   void EvictIdlePlacements(steady_time now);
 
   const target_table& targets_;
+  std::function<std::optional<domain_charges>(const waiting_turn& turn,
+                                              steady_time now)>
+      charges_;
   std::size_t daemon_count_ = 1;
   std::vector<waiting_turn> waiting_;
   std::map<turn_ticket, running_turn> running_;
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -242,6 +242,7 @@
         (most + tokens_per_event_ - 1) / tokens_per_event_ * tokens_per_event_;
   }
   turn_request request;
+  request.failure_domain = environment_.settings.failure_domain;
   request.request_id = call_->request_id;
   request.program = call_->program;
   request.service = service_;
--- a/source/gentian_gateway_daemon/gateway_call.h
+++ b/source/gentian_gateway_daemon/gateway_call.h
@@ -85,6 +85,7 @@
     std::uint64_t target_start = 0;
     /** Version of the target's software. */
     std::string version;
+    std::string failure_domain;
     /** Requests per second that the target takes; nothing for no limit. */
     std::optional<double> rate_limit;
     steady_time sent_at;
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -128,6 +128,7 @@
              target.failures,
              target.record.started_at_ms,
              target.record.version,
+             target.record.failure_domain,
              target.limit ? target.limit->rate : std::nullopt,
              BootTimeNow()};
   if (choice_.rate_limit) {
@@ -423,6 +424,8 @@
 }
 
 void gateway_call::RecordDuration() {
+  environment_.state.domains.AddSample(service_,
+                                       BootTimeNow() - choice_.sent_at);
   environment_.state.stop.OnAnswered(
       route_->name, ToMilliseconds(BootTimeNow() - choice_.sent_at));
 }
--- a/source/gentian_gateway_daemon/gateway_call_log.cc
+++ b/source/gentian_gateway_daemon/gateway_call_log.cc
@@ -19,6 +19,7 @@
   return {
       {"target", target_},
       {"target_version", choice_.version},
+      {"target_domain", choice_.failure_domain},
       {"tunnel", tunnel_},
       {"chosen_by", choice_.chosen_by},
       {"target_running", load ? load->running : -1},
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -12,6 +13,17 @@
 // others or waits. Each question takes a few milliseconds.
 constexpr int kMaxPermitRequests = 3;
 
+void LogDomainChanges(gateway_state& state) {
+  for (const domain_routers::change& next : state.domains.TakeChanges()) {
+    Log(log_level::info, "share that leaves the failure domain changed",
+        {{"service", next.service},
+         {"domain", next.domain},
+         {"share_before", next.before},
+         {"share", next.now},
+         {"reason", NameOf(next.reason)}});
+  }
+}
+
 }  // namespace
 
 const known_target* gateway_call::ChooseTarget(steady_time now) const {
@@ -47,6 +59,12 @@
     // The record that was written for the earlier send stays true.
     demand.preferred_version = recording_->origin().version;
   }
+  gateway_state& state = environment_.state;
+  const std::optional<domain_charges> charges =
+      state.domains.ChargesFor(service_, demand.failure_domain, targets,
+                               state.membership.members(), now);
+  LogDomainChanges(state);
+  demand.charges = charges ? &*charges : nullptr;
   return SelectTarget(targets, demand, now);
 }
 
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -267,6 +267,7 @@
   for (const listener& next : kListeners) {
     ReportConnections(state_.metrics, this->*next.server, next.name);
   }
+  ReportDomains();
   state_.metrics.SetGauge("open_tunnels",
                           static_cast<double>(paths_.tunnels()));
   ReportProcessUsage(state_.metrics, settings_.memory, settings_.descriptors);
@@ -281,6 +282,17 @@
   exchange->Respond(std::move(page));
 }
 
+void gateway_daemon::ReportDomains() {
+  state_.domains.ForEach([this](const std::string& service,
+                                const std::string& domain,
+                                const domain_router& router) {
+    const std::string name = service + "." + domain;
+    state_.metrics.SetGauge("domain_left_share." + name, router.LeavingShare());
+    state_.metrics.SetGauge("domain_left_reason." + name,
+                            static_cast<double>(router.reason()));
+  });
+}
+
 void gateway_daemon::Stop(std::function<void()> on_stopped) {
   if (state_.stop.HasBegun()) {
     return;
--- a/source/gentian_gateway_daemon/gateway_daemon.h
+++ b/source/gentian_gateway_daemon/gateway_daemon.h
@@ -49,6 +49,8 @@
   void AnswerReadiness(http_exchange& exchange) const;
   void AnswerDirectory(http_exchange& exchange) const;
   void AnswerPeer(const std::shared_ptr<http_exchange>& exchange);
+  /** Sets the gauges of the shares that leave failure domains. */
+  void ReportDomains();
   http_response RefuseUnread(const http_request& begin, const error& reason);
   void FinishStop(const repeating_task::round& round);
   bool IsAnswering() const;
--- a/source/gentian_gateway_daemon/gateway_settings.h
+++ b/source/gentian_gateway_daemon/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gentian_core/gentian_core.h"
+#include "gentian_gateway/domain_routers.h"
 
 namespace gentian {
 
@@ -47,6 +48,8 @@
   std::size_t descriptors = 0;
   /** Time between the stop request and the forced end. */
   milliseconds stop_grace{8'000};
+  /** From the command line. */
+  domain_options domains{};
 };
 
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/gateway_state.h
+++ b/source/gentian_gateway_daemon/gateway_state.h
@@ -14,7 +14,8 @@
 struct gateway_state {
   explicit gateway_state(const gateway_settings& settings)
       : configuration(settings.withdrawal_bound, settings.configuration_bound),
-        membership(MemberKey(settings.host)) {}
+        membership(MemberKey(settings.host)),
+        domains(settings.domains, StableHash(settings.host)) {}
 
   /** True if requests that need a key can be decided: the configuration is
       fresh, the members are known, and this daemon's record, from which the
@@ -34,6 +35,7 @@
   allowance_meter allowances;
   allowance_holders holders;
   gateway_members membership;
+  domain_routers domains;
   relay_tree relays;
   turn_store_directory turn_stores;
   /** When the list of members last changed. */
--- a/source/gentian_gateway_daemon/turn_request.cc
+++ b/source/gentian_gateway_daemon/turn_request.cc
@@ -25,12 +25,14 @@
          {"most", value.max_output_tokens},
          {"finish_within_ms", value.finish_within.count()},
          {"time_left_ms", value.time_left.count()},
-         {"wait_limit_ms", value.wait_limit.count()}};
+         {"wait_limit_ms", value.wait_limit.count()},
+         {"failure_domain", value.failure_domain}};
 }
 
 void from_json(const json& in, turn_request& value) {
-  // Daemons of the previous version don't send this field.
+  // Daemons of the previous version don't send these fields.
   value.request_id = in.value("request", "");
+  value.failure_domain = in.value("failure_domain", "");
   in.at("program").get_to(value.program);
   in.at("service").get_to(value.service);
   in.at("priority").get_to(value.priority);
--- a/source/gentian_gateway_daemon/turn_request.h
+++ b/source/gentian_gateway_daemon/turn_request.h
@@ -24,6 +24,9 @@
   milliseconds time_left{0};
   /** Time after which the turn is refused if it has not been admitted. */
   milliseconds wait_limit{0};
+  /** Failure domain of the daemon that sends the turn; empty if that daemon
+      doesn't say. */
+  std::string failure_domain{};
 };
 
 /** The owner's answer. */
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -47,6 +47,11 @@
                  }),
       // Tickets of an earlier start must not identify turns of this one.
       last_ticket_(StableHash(writer) >> 16U) {
+  scheduler_.SetCharges([this](const waiting_turn& turn, steady_time now) {
+    return state_.domains.ChargesFor(turn.service, turn.failure_domain,
+                                     state_.targets,
+                                     state_.membership.members(), now);
+  });
   releasing_.Start();
 }
 
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -159,7 +159,7 @@
         kExcessiveBudgetShare * static_cast<double>(own.request.budget);
     scheduler_.Add({ticket, own.request.program, own.request.service,
                     own.request.priority, own.finish_by, own.deadline,
-                    own.wait_deadline, excessive});
+                    own.wait_deadline, excessive, own.request.failure_domain});
     Advance();
     return;
   }
--- a/tests/gateway/domain_router_test.cc
+++ b/tests/gateway/domain_router_test.cc
@@ -218,3 +218,71 @@
   cr_assert_float_eq(later.at("a").capacity, 16, 1e-3);
   cr_assert_not(later.at("a").age.has_value());
 }
+
+// Guards against services without a pace that are treated in a new way, and
+// against a switch that doesn't switch.
+Test(domain_routers, apply_to_services_that_report_a_pace) {
+  target_table table;
+  table.Update({Target("near", "a"), Target("far", "b")}, At(0));
+  table.ReportLoad("near", {1, 0, At(0)});
+  domain_routers automatic({}, 1);
+  domain_routers on({own_domain_mode::on, kPrice}, 1);
+  domain_routers off({own_domain_mode::off, kPrice}, 1);
+  cr_assert_not(automatic.ChargesFor("model", "a", table, {}, At(1)));
+  cr_assert(on.ChargesFor("model", "a", table, {}, At(1)));
+  table.ReportLoad("near", Report(1, 1));
+  cr_assert(automatic.ChargesFor("model", "a", table, {}, At(300)));
+  cr_assert_not(automatic.ChargesFor("model", "", table, {}, At(300)));
+  cr_assert_not(off.ChargesFor("model", "a", table, {}, At(300)));
+}
+
+// Guards against a change of share that isn't reported, and against a report
+// for each request.
+Test(domain_routers, report_changes_of_a_share) {
+  target_table table;
+  table.Update({Target("near", "a"), Target("far", "b")}, At(0));
+  domain_routers routers({}, 1);
+  routers.AddSample("model", kRequestTime);
+  member_record member;
+  member.failure_domain = "a";
+  std::size_t reports = 0;
+  for (int at = 0; at < 9'000; at += 10) {
+    table.ReportLoad("near", Report(40, at));
+    table.ReportLoad("far", Report(0, at));
+    routers.ChargesFor("model", "a", table, {{"one", member}}, At(at));
+    for (const domain_routers::change& change : routers.TakeChanges()) {
+      cr_assert_eq(change.domain, "a");
+      cr_assert(change.reason == domain_router::cause::own_is_busy);
+      ++reports;
+    }
+  }
+  cr_assert_eq(reports, 1);
+}
+
+// Guards against programs that are placed in another domain although the own
+// one has room, and against turns whose domain is not known being moved.
+Test(domain_routers, place_programs_in_the_domain_of_their_gateway) {
+  target_table table;
+  table.Update({Target("near", "a"), Target("far", "b")}, At(0));
+  table.ReportLoad("near", Report(3, 0));
+  table.ReportLoad("far", Report(1, 0));
+  domain_routers routers({}, 1);
+  turn_scheduler scheduler(table);
+  scheduler.SetCharges([&](const waiting_turn& turn, steady_time now) {
+    return routers.ChargesFor(turn.service, turn.failure_domain, table, {},
+                              now);
+  });
+  waiting_turn turn;
+  turn.service = "model";
+  turn.finish_by = turn.deadline = turn.reject_at = At(10'000);
+  turn.ticket = 1;
+  turn.program = "first";
+  turn.failure_domain = "a";
+  scheduler.Add(turn);
+  cr_assert_eq(scheduler.Advance(At(1)).at(0).target, "near");
+  turn.ticket = 2;
+  turn.program = "second";
+  turn.failure_domain = "";
+  scheduler.Add(turn);
+  cr_assert_eq(scheduler.Advance(At(2)).at(0).target, "far");
+}
