--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <cxxopts.hpp>
 #include <future>
-#include <map>
 #include <thread>
 
 #include "gentian_daemon/version.h"
@@ -33,20 +32,27 @@
 // No request is worth waiting longer for.
 constexpr milliseconds kMaxDistancePrice{600'000};
 
+struct domain_mode_row {
+  const char* name;
+  own_domain_mode mode;
+};
+
+constexpr std::array<domain_mode_row, 3> kDomainModes = {
+    {{"auto", own_domain_mode::automatic},
+     {"on", own_domain_mode::on},
+     {"off", own_domain_mode::off}}};
+
 bool ReadDomainOptions(const std::string& mode,
                        std::int64_t price_ms,
                        domain_options& read) {
-  static const std::map<std::string, own_domain_mode> kModes = {
-      {"auto", own_domain_mode::automatic},
-      {"on", own_domain_mode::on},
-      {"off", own_domain_mode::off}};
-  const auto found = kModes.find(mode);
-  if (found == kModes.end() || price_ms < 0 ||
-      price_ms > kMaxDistancePrice.count()) {
-    return false;
+  for (const domain_mode_row& row : kDomainModes) {
+    if (mode == row.name && price_ms >= 0 &&
+        price_ms <= kMaxDistancePrice.count()) {
+      read = {row.mode, milliseconds(price_ms)};
+      return true;
+    }
   }
-  read = {found->second, milliseconds(price_ms)};
-  return true;
+  return false;
 }
 
 struct limit_row {
