--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -61,7 +61,11 @@
 // affinity key, otherwise by whether they name a limit, load and failure
 // domain. A cold target ranks by its load, so that it gets all that its limit
 // lets it take, and more as it warms up.
-using rank = std::tuple<bool, bool, bool, bool, double, bool, std::uint64_t>;
+// With charges, the charge and the wait for a slot come before the load, and
+// take the place of the free slots: a domain whose slots are nearly all taken
+// may still be the better one.
+using rank =
+    std::tuple<bool, bool, bool, bool, double, double, bool, std::uint64_t>;
 
 rank RankOf(const known_target& target,
             const target_requirements& demand,
@@ -75,16 +79,26 @@
                           ? 0.0
                           : static_cast<double>(ExpectedLoad(target, now)) /
                                 std::max(1, target.record.slots);
+  const bool is_charged = demand.charges != nullptr && !has_affinity;
+  const double cost =
+      is_charged ? demand.charges->CostOf(target.record.failure_domain, load)
+                 : 0.0;
   const bool far =
       !has_affinity && target.record.failure_domain != demand.failure_domain;
   const bool other_software = !demand.preferred_version.empty() &&
                               target.record.version != demand.preferred_version;
-  const bool full =
-      IsFull(target, now) || (has_affinity && service.reports_pace &&
-                              IsMuchLater(target, service, demand.work, now));
-  return {
-      avoided, full, other_software, !has_affinity && target.NamesLimit(), load,
-      far,     hash};
+  const bool is_full = ((!is_charged || !demand.preferred_version.empty()) &&
+                        IsFull(target, now)) ||
+                       (has_affinity && service.reports_pace &&
+                        IsMuchLater(target, service, demand.work, now));
+  return {avoided,
+          is_full,
+          other_software,
+          !has_affinity && target.NamesLimit(),
+          cost,
+          load,
+          far,
+          hash};
 }
 
 bool IsUsable(const target_table& table,
@@ -238,7 +252,8 @@
   }
   const bool needs_free_slot =
       LacksColdTarget(targets, service->targets, demand, now);
-  if (service->performance.reports_pace && demand.affinity_key.empty()) {
+  if (service->performance.reports_pace && demand.affinity_key.empty() &&
+      demand.charges == nullptr) {
     return SelectSoonest(targets, *service, demand, needs_free_slot, now);
   }
   const std::uint64_t seed = StableHash(demand.affinity_key);
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "gentian_gateway/domain_charges.h"
 #include "gentian_gateway/expected_completion.h"
 #include "gentian_gateway/target_table.h"
 
@@ -30,6 +31,9 @@
       with the same reports don't all choose the same target. */
   std::uint64_t draw = 0;
   request_work work;
+  /** What leaving the failure domain costs; nullptr if only equally loaded
+      targets are compared by domain. Not used with an affinity key. */
+  const domain_charges* charges = nullptr;
 };
 
 /** Chooses a target for a request; nullptr if none is left.
--- a/source/gentian_gateway_daemon/gateway_call_attempt.cc
+++ b/source/gentian_gateway_daemon/gateway_call_attempt.cc
@@ -129,6 +129,7 @@
              target.failures,
              target.record.started_at_ms,
              target.record.version,
+             target.record.failure_domain,
              target.RateLimit(now),
              target.cold.TimeLeft(now),
              now};
@@ -433,6 +434,7 @@
 
 void gateway_call::RecordDuration() {
   const steady_time now = BootTimeNow();
+  environment_.state.domains.AddSample(service_, now - choice_.sent_at);
   environment_.state.stop.OnAnswered(route_->name,
                                      ToMilliseconds(now - choice_.sent_at));
   if (!IsEventStream()) {
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gentian_gateway_daemon/gateway_call.h"
+#include "gentian_log/gentian_log.h"
 
 namespace gentian {
 
@@ -14,6 +15,17 @@
 // Older paces hardly count.
 constexpr milliseconds kFreshPace{600};
 
+void LogDomainChanges(gateway_state& state) {
+  for (const domain_routers::change& next : state.domains.TakeChanges()) {
+    Log(log_level::info, "share that leaves the failure domain changed",
+        {{"service", next.service},
+         {"domain", next.domain},
+         {"share_before", next.before},
+         {"share", next.now},
+         {"reason", NameOf(next.reason)}});
+  }
+}
+
 }  // namespace
 
 const known_target* gateway_call::ChooseTarget(steady_time now) const {
@@ -60,6 +72,16 @@
     // The record that was written for the earlier send stays true.
     demand.preferred_version = recording_->origin().version;
   }
+  gateway_state& state = environment_.state;
+  // By default only turns are kept in their domain: plain requests carry few
+  // bytes, and their targets are so few that the wait for a slot matters more.
+  std::optional<domain_charges> charges;
+  if (environment_.settings.domains.mode == own_domain_mode::on) {
+    charges = state.domains.ChargesFor(service_, demand.failure_domain, targets,
+                                       state.membership.members(), now);
+  }
+  LogDomainChanges(state);
+  demand.charges = charges ? &*charges : nullptr;
   return SelectTarget(targets, demand, now);
 }
 
