--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -114,6 +114,7 @@
   const bool wrong_software =
       !demand.version.empty() && target.record.version != demand.version;
   return !wrong_software &&
+         (!demand.may_run || demand.may_run(target.record)) &&
          std::find(demand.excluded.begin(), demand.excluded.end(),
                    target.record.id) == demand.excluded.end();
 }
--- a/source/gentian_gateway/target_selector.h
+++ b/source/gentian_gateway/target_selector.h
@@ -2,6 +2,7 @@
 #define GENTIAN_GATEWAY_TARGET_SELECTOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   /** What leaving the failure domain costs; nullptr if only equally loaded
       targets are compared by domain. Not used with an affinity key. */
   const domain_charges* charges = nullptr;
+  /** Leaves out targets for which it is false; null for none. */
+  std::function<bool(const target_record&)> may_run = nullptr;
 };
 
 /** Chooses a target for a request; nullptr if none is left.
--- a/source/gentian_gateway/turn_scheduler.h
+++ b/source/gentian_gateway/turn_scheduler.h
@@ -35,6 +35,10 @@
   /** Failure domain of the daemon that sends the turn; empty if it is not
       known. */
   std::string failure_domain{};
+  /** Regions in which the turn may run; empty for any. */
+  std::vector<std::string> homes{};
+  /** Tells whether a target is in a home; null for any. */
+  std::function<bool(const target_record&)> may_run = nullptr;
 };
 
 /** The decision on a waiting turn. */
@@ -125,6 +129,8 @@
   std::string ChooseTarget(const waiting_turn& turn, steady_time now);
   double TurnsAt(const known_target& target, steady_time now) const;
   double EstimatedLoad(const known_target& target, steady_time now) const;
+  /** True if the targets in a turn's homes can take one more turn. */
+  bool HasRoomInHomes(const waiting_turn& turn) const;
   bool MayGetTurn(const known_target& target, steady_time now) const;
   void Pace(const known_target& target, steady_time now);
   void RemoveExpired(steady_time now);
--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -40,8 +40,7 @@
     // No other target may run it, even if this one has no room.
     return may_send(bound_target_) ? targets.Find(bound_target_) : nullptr;
   }
-  if (targets.IsEvacuated(bound_target_)) {
-    // It may not run the request again, and no other target may run it.
+  if (IsBoundForbidden()) {
     return nullptr;
   }
   for (const std::string* id : {&permitted_target_, &preferred_target_}) {
@@ -72,6 +71,11 @@
     // The record that was written for the earlier send stays true.
     demand.preferred_version = recording_->origin().version;
   }
+  if (policy_.has_homes()) {
+    demand.may_run = [this](const target_record& target) {
+      return policy_.MayRun(target);
+    };
+  }
   gateway_state& state = environment_.state;
   // By default only turns are kept in their domain: plain requests carry few
   // bytes, and their targets are so few that the wait for a slot matters more.
@@ -106,14 +110,22 @@
 bool gateway_call::IsUsable(const std::string& target) const {
   const known_target* known = environment_.state.targets.Find(target);
   return known != nullptr && known->record.service == service_ &&
+         policy_.MayRun(known->record) &&
          (!origin_ || known->record.version == origin_->version) &&
          std::find(excluded_.begin(), excluded_.end(), target) ==
              excluded_.end();
 }
 
+bool gateway_call::IsBoundForbidden() const {
+  const target_table& targets = environment_.state.targets;
+  const known_target* bound = targets.FindListed(bound_target_);
+  return bound != nullptr &&
+         (targets.IsEvacuated(bound_target_) || !policy_.MayRun(bound->record));
+}
+
 const known_target* gateway_call::FindSoonestRoom(steady_time now) const {
   const known_target* soonest = nullptr;
-  if (environment_.state.targets.IsEvacuated(bound_target_)) {
+  if (IsBoundForbidden()) {
     return nullptr;
   }
   for (const known_target* target :
--- a/source/gentian_gateway_daemon/turn_request.h
+++ b/source/gentian_gateway_daemon/turn_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gentian_gateway/gentian_gateway.h"
 
@@ -27,6 +28,10 @@
   /** Failure domain of the daemon that sends the turn; empty if that daemon
       doesn't say. */
   std::string failure_domain{};
+  /** Regions in which the turn may run; nothing for any. Owners of the build
+      before ignore them; the target that such an owner names is then not used
+      if it is in another region. */
+  std::optional<std::vector<std::string>> homes{};
 };
 
 /** The owner's answer. */
