Name all members in an outage; refuse for cold targets only if many lack room

The directory named only its own gateway while the listing of members was older than 2 s, in every deployment: in an outage of the key-value service, callers would have crowded at the few gateways whose directory they ask. And one cold target of many without room made all requests refused that found no free slot, though the other targets can queue some.

Change: the age of records counts only where the settings name the contract 'places', and only while there are listings. First attempts are refused for cold targets if a tenth of the service's targets lack room.

--- a/source/gentian_gateway/target_selector.cc
+++ b/source/gentian_gateway/target_selector.cc
@@ -227,19 +227,25 @@
              : other.best();
 }
 
-// True if a cold target has no room for the request, which must not overload
-// the others in its place. A request that has been tried already is not
-// refused for that: it may have run.
-bool LacksColdTarget(const target_table& table,
+// True if so many cold targets have no room for the request that the others
+// must not be overloaded in their place. A request that has been tried already
+// is not refused for that: it may have run.
+bool LackColdTargets(const target_table& table,
                      const std::vector<const known_target*>& targets,
                      const target_requirements& demand,
                      steady_time now) {
-  return demand.excluded.empty() &&
-         std::any_of(
-             targets.begin(), targets.end(), [&](const known_target* target) {
-               return target->cold.Rate(now) && table.TakesRequests(*target) &&
-                      (demand.skip_limited || target->HasNoRoom(now));
-             });
+  // The others can queue the requests of a smaller part.
+  constexpr double kMinShare = 0.1;
+  if (!demand.excluded.empty()) {
+    return false;
+  }
+  const auto lacking = std::count_if(
+      targets.begin(), targets.end(), [&](const known_target* target) {
+        return target->cold.Rate(now) && table.TakesRequests(*target) &&
+               (demand.skip_limited || target->HasNoRoom(now));
+      });
+  return lacking > 0 && static_cast<double>(lacking) >=
+                            kMinShare * static_cast<double>(targets.size());
 }
 
 }  // namespace
@@ -252,7 +258,7 @@
     return nullptr;
   }
   const bool needs_free_slot =
-      LacksColdTarget(targets, service->targets, demand, now);
+      LackColdTargets(targets, service->targets, demand, now);
   if (service->performance.reports_pace && demand.affinity_key.empty() &&
       demand.charges == nullptr) {
     return SelectSoonest(targets, *service, demand, needs_free_slot, now);
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -256,8 +256,8 @@
 }
 
 // A record that was listed proves that its gateway was there one lease before.
-// Where that was too long ago, this gateway names itself only, as it may have
-// been cut off while others ended.
+// While the key-value service gives no listings, all members are named: callers
+// would crowd at the few gateways that still answer otherwise.
 std::vector<named_gateway> gateway_daemon::NamedGateways() const {
   const steady_time now = BootTimeNow();
   const bool can_serve = state_.CanServe(now);
@@ -266,6 +266,9 @@
     since = now -
             std::max(kMinDirectoryAge, *settings_.stable_window + kEndedGrace -
                                            lease_registration::kLeaseTtl);
+    if (state_.membership.last_listing().value_or(steady_time{}) < since) {
+      since = steady_time{};
+    }
   }
   std::vector<named_gateway> gateways;
   for (const auto& [key, member] : state_.membership.members()) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -444,6 +444,7 @@
       R"("zone":"z-a","region":"north","platform":{"address":"10.0.0.2:1"})";
   const auto named = ParseNodeFile(
       begin + R"(,"zones":{"z-a":"north","z-b":"south","z-c":1},)"
+              R"("contracts":["base","places"],)"
               R"("bounds":{"cold_over":2,"cold_slack":3,"evac_ms":4000,)"
               R"("stable_window_ms":2500}})",
       "file");
@@ -460,5 +461,9 @@
   cr_assert(!Failed(absent));
   cr_assert(ValueOf(absent).regions.empty());
   cr_assert(!ValueOf(absent).stable_window);
+  const auto other_rules = ParseNodeFile(
+      begin + R"(,"contracts":["base"],"bounds":{"stable_window_ms":2500}})",
+      "file");
+  cr_assert(!ValueOf(other_rules).stable_window);
   cr_assert(ValueOf(absent).cold_factor == gateway_settings().cold_factor);
 }
