--- a/source/gentian_gateway_daemon/gateway_call_target.cc
+++ b/source/gentian_gateway_daemon/gateway_call_target.cc
@@ -57,8 +57,9 @@
   }
   demand.failure_domain = environment_.settings.failure_domain;
   // A retry compares other targets.
-  demand.draw = StableHash(
-      call_->request_id, static_cast<std::uint64_t>(sends_ + permit_requests_));
+  demand.draw = StableHash(call_->request_id,
+                           static_cast<std::uint64_t>(sends_) +
+                               static_cast<std::uint64_t>(permit_requests_));
   if (call_->request_id.empty()) {
     demand.draw +=
         static_cast<std::uint64_t>(arrived_.time_since_epoch().count());
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -256,7 +256,7 @@
 }
 
 // A record that was listed proves that its gateway was there one lease before.
-// While the key-value service gives no listings, all members are named: callers
+// While the key-value service doesn't answer, all members are named: callers
 // would crowd at the few gateways that still answer otherwise.
 std::vector<named_gateway> gateway_daemon::NamedGateways() const {
   const steady_time now = BootTimeNow();
@@ -266,7 +266,7 @@
     since = now -
             std::max(kMinDirectoryAge, *settings_.stable_window + kEndedGrace -
                                            lease_registration::kLeaseTtl);
-    if (state_.membership.last_listing().value_or(steady_time{}) < since) {
+    if (!state_.store_reached) {
       since = steady_time{};
     }
   }
--- a/tests/gateway/uneven_targets_test.cc
+++ b/tests/gateway/uneven_targets_test.cc
@@ -301,6 +301,7 @@
 Test(uneven_targets, finds_the_only_target_with_room) {
   target_table table;
   std::vector<target_record> listing;
+  listing.reserve(static_cast<std::size_t>(40));
   for (int i = 0; i < 40; ++i) {
     listing.push_back(Target("t" + std::to_string(100 + i), 2));
   }
--- a/tests/platform/gateway_daemon_test.cc
+++ b/tests/platform/gateway_daemon_test.cc
@@ -78,9 +78,10 @@
   cr_assert(WaitFor([&] { return subject.Gauge("members") == kOthers + 1; }));
   constexpr int kRequests = 40;
   for (int i = 0; i < kRequests; ++i) {
-    const int status =
-        Fetch(subject.client, subject.Request("/again/x")).response.status;
-    cr_assert(status == 200, "request %d: status %d", i, status);
+    const http_response answer =
+        Fetch(subject.client, subject.Request("/again/x")).response;
+    cr_assert(answer.status == 200, "request %d: status %d, %s", i,
+              answer.status, answer.body.c_str());
   }
 }
 
