Name all members before the first listing as well

Cause: the directory decided by the age of records that no listing has told of. Change: it asks whether there was a listing.

--- a/source/gentian_gateway/gateway_members.h
+++ b/source/gentian_gateway/gateway_members.h
@@ -39,6 +39,11 @@
       through an outage of the key-value service were not. */
   bool WasListed(const std::string& key, steady_time since) const;
 
+  /** When the latest listing was asked for; nothing before the first one. */
+  const std::optional<steady_time>& last_listing() const {
+    return last_listing_;
+  }
+
   /** Keys of the daemons that may still grant allowances: this one, the members
       and those whose records disappeared less than 5 s ago. */
   std::vector<std::string> PossibleGranters() const;
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -266,7 +266,7 @@
     since = now -
             std::max(kMinDirectoryAge, *settings_.stable_window + kEndedGrace -
                                            lease_registration::kLeaseTtl);
-    if (!state_.store_reached) {
+    if (!state_.store_reached || !state_.membership.last_listing()) {
       since = steady_time{};
     }
   }
