--- a/source/gentian_adapters/chat_assembler.cc
+++ b/source/gentian_adapters/chat_assembler.cc
@@ -6,7 +6,8 @@
 
 json FirstChoice(const json& chunk) {
   const auto choices = chunk.find("choices");
-  if (choices == chunk.end() || !choices->is_array() || choices->empty()) {
+  if (choices == chunk.end() || !choices->is_array() || choices->empty() ||
+      !choices->front().is_object()) {
     return json::object();
   }
   return choices->front();
--- a/source/gentian_adapters/etcd_codec.cc
+++ b/source/gentian_adapters/etcd_codec.cc
@@ -1,9 +1,22 @@
 #include "gentian_adapters/etcd_codec.h"
 
 #include <cstdlib>
+#include <utility>
 
 namespace gentian {
 
+namespace {
+
+// An entry of a listing has seven values.
+constexpr json_bounds kMessageBounds{64 * 1024 * 1024, 32, 1024 * 1024};
+
+}  // namespace
+
+json ParseEtcdMessage(const std::string& text) {
+  result<json> parsed = ParseBoundedJson(text, kMessageBounds);
+  return Failed(parsed) ? json() : std::move(ValueOf(parsed));
+}
+
 std::uint64_t ReadEtcdNumber(const json& object, const char* name) {
   const auto found = object.find(name);
   if (found == object.end()) {
--- a/source/gentian_adapters/etcd_codec.h
+++ b/source/gentian_adapters/etcd_codec.h
@@ -9,6 +9,12 @@
 
 namespace gentian {
 
+/** Parses a message of the service.
+
+    @returns  null for text that is not valid JSON, is nested deeply, or has so
+              many values that they would fill the memory */
+json ParseEtcdMessage(const std::string& text);
+
 /** Reads a 64-bit number that is written as text or as a number. An absent
     one is 0, as in the JSON form of protocol buffers.
 */
--- a/source/gentian_adapters/etcd_key_value_store.cc
+++ b/source/gentian_adapters/etcd_key_value_store.cc
@@ -30,7 +30,9 @@
 
 kv_answer ReadRange(const json& body) {
   kv_answer answer = OkAnswer(body);
-  for (const json& entry : body.value("kvs", json::array())) {
+  const json entries = body.value("kvs", json::array());
+  // Throws for anything but an array.
+  for (const json& entry : entries.get_ref<const json::array_t&>()) {
     answer.entries.push_back(ReadEtcdEntry(entry));
   }
   return answer;
@@ -67,10 +69,12 @@
 }
 
 kv_answer ReadHttpError(const http_response& response) {
-  const json body = json::parse(response.body, nullptr, false);
+  const json body = ParseEtcdMessage(response.body);
+  const auto reason = body.find("error");
   const bool lease_missing =
-      response.status == kNotFound && body.is_object() &&
-      body.value("error", "").find("lease") != std::string::npos;
+      response.status == kNotFound && reason != body.end() &&
+      reason->is_string() &&
+      reason->get_ref<const std::string&>().find("lease") != std::string::npos;
   // Any other error may have come after the change took effect.
   return Outcome(lease_missing ? status::lease_expired : status::no_answer);
 }
@@ -120,7 +124,7 @@
         }
         kv_answer answer = Outcome(status::no_answer);
         try {
-          answer = read(json::parse(response.body));
+          answer = read(ParseEtcdMessage(response.body));
         } catch (const json::exception&) {
           // An answer that can not be read says nothing about the effect.
           answer = Outcome(status::no_answer);
--- a/source/gentian_adapters/etcd_watch.cc
+++ b/source/gentian_adapters/etcd_watch.cc
@@ -74,17 +74,30 @@
 
   // The stream is a sequence of JSON objects, one a line.
   void Take(std::string_view bytes) {
+    // A long line comes in many parts.
+    std::size_t end = bytes.find('\n');
+    if (end != std::string_view::npos) {
+      end += pending_.size();
+    }
     pending_ += bytes;
-    std::size_t end = pending_.find('\n');
+    std::size_t start = 0;
     while (end != std::string::npos) {
-      TakeLine(pending_.substr(0, end));
-      pending_.erase(0, end + 1);
-      end = pending_.find('\n');
+      TakeLine(pending_.substr(start, end - start));
+      start = end + 1;
+      end = pending_.find('\n', start);
     }
+    pending_.erase(0, start);
   }
 
   void TakeLine(const std::string& line) {
-    const json message = json::parse(line, nullptr, false);
+    try {
+      TakeMessage(ParseEtcdMessage(line));
+    } catch (const json::exception&) {
+      Answer(Outcome(status::no_answer));
+    }
+  }
+
+  void TakeMessage(const json& message) {
     if (!message.is_object() || !message.contains("result") ||
         !message["result"].is_object()) {
       Answer(Outcome(status::no_answer));
--- a/source/gentian_adapters/target_stream.cc
+++ b/source/gentian_adapters/target_stream.cc
@@ -65,6 +65,9 @@
     body_ += bytes;
     return;
   }
+  if (ended_) {
+    return;
+  }
   const std::vector<stream_event> events = parser_.Feed(bytes);
   if (events.empty()) {
     // A comment shows that an engine whose call still waits is alive.
@@ -73,6 +76,9 @@
   for (const stream_event& event : events) {
     TakeEvent(event);
   }
+  if (parser_.is_too_long()) {
+    Fail(target_failure::broken, "an event of the stream is too long");
+  }
 }
 
 void target_stream::TakeEvent(const stream_event& event) {
@@ -80,10 +86,12 @@
     complete_ = true;
     return;
   }
-  json chunk = json::parse(event.data, nullptr, false);
-  if (chunk.is_discarded()) {
+  // Chunks are copied and written again, which recurses for each level.
+  result<json> parsed = ParseJsonBody(event.data);
+  if (Failed(parsed)) {
     return;
   }
+  json& chunk = ValueOf(parsed);
   std::uint64_t offset = next_offset_;
   std::from_chars(event.id.data(), event.id.data() + event.id.size(), offset);
   next_offset_ = offset + 1;
@@ -132,11 +140,15 @@
     }
   }
   finished.body = std::move(body);
-  sink_(std::move(finished));
+  if (!std::exchange(ended_, true)) {
+    sink_(std::move(finished));
+  }
 }
 
 void target_stream::Fail(target_failure failure, const std::string& message) {
-  sink_(target_failed{id_, failure, message});
+  if (!std::exchange(ended_, true)) {
+    sink_(target_failed{id_, failure, message});
+  }
 }
 
 }  // namespace gentian
--- a/source/gentian_adapters/target_stream.h
+++ b/source/gentian_adapters/target_stream.h
@@ -36,6 +36,8 @@
   bool is_stream_ = false;
   bool rejected_not_run_ = false;
   bool complete_ = false;
+  /** The answer was reported; what still comes of it is dropped. */
+  bool ended_ = false;
   std::string stream_id_;
   std::string body_;
   std::uint64_t next_offset_;
--- a/source/gentian_app/serve_command.cc
+++ b/source/gentian_app/serve_command.cc
@@ -4,10 +4,12 @@
 
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_app/crash_report.h"
+#include "gentian_app/platform_process.h"
 #include "gentian_app/process_signals.h"
 #include "gentian_app/startup_wait.h"
 #include "gentian_app/subcommand.h"
 #include "gentian_app/text_file.h"
+#include "gentian_core/process_usage.h"
 #include "gentian_daemon/daemon_file.h"
 #include "gentian_daemon/gentian_daemon.h"
 #include "gentian_log/gentian_log.h"
@@ -34,6 +36,9 @@
   }
   Log(log_level::info, "starting", {{"version", Version()}});
   io_pool pool(kIoThreads, &LogException);
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  BoundMemory(pool, options.memory_mb > 0 ? options.memory_mb * kMegabyte
+                                          : HostMemory());
   etcd_key_value_store key_values(pool, options.key_value_address);
   http_target_gateway targets(pool);
   http_host_list hosts(pool, options.host_list_address);
--- a/source/gentian_core/bounded_json.cc
+++ b/source/gentian_core/bounded_json.cc
@@ -3,15 +3,26 @@
 #include <algorithm>
 #include <limits>
 #include <string>
+#include <utility>
 
 namespace gentian {
 
 namespace {
 
-// The deepest nesting of the text, also if it is not valid JSON.
-int DepthOf(std::string_view text) {
+// Of a value in an object: its node, its name, and itself.
+constexpr std::size_t kValueBytes = 128;
+
+struct json_size {
+  int depth = 0;
+  std::size_t values = 1;
+};
+
+// The deepest nesting of the text and the most values that it can have, also if
+// it is not valid JSON. A value that is not the first one follows a comma, or
+// begins an array or object.
+json_size SizeOf(std::string_view text) {
+  json_size size;
   int depth = 0;
-  int deepest = 0;
   bool in_string = false;
   for (std::size_t i = 0; i < text.size(); ++i) {
     switch (text[i]) {
@@ -24,17 +35,21 @@
       case '[':
       case '{':
         depth += in_string ? 0 : 1;
-        deepest = std::max(deepest, depth);
+        size.depth = std::max(size.depth, depth);
+        size.values += in_string ? 0 : 1;
         break;
       case ']':
       case '}':
         depth -= in_string ? 0 : 1;
         break;
+      case ',':
+        size.values += in_string ? 0 : 1;
+        break;
       default:
         break;
     }
   }
-  return deepest;
+  return size;
 }
 
 }  // namespace
@@ -46,12 +61,18 @@
         error_kind::too_large, "the JSON text is too large",
         "write at most " + std::to_string(bounds.max_bytes) + " bytes"};
   }
-  if (DepthOf(text) > bounds.max_depth) {
+  const json_size size = SizeOf(text);
+  if (size.depth > bounds.max_depth) {
     return error{error_kind::malformed_request,
                  "the JSON text is nested too deeply",
                  "nest at most " + std::to_string(bounds.max_depth) +
                      " arrays and objects"};
   }
+  if (size.values > bounds.max_values) {
+    return error{error_kind::too_large, "the JSON text has too many values",
+                 "write at most " + std::to_string(bounds.max_values) +
+                     " values, arrays and objects"};
+  }
   json parsed = json::parse(text, nullptr, false);
   if (parsed.is_discarded()) {
     return error{error_kind::malformed_request, "the text is not valid JSON",
@@ -60,6 +81,16 @@
   return parsed;
 }
 
+std::size_t JsonCost(std::string_view text, std::size_t max_values) {
+  const std::size_t values = SizeOf(text).values;
+  return values > max_values ? 0 : values * kValueBytes + text.size();
+}
+
+json ParseJsonMessage(std::string_view text) {
+  result<json> parsed = ParseBoundedJson(text);
+  return Failed(parsed) ? json() : std::move(ValueOf(parsed));
+}
+
 std::optional<std::int64_t> FindInteger(const json& object,
                                         const char* name,
                                         std::int64_t least,
--- a/source/gentian_core/cbor_message.h
+++ b/source/gentian_core/cbor_message.h
@@ -1,11 +1,9 @@
 #ifndef GENTIAN_CORE_CBOR_MESSAGE_H_
 #define GENTIAN_CORE_CBOR_MESSAGE_H_
 
-#include <cstdint>
 #include <stdexcept>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "gentian_core/cbor.h"
 #include "gentian_core/json.h"
@@ -43,8 +41,7 @@
     @param convert  may throw json::exception or invalid_message */
 template <typename Value, typename Convert>
 result<Value> Decode(std::string_view bytes, Convert convert) {
-  const result<json> parsed =
-      ParseCbor(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+  const result<json> parsed = ParseCbor(bytes);
   if (Failed(parsed)) {
     return ErrorOf(parsed);
   }
--- a/source/gentian_core/process_usage.cc
+++ b/source/gentian_core/process_usage.cc
@@ -42,6 +42,14 @@
   return {CountDescriptors(), ReadResidentBytes()};
 }
 
+std::size_t HostMemory() {
+  const long pages = ::sysconf(_SC_PHYS_PAGES);
+  const long page = ::sysconf(_SC_PAGESIZE);
+  return pages > 0 && page > 0
+             ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(page)
+             : 0;
+}
+
 std::size_t DescriptorLimit() {
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
--- a/source/gentian_core/process_usage.h
+++ b/source/gentian_core/process_usage.h
@@ -15,6 +15,9 @@
 
 process_usage ReadProcessUsage();
 
+/** Memory of the host in bytes; 0 if it does not tell. */
+std::size_t HostMemory();
+
 /** Descriptors that the host lets this process open (RLIMIT_NOFILE); 0 if it
     sets no limit. */
 std::size_t DescriptorLimit();
--- a/source/gentian_daemon/connection_report.cc
+++ b/source/gentian_daemon/connection_report.cc
@@ -1,5 +1,7 @@
 #include "gentian_daemon/connection_report.h"
 
+#include <utility>
+
 #include "gentian_core/process_usage.h"
 #include "gentian_log/gentian_log.h"
 
@@ -20,6 +22,21 @@
   });
 }
 
+void ReportUnreadRequests(
+    http_server& server,
+    const std::string& listener,
+    std::function<void(const std::string& counter)> count) {
+  server.SetRefusalMaker([listener, count = std::move(count)](
+                             const http_request&, const error& reason) {
+    count("refused_unread." + listener + "." + NameOf(reason.kind));
+    Log(log_level::info, "unfinished request refused",
+        {{"listener", listener},
+         {"outcome", NameOf(reason.kind)},
+         {"detail", reason.message}});
+    return ErrorResponse(reason);
+  });
+}
+
 void ReportConnections(daemon_metrics& metrics,
                        const http_server& server,
                        const std::string& listener) {
--- a/source/gentian_daemon/connection_report.h
+++ b/source/gentian_daemon/connection_report.h
@@ -2,6 +2,7 @@
 #define GENTIAN_DAEMON_CONNECTION_REPORT_H_
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 #include "gentian_daemon/daemon_metrics.h"
@@ -15,6 +16,16 @@
     @param listener  its name in logs and metrics */
 void LogRefusedConnections(http_server& server, const std::string& listener);
 
+/** Counts requests that a server refuses before they have come as a whole in
+    `refused_unread.LISTENER.REASON`, and logs them. Precondition: the server
+    does not listen yet.
+
+    @param count  adds one to a counter; runs on an I/O thread */
+void ReportUnreadRequests(
+    http_server& server,
+    const std::string& listener,
+    std::function<void(const std::string& counter)> count);
+
 /** Sets the gauges of the connections of one server. */
 void ReportConnections(daemon_metrics& metrics,
                        const http_server& server,
--- a/source/gentian_daemon/credential_filter.cc
+++ b/source/gentian_daemon/credential_filter.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cstring>
 #include <string_view>
 #include <utility>
 
@@ -44,16 +45,36 @@
   return headers.Find("X-Api-Key");
 }
 
-std::string WithoutKey(std::string text, const std::string& key) {
-  if (key.empty()) {
+// Where the key is in the text, from a position on. Takes time in proportion to
+// the text also for a key that nearly matches everywhere.
+std::size_t FindKey(const std::string& text,
+                    const std::string& key,
+                    std::size_t start) {
+  const void* found = ::memmem(text.data() + start, text.size() - start,
+                               key.data(), key.size());
+  return found == nullptr ? std::string::npos
+                          : static_cast<std::size_t>(
+                                static_cast<const char*>(found) - text.data());
+}
+
+// Never longer than the text: anybody may present a key of one letter, and a
+// text that is full of it.
+std::string WithoutKey(const std::string& text, const std::string& key) {
+  std::size_t found = key.empty() ? std::string::npos : FindKey(text, key, 0);
+  if (found == std::string::npos) {
     return text;
   }
-  std::size_t found = text.find(key);
+  const std::string_view mark = kRemoved.substr(0, key.size());
+  std::string rest;
+  rest.reserve(text.size());
+  std::size_t start = 0;
   while (found != std::string::npos) {
-    text.replace(found, key.size(), kRemoved);
-    found = text.find(key, found + kRemoved.size());
+    rest.append(text, start, found - start);
+    rest += mark;
+    start = found + key.size();
+    found = FindKey(text, key, start);
   }
-  return text;
+  return rest.append(text, start, std::string::npos);
 }
 
 // Parameters are compared in decoded form, because %41 and A are the same.
--- a/source/gentian_daemon/daemon.cc
+++ b/source/gentian_daemon/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "gentian_daemon/admin_api.h"
 #include "gentian_daemon/caller_api.h"
+#include "gentian_daemon/connection_report.h"
 #include "gentian_daemon/decision_loop.h"
 #include "gentian_daemon/fleet_snapshot.h"
 #include "gentian_daemon/peer_exchange.h"
@@ -27,6 +28,7 @@
 // Time for the last bytes of answers to reach their callers.
 constexpr milliseconds kFlushDeadline{5'000};
 constexpr milliseconds kAdminExpiryCheck{500};
+constexpr std::size_t kMegabyte = 1024 * 1024;
 
 node_identity IdentityOf(const daemon_options& options) {
   node_identity identity;
@@ -44,6 +46,11 @@
   return limits;
 }
 
+// A request is parsed, and copied without the caller's key.
+std::size_t CostOfBody(const std::string& body) {
+  return 2 * JsonCost(body, kMaxJsonValues);
+}
+
 }  // namespace
 
 class daemon::parts {
@@ -129,6 +136,8 @@
           api_.Handle(exchange);
         },
         ServerLimits(bounds_.callers), caller_tls_);
+    ReportUnread(*server_, "callers");
+    server_->SetBodyCost(&CostOfBody);
     result<success> bound = server_->Bind(options_.caller_address);
     if (Failed(bound)) {
       return bound;
@@ -166,9 +175,17 @@
           admin_.Handle(exchange);
         },
         ServerLimits(bounds_.services), caller_tls_);
+    ReportUnread(*admin_server_, "admin");
+    admin_server_->SetBodyCost(&CostOfBody);
     return admin_server_->Bind(options_.admin_address);
   }
 
+  void ReportUnread(http_server& server, const std::string& listener) {
+    ReportUnreadRequests(server, listener, [this](const std::string& counter) {
+      latencies_.CountUnread(counter);
+    });
+  }
+
   void CreateLoop() {
     const auto own = initial_.settings.daemons.find(options_.host);
     if (own != initial_.settings.daemons.end()) {
@@ -384,7 +401,8 @@
   caller_api api_;
   admin_api admin_;
   supervisor supervisor_;
-  const connection_bounds bounds_ = BoundConnections();
+  const connection_bounds bounds_ =
+      BoundConnections(0, options_.memory_mb* kMegabyte);
   std::unique_ptr<http_server> server_;
   std::unique_ptr<http_server> admin_server_;
   std::unique_ptr<periodic_timer> quiet_timer_;
--- a/source/gentian_daemon/daemon_file_fields.cc
+++ b/source/gentian_daemon/daemon_file_fields.cc
@@ -11,6 +11,7 @@
 
 constexpr double kSecond = 1e3;
 constexpr double kHour = 3600e3;
+constexpr double kMostMegabytes = 1e6;
 
 field Entry(std::string name,
             value_rule rule,
@@ -56,6 +57,11 @@
                Into(&daemon_options::data_folder),
                "Folder for copies of sessions; leave it out on hosts without "
                "a disk"),
+      Entry("memory_mb", value_rule{value_type::count, 0, kMostMegabytes},
+            presence::defaulted, "0", Into(&daemon_options::memory_mb),
+            "Memory that the process may use, in megabytes; a quarter of it is "
+            "for messages of callers and targets, and 0 stands for the memory "
+            "of the host"),
       Entry("stop_deadline", value_rule{value_type::duration, kSecond, kHour},
             presence::defaulted, "5m", Into(&daemon_options::stop_deadline),
             "Time after which a planned stop ends requests that still run")};
--- a/source/gentian_daemon/daemon_options.h
+++ b/source/gentian_daemon/daemon_options.h
@@ -1,6 +1,7 @@
 #ifndef GENTIAN_DAEMON_DAEMON_OPTIONS_H_
 #define GENTIAN_DAEMON_DAEMON_OPTIONS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
   /** Certificate of the callers' interface; empty for plain HTTP. */
   tls_files caller_tls;
   std::string log_level = "info";
+  /** Memory that the process may use, in megabytes; 0 for that of the host. */
+  std::uint64_t memory_mb = 0;
   /** Time after which a planned stop ends requests that still run. */
   milliseconds stop_deadline{300'000};
 };
--- a/source/gentian_daemon/latency_recorder.cc
+++ b/source/gentian_daemon/latency_recorder.cc
@@ -51,6 +51,11 @@
   refusals_.Add(std::string("refused.") + gentian::NameOf(kind));
 }
 
+void latency_recorder::CountUnread(const std::string& counter) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  refusals_.Add(counter);
+}
+
 std::string latency_recorder::ToPrometheus(
     const counter_set& node_counters,
     const std::map<std::string, double>& gauges) {
--- a/source/gentian_daemon/latency_recorder.h
+++ b/source/gentian_daemon/latency_recorder.h
@@ -24,6 +24,11 @@
   /** A request was refused without asking the node. */
   void CountRefusal(error_kind kind);
 
+  /** A request was refused before it had come as a whole.
+
+      @param counter  name of what is counted */
+  void CountUnread(const std::string& counter);
+
   /** The metrics page.
 
       @param node_counters  counters of the node
--- a/source/gentian_decisions/checkpoint_batch.cc
+++ b/source/gentian_decisions/checkpoint_batch.cc
@@ -28,7 +28,8 @@
 }
 
 result<checkpoint_batch> DecodeCheckpoint(const std::string& text) {
-  auto parsed = ParseCbor(std::vector<std::uint8_t>(text.begin(), text.end()));
+  // Its size bounds it: what a daemon has stored must not be refused.
+  auto parsed = ParseCbor(text, text.size());
   if (Failed(parsed)) {
     return ErrorOf(parsed);
   }
--- a/source/gentian_gateway_daemon/allowance_service.cc
+++ b/source/gentian_gateway_daemon/allowance_service.cc
@@ -149,7 +149,7 @@
       address, kTakePath, question,
       [this, holder, failed,
        on_verdict = std::move(on_verdict)](const http_response& response) {
-        const json answer = json::parse(response.body, nullptr, false);
+        const json answer = ParseJsonMessage(response.body);
         if (!answer.is_object() || !answer.contains("wait_ms") ||
             !answer["wait_ms"].is_number_integer()) {
           state_.counters.Add("allowance_answer_unreadable");
@@ -250,7 +250,7 @@
   if (path != kTakePath && path != kReturnPath) {
     return false;
   }
-  const json body = json::parse(exchange->request().body, nullptr, false);
+  const json body = ParseJsonMessage(exchange->request().body);
   const shared_configuration configuration = state_.configuration.current();
   const gateway_team* team =
       configuration && body.is_object() && body.contains("team") &&
--- a/source/gentian_gateway_daemon/crash_service.cc
+++ b/source/gentian_gateway_daemon/crash_service.cc
@@ -148,7 +148,7 @@
 void crash_service::OnCounterAnswer(const std::string& body) {
   try {
     const steady_time now = BootTimeNow();
-    const json answer = json::parse(body);
+    const json answer = ParseJsonMessage(body);
     for (const json& block : answer.at("blocks")) {
       const auto fingerprint = block.at("fingerprint").get<std::string>();
       const milliseconds left = ReadMilliseconds(block, "left_ms", kMaxTime);
@@ -271,7 +271,7 @@
   try {
     const steady_time now = BootTimeNow();
     json blocks = json::array();
-    const json body = json::parse(exchange->request().body);
+    const json body = ParseJsonMessage(exchange->request().body);
     for (const json& report : body.at("reports")) {
       const auto fingerprint = report.at("fingerprint").get<std::string>();
       for (const json& crash : report.at("crashes")) {
--- a/source/gentian_gateway_daemon/gateway_daemon.cc
+++ b/source/gentian_gateway_daemon/gateway_daemon.cc
@@ -129,6 +129,9 @@
           [this](const repeating_task::round& round) { FinishStop(round); }) {
   for (const listener& next : kListeners) {
     LogRefusedConnections(this->*next.server, next.name);
+    ReportUnreadRequests(
+        this->*next.server, next.name,
+        [this](const std::string& counter) { state_.counters.Add(counter); });
   }
 }
 
--- a/source/gentian_gateway_daemon/target_limit_service.cc
+++ b/source/gentian_gateway_daemon/target_limit_service.cc
@@ -207,7 +207,7 @@
       [this, target, max_wait, shared](const http_response& response) {
         permit answer{false, kMovedRetryAfter};
         try {
-          const json body = json::parse(response.body);
+          const json body = ParseJsonMessage(response.body);
           answer.wait = ReadMilliseconds(body, "wait_ms", kMaxWait);
           // A caller is not kept for longer than the request may wait.
           answer.granted =
@@ -378,7 +378,7 @@
     return false;
   }
   try {
-    const json body = json::parse(exchange->request().body);
+    const json body = ParseJsonMessage(exchange->request().body);
     const std::optional<target_limit> told = LearnStatement(body);
     if (path == kTellPath) {
       exchange->Respond(JsonResponse(kOk, json::object()));
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -138,7 +138,7 @@
   }
   turn_verdict verdict;
   try {
-    verdict = json::parse(response.body).get<turn_verdict>();
+    verdict = ParseJsonMessage(response.body).get<turn_verdict>();
   } catch (const json::exception&) {
     // The owner restarted and no longer knows the ticket.
     verdict.result = outcome::unavailable;
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -306,7 +306,7 @@
     return false;
   }
   try {
-    const json body = json::parse(exchange->request().body);
+    const json body = ParseJsonMessage(exchange->request().body);
     if (path == kEndPath) {
       EndOwned(body.get<turn_end>());
       exchange->Respond(JsonResponse(kOk, json::object()));
--- a/source/gentian_net/event_stream.cc
+++ b/source/gentian_net/event_stream.cc
@@ -26,10 +26,17 @@
 
 std::vector<stream_event> event_stream_parser::Feed(std::string_view bytes) {
   std::vector<stream_event> complete;
+  if (is_too_long_) {
+    return complete;
+  }
+  // A long line comes in many parts, which are not searched again.
+  std::size_t end = bytes.find('\n');
+  if (end != std::string_view::npos) {
+    end += pending_.size();
+  }
   pending_ += bytes;
   std::size_t start = 0;
-  std::size_t end = pending_.find('\n');
-  while (end != std::string::npos) {
+  while (end != std::string::npos && !is_too_long_) {
     std::string_view line(pending_.data() + start, end - start);
     if (!line.empty() && line.back() == '\r') {
       line.remove_suffix(1);
@@ -39,6 +46,11 @@
     end = pending_.find('\n', start);
   }
   pending_.erase(0, start);
+  is_too_long_ = is_too_long_ || pending_.size() > kMaxEventBytes;
+  if (is_too_long_) {
+    pending_ = std::string();
+    current_ = stream_event{};
+  }
   return complete;
 }
 
@@ -67,6 +79,7 @@
     }
     current_.data += value;
     has_data_ = true;
+    is_too_long_ = current_.data.size() > kMaxEventBytes;
   } else if (name == "id") {
     current_.id = value;
   } else if (name == "event") {
--- a/source/gentian_net/http_connection.cc
+++ b/source/gentian_net/http_connection.cc
@@ -702,7 +702,8 @@
 
 void connection::BeginExchange() {
   receive_timer_.cancel();
-  if (!input_memory_->Resize(parser_->HeaderCost() + parser_->body().size())) {
+  if (!input_memory_->Resize(parser_->HeaderCost() + parser_->body().size() +
+                             environment_->body_cost(parser_->body()))) {
     RefuseWithoutMemory();
     return;
   }
--- a/source/gentian_net/http_connection.h
+++ b/source/gentian_net/http_connection.h
@@ -45,6 +45,8 @@
                                                const error& reason) {
     return ErrorResponse(reason);
   };
+  std::function<std::size_t(const std::string& body)> body_cost =
+      [](const std::string&) { return std::size_t{0}; };
   memory_budget& memory;
   /** Replaced as a whole; read through std::atomic_load. */
   std::shared_ptr<const http_server_limits> limits;
--- a/source/gentian_net/http_message.cc
+++ b/source/gentian_net/http_message.cc
@@ -55,7 +55,8 @@
 
 result<json> ParseJsonBody(const std::string& text) {
   result<json> parsed = ParseBoundedJson(
-      text, {std::numeric_limits<std::size_t>::max(), kMaxJsonDepth});
+      text,
+      {std::numeric_limits<std::size_t>::max(), kMaxJsonDepth, kMaxJsonValues});
   if (Failed(parsed)) {
     return Malformed("the body can't be used: " + ErrorOf(parsed).message);
   }
--- a/source/gentian_net/http_message.h
+++ b/source/gentian_net/http_message.h
@@ -58,12 +58,16 @@
 http_response ErrorResponse(const error& reason);
 
 /** Parses a JSON body. Nesting deeper than kMaxJsonDepth is refused, because
-    writing such a value back recurses once for each level.
+    writing such a value back recurses once for each level, and more than
+    kMaxJsonValues values, because each takes some hundred bytes.
 */
 result<json> ParseJsonBody(const std::string& text);
 
 /** Deepest nesting that ParseJsonBody accepts. */
 constexpr int kMaxJsonDepth = 64;
+/** Most values that ParseJsonBody accepts, of arrays, objects and what they
+    hold. */
+constexpr std::size_t kMaxJsonValues = 256 * 1024;
 
 }  // namespace gentian
 
--- a/source/gentian_net/http_server.cc
+++ b/source/gentian_net/http_server.cc
@@ -258,6 +258,11 @@
   state_->environment->make_refusal = std::move(make);
 }
 
+void http_server::SetBodyCost(
+    std::function<std::size_t(const std::string& body)> cost) {
+  state_->environment->body_cost = std::move(cost);
+}
+
 void http_server::SetRefusalObserver(
     std::function<void(const refused_connections& refused)> observer) {
   state_->on_refused = std::move(observer);
--- a/source/gentian_net/http_server.h
+++ b/source/gentian_net/http_server.h
@@ -106,6 +106,13 @@
       not listen yet. */
   void SetRefusalMaker(refusal_maker make);
 
+  /** Tells what the handler makes of a body, so that it is counted before a
+      request runs; nothing beside the body itself by default. Precondition: the
+      server does not listen yet.
+
+      @param cost  memory that a body takes once it is read, in bytes */
+  void SetBodyCost(std::function<std::size_t(const std::string& body)> cost);
+
   /** @param observer  runs on an I/O thread when connections are refused, at
                        most once a second; must not use the server.
                        Precondition: the server does not listen yet. */
--- a/source/gentian_net/message_parser.cc
+++ b/source/gentian_net/message_parser.cc
@@ -14,14 +14,27 @@
 
 // Of a field in two copies of a header, beside its text.
 constexpr std::size_t kFieldBytes = 2 * sizeof(http_headers::field);
-// Colon and end of a line.
-constexpr std::size_t kLineBytes = 3;
 
 // Beast takes the line of a chunk's size with its extension, and the last such
-// line with all trailers, as a whole. A chunk that is not the first one begins
-// with the end of the line before.
-bool IsInTrailers(std::string_view rest, std::size_t max_line) {
-  return rest.substr(0, max_line).find('\n', 2) != std::string_view::npos;
+// line with all trailers, as a whole. Both are measured as they were sent, and
+// as far as they have come, so that it doesn't matter in which parts they come.
+boost::system::error_code CheckChunkLine(std::string_view text,
+                                         std::size_t max_bytes) {
+  // A chunk that is not the first one begins with the end of the line before.
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (text.substr(0, kLineEnd.size()) == kLineEnd) {
+    text.remove_prefix(kLineEnd.size());
+  }
+  const std::size_t line = text.find('\n');
+  const std::size_t line_size =
+      line == std::string_view::npos ? text.size() : line + 1;
+  if (line_size > max_bytes) {
+    return http::error::bad_chunk_extension;
+  }
+  if (text.size() - line_size > max_bytes) {
+    return http::error::header_limit;
+  }
+  return {};
 }
 
 }  // namespace
@@ -33,6 +46,9 @@
   this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
       max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
   this->body_limit(max_body_bytes);
+  // A step ends with each part of the message, so that it can be measured: the
+  // limit of Beast applies to what one step gets of a header only.
+  this->eager(false);
 }
 
 template <bool IsRequest>
@@ -41,12 +57,11 @@
   std::size_t taken = 0;
   while (taken < input.size() && !this->is_done()) {
     const bool is_header = !this->is_header_done();
-    // A step ends at the end of the header, so that its bytes can be counted:
-    // the limit of Beast applies to what one step gets of it only.
-    this->eager(!is_header);
     const std::size_t rest = input.size() - taken;
+    has_chunk_line_ = false;
     const std::size_t used =
         this->put(boost::asio::buffer(input.data() + taken, rest), failure);
+    const std::string_view parsed(input.data() + taken, used);
     taken += used;
     if (is_header) {
       header_bytes_ += used;
@@ -56,6 +71,8 @@
           all > max_header_bytes_) {
         failure = http::error::header_limit;
       }
+    } else if (has_chunk_line_ && !failure) {
+      failure = CheckChunkLine(parsed, max_header_bytes_);
     }
     if (failure || used == 0) {
       break;
@@ -66,10 +83,9 @@
     input = std::string();
   }
   if (failure == http::error::need_more && this->is_header_done() &&
-      input.size() > max_header_bytes_) {
-    failure = IsInTrailers(input, max_header_bytes_)
-                  ? http::error::header_limit
-                  : http::error::bad_chunk_extension;
+      this->chunked()) {
+    const error_code too_long = CheckChunkLine(input, max_header_bytes_);
+    failure = too_long ? too_long : failure;
   }
 }
 
@@ -140,14 +156,7 @@
 void message_parser<IsRequest>::on_field_impl(http::field /*known*/,
                                               string_view name,
                                               string_view value,
-                                              error_code& failure) {
-  if (this->is_header_done()) {
-    trailer_bytes_ += name.size() + value.size() + kLineBytes;
-    if (trailer_bytes_ > max_header_bytes_) {
-      failure = http::error::header_limit;
-      return;
-    }
-  }
+                                              error_code& /*failure*/) {
   fields_.append(name.data(), name.size());
   fields_ += ':';
   fields_.append(value.data(), value.size());
@@ -179,11 +188,9 @@
 
 template <bool IsRequest>
 void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
-                                                     string_view extensions,
-                                                     error_code& failure) {
-  if (extensions.size() > max_header_bytes_) {
-    failure = http::error::bad_chunk_extension;
-  }
+                                                     string_view /*extensions*/,
+                                                     error_code& /*failure*/) {
+  has_chunk_line_ = true;
 }
 
 template <bool IsRequest>
--- a/source/gentian_net/message_parser.h
+++ b/source/gentian_net/message_parser.h
@@ -16,8 +16,8 @@
 template <bool IsRequest>
 class message_parser : public boost::beast::http::basic_parser<IsRequest> {
  public:
-  /** @param max_header_bytes  of the header, of all trailers, and of the line
-                              of a chunk, each
+  /** @param max_header_bytes  of the header, of all trailers with the line that
+                              ends them, and of the line of a chunk, each
       @param max_body_bytes    of the body */
   message_parser(std::size_t max_header_bytes, std::uint64_t max_body_bytes);
 
@@ -85,8 +85,9 @@
 
   const std::size_t max_header_bytes_;
   std::size_t header_bytes_ = 0;
-  std::size_t trailer_bytes_ = 0;
   std::size_t field_count_ = 0;
+  /** The last step of the parser ended the line of a chunk. */
+  bool has_chunk_line_ = false;
   int status_ = 0;
   std::string method_;
   std::string target_;
--- a/source/gentian_turn_daemon/turn_store_daemon.cc
+++ b/source/gentian_turn_daemon/turn_store_daemon.cc
@@ -64,6 +64,9 @@
           [this](const exchange_pointer& exchange) { Answer(exchange); },
           InternalLimits(settings_)) {
   LogRefusedConnections(server_, kListenerName);
+  ReportUnreadRequests(
+      server_, kListenerName,
+      [this](const std::string& counter) { counters_.Add(counter); });
 }
 
 turn_store_daemon::~turn_store_daemon() = default;
--- a/tests/adapters/etcd_test.cc
+++ b/tests/adapters/etcd_test.cc
@@ -165,3 +165,76 @@
   cr_assert(EndOfPrefix("a\xff") == "b");
   cr_assert(EndOfPrefix("\xff") == std::string(1, '\0'));
 }
+
+// Guards against answers of the service that end the process, or a call that
+// never ends: nested deeply, of many values, and of unexpected shapes.
+Test(etcd, odd_answers_are_no_answers, .timeout = 120) {
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string many;
+  for (std::size_t i = 0; i < kDepth + kDepth / 4; ++i) {
+    many += ",{}";
+  }
+  for (const auto& [code, body] : std::vector<std::pair<int, std::string>>{
+           {200, R"({"kvs":)" + nested + "}"},
+           {200, R"({"header":)" + nested + "}"},
+           {200, R"({"kvs":5,"header":{"revision":"1"}})"},
+           {200, R"({"kvs":[{})" + many + "]}"},
+           {404, R"({"error":5})"},
+           {404, R"({"error":)" + nested + "}"},
+           {404, "[]"}}) {
+    io_pool pool(1);
+    http_server server(
+        pool, [answer = http_response{code, {}, body}](const auto& exchange) {
+          exchange->Respond(answer);
+        });
+    cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+    etcd_key_value_store adapter(pool, server.address());
+    std::promise<kv_answer> done;
+    adapter.Call(kv_list{"a", false}, kDeadline, [&done](kv_answer answer) {
+      done.set_value(std::move(answer));
+    });
+    auto answer = done.get_future();
+    cr_assert(answer.wait_for(2 * kDeadline) == std::future_status::ready,
+              "%d %s", code, body.substr(0, 40).c_str());
+    cr_assert(answer.get().outcome != status::ok, "%d %s", code,
+              body.substr(0, 40).c_str());
+    server.Stop();
+    pool.Stop();
+  }
+}
+
+// The same for watches, whose lines come in parts.
+Test(etcd, odd_lines_of_a_watch_are_no_answers, .timeout = 120) {
+  constexpr std::size_t kDepth = 200'000;
+  for (const std::string& line :
+       {R"({"result":{"events":)" + std::string(kDepth, '[') +
+            std::string(kDepth, ']') + "}}",
+        std::string(R"({"result":{"created":5}})"),
+        std::string(R"({"result":{"events":[{"kv":{},"type":5}]}})"),
+        std::string("[]")}) {
+    io_pool pool(1);
+    http_server server(pool, [&line](const auto& exchange) {
+      exchange->StartChunks({});
+      exchange->SendChunk(line);
+      exchange->SendChunk("\n");
+    });
+    cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+    etcd_key_value_store adapter(pool, server.address());
+    std::promise<kv_answer> done;
+    kv_watch watch;
+    watch.prefix = "a";
+    watch.wait = kDeadline;
+    adapter.Call(watch, 2 * kDeadline, [&done](kv_answer answer) {
+      done.set_value(std::move(answer));
+    });
+    auto answer = done.get_future();
+    cr_assert(answer.wait_for(3 * kDeadline) == std::future_status::ready, "%s",
+              line.substr(0, 40).c_str());
+    cr_assert(answer.get().outcome == status::no_answer, "%s",
+              line.substr(0, 40).c_str());
+    server.Stop();
+    pool.Stop();
+  }
+}
--- a/tests/adapters/targets_test.cc
+++ b/tests/adapters/targets_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gentian_adapters/gentian_adapters.h"
+#include "gentian_adapters/target_stream.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
@@ -240,3 +241,47 @@
   broken.Stop();
   pool.Stop();
 }
+
+// Guards against a chunk of a stream that is nested so deeply that the stack
+// ends when it is copied, and against one of an unexpected shape.
+Test(targets, odd_chunks_end_nothing, .timeout = 60) {
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string nested = R"({"choices":)" + std::string(kDepth, '[') +
+                             std::string(kDepth, ']') + "}";
+  for (const std::string& odd : {nested, std::string(R"({"choices":[5]})")}) {
+    std::vector<event> events;
+    target_stream stream(
+        dispatch_call(), std::make_shared<chat_assembler>(),
+        [&](event next) { events.push_back(std::move(next)); });
+    http_headers headers;
+    headers.Add("Content-Type", "text/event-stream");
+    stream.OnHeader(200, headers);
+    stream.OnBody("data: " + odd + "\n\n");
+    stream.OnBody("data: [DONE]\n\n");
+    stream.OnEnd();
+    cr_assert(!events.empty() &&
+              std::holds_alternative<target_finished>(events.back()));
+  }
+}
+
+// Guards against an event without an end, and against two ends of one call.
+Test(targets, an_event_without_end_fails_once, .timeout = 60) {
+  std::vector<event> events;
+  target_stream stream(dispatch_call(), std::make_shared<chat_assembler>(),
+                       [&](event next) { events.push_back(std::move(next)); });
+  http_headers headers;
+  headers.Add("Content-Type", "text/event-stream");
+  stream.OnHeader(200, headers);
+  const std::string part(64 * 1024, 'x');
+  for (std::size_t sent = 0; sent <= 2 * event_stream_parser::kMaxEventBytes;
+       sent += part.size()) {
+    stream.OnBody(part);
+  }
+  stream.OnEnd();
+  const auto failures =
+      std::count_if(events.begin(), events.end(), [](const event& next) {
+        return std::holds_alternative<target_failed>(next);
+      });
+  cr_assert(failures == 1);
+  cr_assert(std::holds_alternative<target_failed>(events.back()));
+}
--- a/tests/core/bounded_json_test.cc
+++ b/tests/core/bounded_json_test.cc
@@ -68,3 +68,48 @@
   cr_assert(!FindInteger(json::object(), "n", 0, 1));
   cr_assert(!FindInteger(json::array({1}), "n", 0, 1));
 }
+
+// Guards against short text whose many small values take the memory of a
+// process, and against commas inside of text that count as values.
+Test(bounded_json, refuses_too_many_values) {
+  constexpr json_bounds kBounds{1'000, 4, 10};
+  for (const char* most :
+       {"[1,2,3,4,5,6,7,8]", R"({"a":[],"b":{},"c":[1,2,3,4]})",
+        R"(["\",,,,,,,,,,,,\""])", "[[],[],[],[]]"}) {
+    cr_assert(!Failed(ParseBoundedJson(most, kBounds)), "%s", most);
+  }
+  for (const char* more :
+       {"[1,2,3,4,5,6,7,8,9,10]", "[[],[],[],[],[],[]]", "[,,,,,,,,,,,,",
+        R"({"a":1,"b":1,"c":1,"d":1,"e":{"f":1,"g":1,"h":1,"i":1,"j":1}})"}) {
+    const auto parsed = ParseBoundedJson(more, kBounds);
+    cr_assert(Failed(parsed) && ErrorOf(parsed).kind == error_kind::too_large,
+              "%s", more);
+  }
+}
+
+// Guards against an estimate below what the parsed form takes: beside itself,
+// each value of an array or object takes at least a node of 16 bytes.
+Test(bounded_json, the_cost_grows_with_the_values) {
+  constexpr std::size_t kMost = 3'000;
+  cr_assert(JsonCost("1", kMost) >= sizeof(json));
+  std::string text = "[{}";
+  for (int i = 0; i < 1'000; ++i) {
+    text += ",{}";
+  }
+  // An empty object has a map of 48 bytes.
+  cr_assert(JsonCost(text + "]", kMost) >= 1'000 * (sizeof(json) + 48));
+  // It is refused before it is parsed.
+  cr_assert(JsonCost(text + "]", 1'000) == 0);
+}
+
+// Guards against a message of another process that is used although it is
+// beyond the bounds.
+Test(bounded_json, messages_beyond_the_bounds_are_null) {
+  cr_assert(ParseJsonMessage(R"({"a":1})").at("a") == 1);
+  for (const std::string& odd :
+       {std::string(), std::string("{"), Nested(40, '[', ']'),
+        '"' + std::string(70'000, 'x') + '"',
+        "[" + std::string(20'000, ',') + "]"}) {
+    cr_assert(ParseJsonMessage(odd).is_null(), "%zu bytes", odd.size());
+  }
+}
--- a/tests/core/cbor_test.cc
+++ b/tests/core/cbor_test.cc
@@ -33,3 +33,15 @@
   const json value = {{"a", {1, -2, 3.5, nullptr, true}}, {"b", {{"c", "d"}}}};
   cr_assert(gentian::ValueOf(ParseCbor(json::to_cbor(value))) == value);
 }
+
+// Guards against values of one byte each that take the memory of a process.
+// 0xa0 is an empty map, and 0x9f starts an array that 0xff ends.
+Test(cbor, too_many_values_are_refused) {
+  const auto maps = [](std::size_t number) {
+    return "\x9f" + std::string(number, '\xa0') + "\xff";
+  };
+  cr_assert_not(gentian::Failed(ParseCbor(maps(9), 10)));
+  cr_assert(gentian::Failed(ParseCbor(maps(10), 10)));
+  cr_assert_not(gentian::Failed(ParseCbor(maps(gentian::kMaxCborValues - 1))));
+  cr_assert(gentian::Failed(ParseCbor(maps(gentian::kMaxCborValues))));
+}
--- a/tests/daemon/credential_filter_test.cc
+++ b/tests/daemon/credential_filter_test.cc
@@ -106,3 +106,22 @@
   chat.headers.Add("X-Session", "s");
   cr_assert(!Failed(ReadCallerRequest(chat)));
 }
+
+// Guards against a request that keeps a thread for hours, or takes many times
+// its size: anybody may present a key of one letter.
+Test(credential_filter, a_short_key_makes_no_text_longer, .timeout = 30) {
+  constexpr std::size_t kSize = 4 * 1024 * 1024;
+  const std::string almost(4'000, 'a');
+  for (const std::string& key : {std::string("a"), almost + "b"}) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/sessions";
+    request.headers.Add("Authorization", "Bearer " + key);
+    request.body = json(std::string(kSize, 'a') + key).dump();
+    const auto filtered = FilterCredentials(request);
+    cr_assert(!Failed(filtered));
+    const auto text = ValueOf(filtered).body.get<std::string>();
+    cr_assert(text.size() <= kSize + key.size());
+    cr_assert(text.find(key) == std::string::npos);
+  }
+}
--- a/tests/daemon/daemon_file_test.cc
+++ b/tests/daemon/daemon_file_test.cc
@@ -51,3 +51,14 @@
   cr_assert(ToString(problems[4]).find("no key") != std::string::npos);
   cr_assert(ToString(problems[5]).find("belong together") != std::string::npos);
 }
+
+// Guards against a memory of the process that is not taken from its file.
+Test(daemon_file, reads_the_memory) {
+  const std::string file = kGood;
+  cr_assert(
+      std::get<daemon_options>(ParseDaemonFile(file, "d.ini")).memory_mb == 0);
+  const std::string with =
+      "[daemon]\nmemory_mb = 96\n" + file.substr(file.find('\n') + 1);
+  cr_assert(
+      std::get<daemon_options>(ParseDaemonFile(with, "d.ini")).memory_mb == 96);
+}
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -370,6 +370,24 @@
   }
 }
 
+// Guards against events and lines without an end, and against a long line that
+// is searched again for each of its parts.
+Test(event_stream, long_events_end_it, .timeout = 30) {
+  constexpr std::size_t kMost = event_stream_parser::kMaxEventBytes;
+  constexpr std::size_t kPart = 1'000;
+  for (const std::string& part :
+       {std::string(kPart, 'x'), "data:" + std::string(kPart, 'x') + "\n"}) {
+    event_stream_parser parser;
+    cr_assert(parser.Feed("data: 1\n\ndata: ").size() == 1);
+    std::size_t sent = 0;
+    for (; !parser.is_too_long() && sent < 2 * kMost; sent += part.size()) {
+      cr_assert(parser.Feed(part).empty());
+    }
+    cr_assert(sent > kMost && sent < kMost + kMost / 8, "%zu", sent);
+    cr_assert(parser.Feed("\n\ndata: 2\n\n").empty());
+  }
+}
+
 // Guards against a stack overflow when a deeply nested body is written back.
 Test(json_body, deep_nesting_is_refused) {
   cr_assert(Failed(ParseJsonBody(std::string(100'000, '['))));
--- a/tests/net/message_limit_test.cc
+++ b/tests/net/message_limit_test.cc
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/beast/http/error.hpp>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "gentian_net/message_parser.h"
 #include "support/raw_connection.h"
 #include "support/raw_server.h"
 #include "support/synchronous_http.h"
@@ -71,6 +74,63 @@
   return answer.substr(std::min(answer.size(), answer.find("\r\n\r\n") + 4));
 }
 
+struct outcome {
+  bool is_done = false;
+  boost::system::error_code failure;
+  std::string body;
+
+  bool operator==(const outcome& other) const {
+    return is_done == other.is_done && failure == other.failure &&
+           body == other.body;
+  }
+};
+
+outcome Parse(const std::vector<std::string>& parts, std::size_t limit) {
+  detail::message_parser<true> parser(limit, kHeaderLimit);
+  std::string input;
+  outcome result;
+  for (const std::string& part : parts) {
+    input += part;
+    parser.Feed(input, result.failure);
+    if (result.failure == boost::beast::http::error::need_more) {
+      result.failure = {};
+    }
+    if (result.failure || parser.is_done()) {
+      break;
+    }
+  }
+  result.is_done = parser.is_done() && !result.failure;
+  if (result.is_done) {
+    result.body = parser.body();
+  }
+  return result;
+}
+
+// A message whose lines of chunks and trailers have about the limit.
+template <typename Number>
+std::string ChunkedMessage(const Number& number, std::size_t limit) {
+  std::string message =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto extension = [&] {
+    return number(0, 3) > 0 ? std::string()
+                            : ";" + std::string(number(limit - 8, limit), 'e');
+  };
+  for (std::size_t chunks = number(0, 2); chunks > 0; --chunks) {
+    message += "3" + extension() + "\r\nabc\r\n";
+  }
+  message += "0" + extension() + "\r\n";
+  std::size_t trailers = number(0, 2) > 0 ? number(limit - 16, limit + 4) : 0;
+  while (trailers > 0) {
+    const std::size_t size = std::min(trailers, number(4, limit));
+    trailers -= size;
+    message += "a:" +
+               std::string(std::max<std::size_t>(size, 4) - 4,
+                           number(0, 1) > 0 ? ' ' : 'v') +
+               "\r\n";
+  }
+  return number(0, 4) > 0 ? message + "\r\n" : message;
+}
+
 // The outcome of a GET at a server that answers so, and then ends.
 http_outcome FetchFrom(const std::string& answer) {
   io_pool pool(1);
@@ -173,6 +233,37 @@
   cr_expect(served.response.headers.fields().size() == 15'001);
 }
 
+// Guards against a limit that depends on the parts in which a message comes.
+// The messages are around the limits, and each comes as a whole and in parts.
+Test(message_limit, parts_do_not_decide) {
+  constexpr unsigned kSeed = 11;
+  constexpr int kMessages = 4'000;
+  constexpr std::size_t kLimit = 200;
+  std::mt19937 random(kSeed);
+  const auto number = [&random](std::size_t least, std::size_t most) {
+    return std::uniform_int_distribution<std::size_t>(least, most)(random);
+  };
+  int refused = 0;
+  int complete = 0;
+  for (int i = 0; i < kMessages; ++i) {
+    const std::string message = ChunkedMessage(number, kLimit);
+    const outcome whole = Parse({message}, kLimit);
+    std::vector<std::string> parts;
+    for (std::size_t at = 0; at < message.size();) {
+      const std::size_t size = std::min(number(1, 90), message.size() - at);
+      parts.push_back(message.substr(at, size));
+      at += size;
+    }
+    cr_assert(Parse(parts, kLimit) == whole, "message %d of seed %u:\n%s", i,
+              kSeed, message.c_str());
+    refused += whole.failure ? 1 : 0;
+    complete += whole.is_done ? 1 : 0;
+  }
+  // The messages are on both sides of the limits.
+  cr_assert(refused > kMessages / 10 && complete > kMessages / 10, "%d %d",
+            refused, complete);
+}
+
 // Guards against input behind a request that fills the memory while the request
 // is answered.
 Test(message_limit, input_behind_a_request_can_be_given_up) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -25,8 +25,10 @@
            {"Finish-Ms", "5200"},
            {"Token-Budget", "4712"},
            {"Token-Count", "1840,589"},
-           {"Connection", "keep-alive, X-Hop"},
+           {"Connection", "keep-alive,, X-Hop ,\tx-OTHER"},
            {"X-Hop", "1"},
+           {"X-Other", "3"},
+           {"X", "4"},
            {"X-Own", "2"}}) {
     request.headers.Add(name, value);
   }
@@ -76,6 +78,25 @@
   }
 }
 
+// Guards against identifiers that fill the memory, since they are kept after
+// their requests.
+Test(platform_protocol, rejects_identifiers_that_are_too_long) {
+  constexpr std::size_t kMost = 1'024;
+  for (const char* name :
+       {"Request-Id", "Program-Id", "Previous-Turn", "Last-Event-Id"}) {
+    for (const std::size_t size : {kMost, kMost + 1}) {
+      http_request request;
+      request.method = "POST";
+      request.target = "/x/";
+      request.headers.Add("Host", "h");
+      request.headers.Add(name, std::string(size, 'a'));
+      cr_assert(platform_protocol().DecodeCall(request).has_value() ==
+                    (size == kMost),
+                "%s", name);
+    }
+  }
+}
+
 // Guards against forwarding a caller's key, or a reserved header field that the
 // caller forged, to a target.
 Test(platform_protocol, sets_the_systems_fields_itself) {
@@ -89,6 +110,8 @@
   cr_assert(headers.Find("Hold").empty());
   cr_assert(headers.Find("Kv-From").empty());
   cr_assert(headers.Find("X-Hop").empty());
+  cr_assert(headers.Find("X-Other").empty());
+  cr_assert(headers.Find("X") == "4");
   cr_assert(headers.Find("X-Own") == "2");
   cr_assert(headers.Find("Tenant") == "team");
   cr_assert(headers.Find("Expect-Instance") == "i-1");
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -128,12 +128,17 @@
     return Fetch(client, request).response.status;
   }
 
-  /** The value of a gauge of the metrics page; -1 if it is absent. */
-  double Gauge(const std::string& name) {
+  /** The metrics of the gateway. */
+  std::string Page() {
     http_client_request request;
     request.address = peer_address;
     request.target = "/metrics";
-    const std::string page = Fetch(client, request).response.body;
+    return Fetch(client, request).response.body;
+  }
+
+  /** The value of a gauge of the metrics page; -1 if it is absent. */
+  double Gauge(const std::string& name) {
+    const std::string page = Page();
     const std::string line = "\ngentian_" + name + " ";
     const std::size_t at = page.find(line);
     return at == std::string::npos ? -1
