--- a/source/gentian_net/message_parser.cc
+++ b/source/gentian_net/message_parser.cc
@@ -14,6 +14,8 @@
 
 // Of a field in two copies of a header, beside its text.
 constexpr std::size_t kFieldBytes = 2 * sizeof(http_headers::field);
+// The shortest end of a chunked message.
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 // Beast takes the line of a chunk's size with its extension, and the last such
 // line with all trailers, as a whole. Both are measured as they were sent, and
@@ -58,6 +60,12 @@
   while (taken < input.size() && !this->is_done()) {
     const bool is_header = !this->is_header_done();
     const std::size_t rest = input.size() - taken;
+    // Beast asserts that it gets a last chunk as a whole once it has seen the
+    // line of it. Every message has this many bytes left here.
+    if (IsAtChunkLine() && rest < kLastChunk.size()) {
+      failure = http::error::need_more;
+      break;
+    }
     has_chunk_line_ = false;
     const std::size_t used =
         this->put(boost::asio::buffer(input.data() + taken, rest), failure);
@@ -187,10 +195,11 @@
 }
 
 template <bool IsRequest>
-void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
+void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t size,
                                                      string_view /*extensions*/,
                                                      error_code& /*failure*/) {
   has_chunk_line_ = true;
+  chunk_left_ = size;
 }
 
 template <bool IsRequest>
@@ -198,6 +207,7 @@
     std::uint64_t /*rest*/,
     string_view body,
     error_code& failure) {
+  chunk_left_ -= body.size();
   return on_body_impl(body, failure);
 }
 
--- a/source/gentian_net/message_parser.h
+++ b/source/gentian_net/message_parser.h
@@ -54,6 +54,13 @@
   using error_code = boost::system::error_code;
   using string_view = boost::beast::string_view;
 
+  /** True between the chunks of a message, and before the first and the last
+      one. */
+  bool IsAtChunkLine() const {
+    return this->is_header_done() && !this->is_done() && this->chunked() &&
+           chunk_left_ == 0;
+  }
+
   // Runs a function for each field until it returns false.
   template <typename Visit>
   void ForEachField(Visit visit) const;
@@ -86,6 +93,8 @@
   const std::size_t max_header_bytes_;
   std::size_t header_bytes_ = 0;
   std::size_t field_count_ = 0;
+  /** Bytes of the chunk that have not come. */
+  std::uint64_t chunk_left_ = 0;
   /** The last step of the parser ended the line of a chunk. */
   bool has_chunk_line_ = false;
   int status_ = 0;
--- a/tests/net/message_limit_test.cc
+++ b/tests/net/message_limit_test.cc
@@ -233,6 +233,34 @@
   cr_expect(served.response.headers.fields().size() == 15'001);
 }
 
+// Guards against a process that an assertion of the parser ends, when the last
+// chunk comes in parts.
+Test(message_limit, a_message_may_be_cut_anywhere) {
+  const std::string begin =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* body :
+       {"0\r\n\r\n", "00\r\n\r\n", "0;x\r\n\r\n", "0\r\na:1\r\n\r\n",
+        "1\r\nx\r\n0\r\n\r\n", "1\r\nx\r\n2\r\nyz\r\n0\r\na:\r\n\r\n"}) {
+    const std::string message = begin + body;
+    const outcome whole = Parse({message}, kHeaderLimit);
+    cr_assert(whole.is_done);
+    std::vector<std::string> bytes;
+    for (const char next : message) {
+      bytes.emplace_back(1, next);
+    }
+    cr_assert(Parse(bytes, kHeaderLimit) == whole, "%s", body);
+    for (std::size_t first = 0; first < message.size(); ++first) {
+      for (std::size_t second = first; second < message.size(); ++second) {
+        const std::vector<std::string> parts = {
+            message.substr(0, first), message.substr(first, second - first),
+            message.substr(second)};
+        cr_assert(Parse(parts, kHeaderLimit) == whole, "%s at %zu and %zu",
+                  body, first, second);
+      }
+    }
+  }
+}
+
 // Guards against a limit that depends on the parts in which a message comes.
 // The messages are around the limits, and each comes as a whole and in parts.
 Test(message_limit, parts_do_not_decide) {
--- a/tests/process/hostile_client_test.cc
+++ b/tests/process/hostile_client_test.cc
@@ -2,6 +2,7 @@
 // sent, or without an end. The bounds are those of the settings.
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -30,31 +31,48 @@
 // Takes the most memory for each byte that is sent.
 constexpr const char* kShortLine = "a:\r\n";
 
-// Has connections send to a process, and checks it meanwhile and afterwards.
-void Expose(observed_process& process,
-            const std::string& address,
-            const std::string& path,
-            std::size_t memory,
-            std::size_t connections,
-            const hostile_input& input) {
-  {
+// Sends the end of a body byte for byte.
+void SendInParts(const std::string& address) {
+  constexpr std::chrono::milliseconds kPause{20};
+  for (const char* end : {"0\r\n\r\n", "1\r\nx\r\n0\r\n\r\n"}) {
+    const raw_connection connection(address);
+    connection.Write(kChunked);
+    for (const char next : std::string(end)) {
+      std::this_thread::sleep_for(kPause);
+      connection.Write(std::string(1, next));
+    }
+  }
+}
+
+// Does to a process what its address is needed for.
+using exposure =
+    std::function<void(observed_process& process, const std::string& address)>;
+
+// Has connections send to a process, and watches it meanwhile.
+exposure Crowd(std::size_t connections, const hostile_input& input) {
+  return [connections, input](observed_process& process,
+                              const std::string& address) {
     hostile_crowd crowd(address, connections);
     crowd.Send(input, [&process] { process.Observe(); });
     process.ObserveUntilSteady();
-  }
-  ExpectSound(process, address, path, memory);
+  };
 }
 
 // A gateway without a key-value service.
-void ExposeGateway(std::size_t connections, const hostile_input& input) {
+void ExposeGateway(const exposure& expose) {
   const exclusive_load alone;
   limited_gateway gateway("127.0.0.1:1");
-  Expose(gateway.process(), gateway.callers(), "/x",
-         limited_gateway::kMemoryMegabytes, connections, input);
+  expose(gateway.process(), gateway.callers());
+  ExpectSound(gateway.process(), gateway.callers(), "/x",
+              limited_gateway::kMemoryMegabytes);
+}
+
+void ExposeGateway(std::size_t connections, const hostile_input& input) {
+  ExposeGateway(Crowd(connections, input));
 }
 
 // Starts a daemon with a key-value service.
-void ExposeServe(std::size_t connections, const hostile_input& input) {
+void ExposeServe(const exposure& expose) {
   const exclusive_load alone;
   const process_folder folder;
   io_pool pool(1);
@@ -75,13 +93,17 @@
     while (!raw_connection(callers).connected()) {
       std::this_thread::sleep_for(kPollInterval);
     }
-    Expose(process, callers, "/v1/addresses", kServeMegabytes, connections,
-           input);
+    expose(process, callers);
+    ExpectSound(process, callers, "/v1/addresses", kServeMegabytes);
   }
   http.Stop();
   pool.Stop();
 }
 
+void ExposeServe(std::size_t connections, const hostile_input& input) {
+  ExposeServe(Crowd(connections, input));
+}
+
 hostile_input LongTrailer() {
   return {kChunked + std::string("1\r\nx\r\n0\r\nA: "), "yyyyyyyy", kEndless};
 }
@@ -127,6 +149,21 @@
   ExposeGateway(kFew, LongExtension());
 }
 
+// Guards against a process that ends when a client sends the last chunk of a
+// body in parts: an assertion of its parser ended it.
+
+Test(hostile_client, the_last_chunk_in_parts, .timeout = 900) {
+  ExposeGateway([](observed_process&, const std::string& address) {
+    SendInParts(address);
+  });
+}
+
+Test(hostile_serve, the_last_chunk_in_parts, .timeout = 900) {
+  ExposeServe([](observed_process&, const std::string& address) {
+    SendInParts(address);
+  });
+}
+
 // Each line of a head took some hundred bytes, which nothing counted.
 
 Test(hostile_client, short_lines_below_the_counted_size, .timeout = 900) {
--- a/tests/support/loopback_server.h
+++ b/tests/support/loopback_server.h
@@ -42,7 +42,8 @@
  public:
   /** @param serve  its connection stays open after it returns */
   explicit loopback_server(std::function<void(int peer)> serve)
-      : serve_(std::move(serve)), listener_(ListenOnLoopback(address_, 16)) {
+      : serve_(std::move(serve)),
+        listener_(ListenOnLoopback(address_, kBacklog)) {
     accepting_ = std::thread([this] { Accept(); });
   }
   ~loopback_server() { Stop(); }
@@ -90,6 +91,10 @@
   }
 
  private:
+  // A connection that finds no place is only tried again after a second, and
+  // then after two and four.
+  static constexpr int kBacklog = 512;
+
   void Accept() {
     while (true) {
       const int peer = ::accept(listener_, nullptr, nullptr);
