--- a/source/gentian_net/peer_link.cc
+++ b/source/gentian_net/peer_link.cc
@@ -162,6 +162,7 @@
       return;
     }
     phase_ = phase::open;
+    codec_->TakeLongMessages();
   }
 
   void SendWaiting() {
--- a/source/gentian_net/websocket_codec.cc
+++ b/source/gentian_net/websocket_codec.cc
@@ -12,6 +12,8 @@
 
 // A copy of the sessions of a shard is the largest message.
 constexpr std::size_t kMaxMessageBytes = 64 * 1024 * 1024;
+// Of an end that has not proven who it is.
+constexpr std::size_t kMaxFirstBytes = 4 * 1024;
 
 // websocketpp's byte-oriented transport: the socket, its strand and its timers
 // stay with the owner, as for HTTP.
@@ -28,7 +30,7 @@
       : events_(std::move(events)) {
     endpoint_.clear_access_channels(websocketpp::log::alevel::all);
     endpoint_.clear_error_channels(websocketpp::log::elevel::all);
-    endpoint_.set_max_message_size(kMaxMessageBytes);
+    endpoint_.set_max_message_size(kMaxFirstBytes);
     if constexpr (std::is_same_v<Endpoint, client_endpoint>) {
       websocketpp::lib::error_code failure;
       connection_ = endpoint_.get_connection("ws://" + address + "/", failure);
@@ -69,6 +71,10 @@
     static_cast<void>(ignored);
   }
 
+  void TakeLongMessages() override {
+    connection_->set_max_message_size(kMaxMessageBytes);
+  }
+
   void SendPing() override {
     websocketpp::lib::error_code ignored;
     connection_->ping("", ignored);
--- a/source/gentian_net/websocket_codec.h
+++ b/source/gentian_net/websocket_codec.h
@@ -29,6 +29,9 @@
   virtual void Feed(std::string_view bytes) = 0;
   virtual void Send(bool binary, std::string_view message) = 0;
   virtual void SendPing() = 0;
+  /** Takes messages of any size from now on, and not only those of 4 KB that
+      the ends introduce themselves with. */
+  virtual void TakeLongMessages() = 0;
 };
 
 /** Creates the client's end. */
--- a/tests/process/hostile_client_test.cc
+++ b/tests/process/hostile_client_test.cc
@@ -222,3 +222,19 @@
 Test(hostile_serve, heads_of_legal_size_and_an_awaited_body, .timeout = 900) {
   ExposeServe(kFew, AwaitedBody(kLegalHead));
 }
+
+// Guards against long messages on links of daemons that have not shown the
+// cluster's key.
+Test(hostile_serve, long_messages_before_the_key, .timeout = 900) {
+  // A masked text message of 32 MB.
+  const std::string frame("\x81\xff\0\0\0\0\x02\0\0\0\0\0\0\0", 14);
+  const hostile_input input{
+      "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
+      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n" +
+          frame,
+      "yyyyyyyy", kEndless};
+  ExposeServe([&input](observed_process& process, const std::string&) {
+    Crowd(kFew, input)(process, ProcessIp() + ":18370");
+  });
+}
