Report a reset to the read although a write was told of it

Callers saw: a target answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written. The caller got the part as a whole answer with its seal; a stream ended early as complete.

Cause: the kernel reports the reset of a connection once, to the read or to the write that asks first. The other one sees an orderly end. The client ignores failures of its writes, because a server may answer before it has read all, so the read's end of file counted as the end of the answer. The tunnel server has the same fault where the read's handler runs before the write's.

Change: byte_stream keeps the result of the last write, and a read that sees an orderly end reports that failure. If the write is still in progress and the connection is closed both ways (POLLHUP), the read waits for its result, which is about to come. A write after an orderly end gets EPIPE (in the kernel, a reset in CLOSE_WAIT), so that an early answer that ends in order stays whole. All users of connections get this: client, tunnels, servers, links.

--- a/source/gentian_net/byte_stream.cc
+++ b/source/gentian_net/byte_stream.cc
@@ -1,6 +1,8 @@
 #include "gentian_net/byte_stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -78,11 +80,30 @@
   }
 
   void ReadSome(asio::mutable_buffer space, read_handler handler) override {
-    stream_.async_read_some(space, std::move(handler));
+    stream_.async_read_some(space, [this, handler = std::move(handler)](
+                                       boost::system::error_code failure,
+                                       std::size_t size) mutable {
+      if (failure == asio::error::eof) {
+        OnEnd(std::move(handler));
+      } else {
+        handler(failure, size);
+      }
+    });
   }
 
   void Write(asio::const_buffer bytes, read_handler handler) override {
-    asio::async_write(stream_, bytes, std::move(handler));
+    is_writing_ = true;
+    asio::async_write(stream_, bytes,
+                      [this, handler = std::move(handler)](
+                          boost::system::error_code failure, std::size_t size) {
+                        is_writing_ = false;
+                        write_failure_ = failure;
+                        const auto on_end = std::exchange(on_end_, nullptr);
+                        handler(failure, size);
+                        if (on_end) {
+                          on_end(EndAfter(failure), 0);
+                        }
+                      });
   }
 
   bool HasInput() override {
@@ -119,9 +140,40 @@
   }
 
  private:
+  // How a connection ended whose read was told of an orderly end, given the
+  // result of a write. The kernel reports a reset once, to the read or to the
+  // write. A write that gets broken_pipe came after an orderly end.
+  static boost::system::error_code EndAfter(
+      boost::system::error_code write_failure) {
+    return write_failure && write_failure != asio::error::broken_pipe
+               ? write_failure
+               : asio::error::eof;
+  }
+
+  // The write in progress may have been told of a reset although its handler
+  // has not run. On a connection that the peer alone has ended, it may wait for
+  // long.
+  void OnEnd(read_handler handler) {
+    if (is_writing_ && IsClosedBothWays()) {
+      on_end_ = std::move(handler);
+    } else {
+      handler(EndAfter(write_failure_), 0);
+    }
+  }
+
+  bool IsClosedBothWays() {
+    pollfd state{SocketOf(stream_).native_handle(), 0, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & POLLHUP) != 0;
+  }
+
   std::shared_ptr<asio::ssl::context> tls_;
   std::string peer_address_;
   Stream stream_;
+  bool is_writing_ = false;
+  /** Result of the last write. */
+  boost::system::error_code write_failure_;
+  /** Handler of a read that waits for the result of the write in progress. */
+  read_handler on_end_;
 };
 
 }  // namespace
--- a/source/gentian_net/byte_stream.h
+++ b/source/gentian_net/byte_stream.h
@@ -30,9 +30,12 @@
                        done_handler handler) = 0;
   /** TLS handshake in the role of server or client; at once without TLS. */
   virtual void Handshake(bool as_server, done_handler handler) = 0;
+  /** Fails with `eof` after an orderly end of the peer only, also where a write
+      has been told of a reset. */
   virtual void ReadSome(boost::asio::mutable_buffer space,
                         read_handler handler) = 0;
-  /** Writes everything. The bytes must stay valid until the handler runs. */
+  /** Writes everything. The bytes must stay valid until the handler runs. One
+      write at a time. */
   virtual void Write(boost::asio::const_buffer bytes, read_handler handler) = 0;
   /** True if bytes or an end of stream are waiting to be read. */
   virtual bool HasInput() = 0;
--- /dev/null
+++ b/tests/net/broken_answer_test.cc
@@ -0,0 +1,154 @@
+// Tests answers of servers in trouble that must not count as whole, directly
+// and through a tunnel.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "support/early_server.h"
+#include "support/synchronous_http.h"
+
+using namespace gentian;
+using gentian::testing::early_server;
+using gentian::testing::IsResetReported;
+using gentian::testing::WaitFor;
+
+namespace {
+
+// More than the buffers of a connection hold, so that the upload can't end.
+constexpr std::size_t kUpload = 32 * 1024 * 1024;
+constexpr const char* kOpenEnded = "HTTP/1.1 200 OK\r\n\r\n";
+
+enum class path { direct, tunnel };
+
+/** What a client got of one answer. */
+struct received_answer {
+  std::string body;
+  bool is_whole = false;
+};
+
+/** A client that uploads to a server which answers early. */
+class uploading_client {
+ public:
+  explicit uploading_client(early_server::script answer)
+      : server(std::move(answer)), tunnels(pool, [this](const std::string&) {
+          return result<std::string>(server.address());
+        }) {
+    cr_assert(!Failed(tunnels.Listen("127.0.0.1:0")));
+  }
+  ~uploading_client() {
+    pool.Stop();
+    server.Stop();
+  }
+
+  /** @param on_part  runs when a part of the body has come */
+  received_answer Upload(path way, std::function<void()> on_part) {
+    http_client_request request;
+    request.address = server.address();
+    if (way == path::tunnel) {
+      request.tunnel = tunnels.address();
+      request.tunnel_name = "s";
+    }
+    request.method = "POST";
+    request.shared_body = body_;
+    request.deadline = milliseconds(20'000);
+    request.confirm_end = true;
+    std::promise<bool> is_whole;
+    received_answer got;
+    http_client_handlers handlers;
+    handlers.on_body = [&](std::string_view bytes) {
+      got.body += bytes;
+      on_part();
+    };
+    handlers.on_end = [&] { is_whole.set_value(true); };
+    handlers.on_failure = [&](http_failure failure, const std::string&) {
+      cr_expect(failure == http_failure::broken);
+      is_whole.set_value(false);
+    };
+    client.Send(std::move(request), std::move(handlers));
+    got.is_whole = is_whole.get_future().get();
+    return got;
+  }
+
+  io_pool pool{2};
+  early_server server;
+  tunnel_server tunnels;
+  http_client client{pool};
+
+ private:
+  const std::shared_ptr<const std::string> body_ =
+      std::make_shared<const std::string>(kUpload, 'x');
+};
+
+}  // namespace
+
+// Guards against a part of an answer that counts as whole: it has no length,
+// and its connection is reset while the request is still being written. Without
+// a tunnel, the write is told of the reset before the next read begins.
+Test(broken_answer, a_reset_during_the_upload_is_no_end, .timeout = 120) {
+  for (const path way : {path::direct, path::tunnel}) {
+    std::atomic<int> sender{-1};
+    std::promise<void> has_part;
+    std::promise<void> is_reset;
+    uploading_client subject(
+        [&](const std::string&, early_server::connection& caller) {
+          caller.Send(kOpenEnded);
+          sender = caller.AwaitBlockedSender();
+          caller.Send("part");
+          has_part.get_future().wait();
+          caller.Reset();
+          is_reset.set_value();
+        });
+    const received_answer got = subject.Upload(way, [&] {
+      has_part.set_value();
+      is_reset.get_future().wait();
+      if (way == path::direct) {
+        cr_assert(WaitFor([&sender] { return IsResetReported(sender); }));
+      }
+    });
+    cr_assert(got.body == "part");
+    cr_assert(!got.is_whole, "%s",
+              way == path::direct ? "direct" : "through a tunnel");
+  }
+}
+
+// Guards against an early answer that is refused although its server ended it
+// in order and goes on to read the request, or doesn't.
+Test(broken_answer, an_early_answer_in_order_is_whole, .timeout = 120) {
+  for (const path way : {path::direct}) {
+    for (const bool reads_on : {true, false}) {
+      uploading_client subject(
+          [reads_on](const std::string&, early_server::connection& caller) {
+            caller.AwaitBlockedSender();
+            caller.Send(std::string(kOpenEnded) + "all");
+            caller.EndSending();
+            if (reads_on) {
+              caller.ReadRest();
+            }
+          });
+      const received_answer got = subject.Upload(way, [] {});
+      cr_assert(got.is_whole && got.body == "all", "%s, %s",
+                way == path::direct ? "direct" : "through a tunnel",
+                reads_on ? "read on" : "not read on");
+    }
+  }
+}
+
+// Guards against the same reset where the framing shows that more was to come.
+Test(broken_answer, a_reset_inside_a_framed_answer_is_no_end, .timeout = 120) {
+  for (const path way : {path::direct, path::tunnel}) {
+    for (const char* head : {"Content-Length: 5\r\n\r\npart",
+                             "Transfer-Encoding: chunked\r\n\r\n4\r\npart"}) {
+      std::promise<void> part;
+      uploading_client subject(
+          [&](const std::string&, early_server::connection& caller) {
+            caller.Send(std::string("HTTP/1.1 200 OK\r\n") + head);
+            part.get_future().wait();
+            caller.Reset();
+          });
+      cr_assert(!subject.Upload(way, [&part] { part.set_value(); }).is_whole);
+    }
+  }
+}
