Don't reset a tunnel whose server has answered early and in order

Callers saw: over a tunnel, an early answer that is whole and ends in order was lost (502) if the rest of the upload was still being written; over a direct connection it arrived.

Cause: after the orderly end, the tunnel server closes its connection to the server. That ends the write of the upload with a failure, or the next one fails, and each failure of a write resets the client's connection, before the mark of the end has been sent.

Change: after the server's orderly end, what the client still sends is read and dropped, and a failure to write it resets nothing.

--- a/source/gentian_net/tunnel_server.cc
+++ b/source/gentian_net/tunnel_server.cc
@@ -216,6 +216,10 @@
       }
       return;
     }
+    if (&from == client_.get() && has_answer_ended_) {
+      Copy(from, to, direction);
+      return;
+    }
     Touch(&from == client_.get());
     if (direction.header_size > 0) {
       const detail::tunnel_frame_header header =
@@ -225,7 +229,9 @@
     to.Write(asio::buffer(direction.space.data(), direction.header_size + size),
              [me = shared_from_this(), &from, &to, &direction](
                  error_code write_failure, std::size_t) {
-               if (write_failure) {
+               const bool is_unwanted =
+                   &to == me->server_.get() && me->has_answer_ended_;
+               if (write_failure && !is_unwanted) {
                  me->Reset();
                } else if (!me->closed_) {
                  me->Copy(from, to, direction);
@@ -233,9 +239,11 @@
              });
   }
 
-  // The client reads the end and closes; what it sends meanwhile has no reader.
+  // The client reads the end and closes. What it sends meanwhile is dropped: a
+  // reset would overtake the answer.
   void EndAnswer() {
     awaits_answer_ = false;
+    has_answer_ended_ = true;
     server_->Close();
     if (!is_framed_) {
       client_->ShutdownSend();
@@ -311,6 +319,8 @@
   /** The server's bytes are sent in frames. */
   bool is_framed_ = false;
   detail::tunnel_frame_header end_mark_{};
+  /** The server has ended its side in order. */
+  bool has_answer_ended_ = false;
   bool closed_ = false;
   std::atomic<bool> is_open_{false};
   std::atomic<bool> awaits_answer_{false};
--- a/tests/net/broken_answer_test.cc
+++ b/tests/net/broken_answer_test.cc
@@ -117,7 +117,7 @@
 // Guards against an early answer that is refused although its server ended it
 // in order and goes on to read the request, or doesn't.
 Test(broken_answer, an_early_answer_in_order_is_whole, .timeout = 120) {
-  for (const path way : {path::direct}) {
+  for (const path way : {path::direct, path::tunnel}) {
     for (const bool reads_on : {true, false}) {
       uploading_client subject(
           [reads_on](const std::string&, early_server::connection& caller) {
