Refuse answers with a status that HTTP doesn't have

Callers saw: after a target's answer with the status 000, 050 or 099, nothing until the deadline (504); 101, 600 and 999 were passed on as answers.

Cause: the client took each status below 200 but 101 for an interim answer and waited for the final one, and each other number for a final answer.

A trial that goes on after a failed case: at the client 000, 001, 050, 099, 101, 600, 700 and 999 are not refused; at the gateway 504 for 000, 050 and 099, and 101, 600 and 999 reach the caller.

Change: the parser refuses a status outside 100 to 599 as a malformed message. The client fails on a switch of protocols, which no request asks for. Both count as broken answers, so that the target may have run the request: 502, or another attempt where the request may be repeated. 100 to 199 still stand for an interim answer.

--- a/source/gentian_net/http_client.cc
+++ b/source/gentian_net/http_client.cc
@@ -60,6 +60,8 @@
 constexpr milliseconds kDiscardLimit{250};
 // Interim answers (1xx) to one request before it counts as broken.
 constexpr int kMaxInterimAnswers = 16;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
 // Larger bodies are written without a copy, after the header.
 constexpr std::size_t kMaxJoinedBody = 16 * 1024;
 
@@ -432,7 +434,12 @@
       }
       return;
     }
-    if (IsInterim()) {
+    if (parser_->status() == kSwitchingProtocols) {
+      // No request asks for it.
+      Fail(http_failure::broken, "the server switched protocols");
+      return;
+    }
+    if (parser_->status() < kFirstFinalStatus) {
       AwaitAnswerAfterInterim();
       return;
     }
@@ -514,13 +521,6 @@
     Complete();
   }
 
-  // A switch of protocols is final.
-  bool IsInterim() const {
-    constexpr int kSwitch = 101;
-    constexpr int kFirstFinal = 200;
-    return parser_->status() < kFirstFinal && parser_->status() != kSwitch;
-  }
-
   void AwaitAnswerAfterInterim() {
     if (++interim_answers_ > kMaxInterimAnswers) {
       Fail(http_failure::broken, "too many interim answers came");
--- a/source/gentian_net/message_parser.cc
+++ b/source/gentian_net/message_parser.cc
@@ -17,6 +17,10 @@
 // The shortest end of a chunked message.
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
+// Of RFC 9110, section 15.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+
 // Beast takes the line of a chunk's size with its extension, and the last such
 // line with all trailers, as a whole. Both are measured as they were sent, and
 // as far as they have come, so that it doesn't matter in which parts they come.
@@ -156,8 +160,11 @@
 void message_parser<IsRequest>::on_response_impl(int status,
                                                  string_view /*reason*/,
                                                  int /*version*/,
-                                                 error_code& /*failure*/) {
+                                                 error_code& failure) {
   status_ = status;
+  if (status < kFirstStatus || status > kLastStatus) {
+    failure = http::error::bad_status;
+  }
 }
 
 template <bool IsRequest>
--- a/source/gentian_net/message_parser.h
+++ b/source/gentian_net/message_parser.h
@@ -25,7 +25,8 @@
 
       @param failure  is set to `need_more` if the message goes on, to
                       `header_limit` for a long header or long trailers and to
-                      `bad_chunk_extension` for a long line of a chunk */
+                      `bad_chunk_extension` for a long line of a chunk, to
+                      `bad_status` for a status outside 100 to 599 */
   void Feed(std::string& input, boost::system::error_code& failure);
 
   const std::string& method() const { return method_; }
--- a/tests/net/broken_answer_test.cc
+++ b/tests/net/broken_answer_test.cc
@@ -5,14 +5,18 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "support/early_server.h"
+#include "support/raw_server.h"
 #include "support/synchronous_http.h"
 
 using namespace gentian;
 using gentian::testing::early_server;
+using gentian::testing::Fetch;
 using gentian::testing::IsResetReported;
+using gentian::testing::raw_server;
 using gentian::testing::WaitFor;
 
 namespace {
@@ -82,6 +86,28 @@
       std::make_shared<const std::string>(kUpload, 'x');
 };
 
+/** The failure of a request to a server that sends these bytes and then
+    nothing. */
+std::optional<http_failure> FailureOf(const std::string& answer) {
+  std::promise<void> has_failed;
+  raw_server server([&](const raw_server::sender& send) {
+    send(answer);
+    has_failed.get_future().wait();
+  });
+  io_pool pool(1);
+  std::optional<http_failure> failure;
+  {
+    http_client client(pool);
+    http_client_request request;
+    request.address = server.address();
+    request.deadline = milliseconds(500);
+    failure = Fetch(client, request).failure;
+  }
+  pool.Stop();
+  has_failed.set_value();
+  return failure;
+}
+
 }  // namespace
 
 // Guards against a part of an answer that counts as whole: it has no length,
@@ -152,3 +178,27 @@
     }
   }
 }
+
+// Guards against an answer with a status that HTTP doesn't have, and against a
+// caller who waits until the deadline for another one to follow.
+Test(broken_answer, a_status_that_is_none_is_no_answer, .timeout = 60) {
+  for (const char* status :
+       {"000", "001", "050", "099", "101", "600", "700", "999"}) {
+    for (const char* rest : {"\r\n\r\n", " x\r\nContent-Length: 2\r\n\r\nno"}) {
+      const auto failure = FailureOf(std::string("HTTP/1.1 ") + status + rest);
+      cr_assert(failure == http_failure::broken, "%s%s", status, rest);
+    }
+  }
+}
+
+// Guards against an answer that is refused because an interim one comes first,
+// and against an interim answer that counts as the final one.
+Test(broken_answer, an_interim_answer_is_followed_by_another, .timeout = 60) {
+  for (const std::string status : {"100", "102", "199"}) {
+    const std::string interim = "HTTP/1.1 " + status + " x\r\n\r\n";
+    cr_assert(FailureOf(interim) == http_failure::deadline, "%s",
+              status.c_str());
+    cr_assert(
+        !FailureOf(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  }
+}
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -114,6 +114,22 @@
   int warm_ = 0;
 };
 
+/** Requires that callers get a failure of the gateway in place of this answer,
+    which comes with a connection that stays open. */
+void RequireRefused(
+    const std::function<std::string(const std::string& request)>& answer) {
+  early_target subject(
+      [&](const std::string& header, early_server::connection& caller) {
+        caller.Send(answer(header));
+        caller.ReadRest();
+      });
+  for (const char* path : {"/once/x", "/turn/x"}) {
+    const received_answer got = subject.Send(path, "r1");
+    cr_assert(got.status == 502, "%s: %d '%s' in place of '%s'", path,
+              got.status, got.body.c_str(), answer("").c_str());
+  }
+}
+
 }  // namespace
 
 // Guards against a part of an answer that reaches the caller as a whole one:
@@ -177,3 +193,14 @@
   cr_assert(got.status == 200 && got.is_whole && got.body == "all", "%d '%s'",
             got.status, got.body.c_str());
 }
+
+// Guards against an answer with a status that HTTP doesn't have, and against a
+// caller who waits for another one until the deadline.
+Test(broken_answer, a_status_that_is_none_is_no_answer, .timeout = 120) {
+  for (const char* status : {"000", "050", "099", "101", "600", "999"}) {
+    RequireRefused([status](const std::string& request) {
+      return Head(request, std::string(status) + " x") +
+             "Content-Length: 2\r\n\r\nno";
+    });
+  }
+}
