Refuse answers with a folded line

Callers saw: an answer in whose header a line begins with a blank or a tab was passed on, with that line joined to the field before it. If the line was meant as Content-Length, the rest of the connection became the body.

Cause: Beast joins such lines (obsolete folding), in headers, interim answers and trailers. All other blanks, tabs, NULs and control bytes in a field's name, or before its colon, were refused before.

Change: the parser refuses a folded line in the header or the trailers of an answer; RFC 9112, section 5.2, lets a gateway do so. Requests are read as before.

--- a/source/gentian_net/message_parser.cc
+++ b/source/gentian_net/message_parser.cc
@@ -43,6 +43,13 @@
   return {};
 }
 
+// True if a field goes on in another line. Beast takes all lines of a field in
+// one step.
+bool HasFoldedLine(std::string_view text) {
+  return text.find("\n ") != std::string_view::npos ||
+         text.find("\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 template <bool IsRequest>
@@ -86,6 +93,12 @@
     } else if (has_chunk_line_ && !failure) {
       failure = CheckChunkLine(parsed, max_header_bytes_);
     }
+    // A field that follows a blank would be lost in the field before it. RFC
+    // 9112, section 5.2, lets a gateway refuse such an answer.
+    if (!IsRequest && (!failure || failure == http::error::need_more) &&
+        (is_header || has_chunk_line_) && HasFoldedLine(parsed)) {
+      failure = http::error::bad_obs_fold;
+    }
     if (failure || used == 0) {
       break;
     }
--- a/source/gentian_net/message_parser.h
+++ b/source/gentian_net/message_parser.h
@@ -25,8 +25,10 @@
 
       @param failure  is set to `need_more` if the message goes on, to
                       `header_limit` for a long header or long trailers and to
-                      `bad_chunk_extension` for a long line of a chunk, to
-                      `bad_status` for a status outside 100 to 599 */
+                      `bad_chunk_extension` for a long line of a chunk. Of
+                      an answer, to `bad_status` for a status outside 100 to
+                      599 and to `bad_obs_fold` for a line that begins with a
+                      blank or a tab */
   void Feed(std::string& input, boost::system::error_code& failure);
 
   const std::string& method() const { return method_; }
--- a/tests/net/broken_answer_test.cc
+++ b/tests/net/broken_answer_test.cc
@@ -3,11 +3,14 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <boost/beast/http/error.hpp>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "gentian_net/message_parser.h"
 #include "support/early_server.h"
 #include "support/raw_server.h"
 #include "support/synchronous_http.h"
@@ -108,6 +111,10 @@
   return failure;
 }
 
+std::string Printable(const std::string& text) {
+  return json(text).dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
 }  // namespace
 
 // Guards against a part of an answer that counts as whole: it has no length,
@@ -202,3 +209,62 @@
         !FailureOf(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
   }
 }
+
+// Guards against a field that is passed on under another name, or whose loss
+// changes the body: its name holds a blank or a control byte.
+Test(broken_answer, a_name_with_a_blank_is_no_field, .timeout = 120) {
+  using namespace std::string_literals;
+  const std::vector<std::string> fields = {"Content-Length : 2",
+                                           "Content-Length\t: 2",
+                                           "Content Length: 2",
+                                           "Content\tLength: 2",
+                                           "Content\0Length: 2"s,
+                                           "Content\x01Length: 2",
+                                           "Con\x1ftent: 2",
+                                           "Content-Length\x7f: 2",
+                                           "Content\rLength: 2",
+                                           "\x0b"
+                                           "Content: 2",
+                                           ": 2",
+                                           " Content-Length: 2",
+                                           "\tContent-Length: 2"};
+  const std::string end = "\r\n\r\n";
+  const std::string sound = "X-Sound: 1\r\n";
+  for (const std::string& field : fields) {
+    const std::vector<std::string> answers = {
+        "HTTP/1.1 200 OK\r\n" + field + end + "no",
+        "HTTP/1.1 200 OK\r\n" + sound + field + end + "no",
+        "HTTP/1.1 200 OK\r\n" + field + "\r\n" + sound + "\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + end + "no",
+        "HTTP/1.1 100 Continue\r\n" + sound + field + end +
+            "HTTP/1.1 200 OK\r\nContent-Length: 2" + end + "no",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end +
+            "2\r\nno\r\n0\r\n" + field + end,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end +
+            "2\r\nno\r\n0\r\n" + sound + field + end};
+    for (const std::string& answer : answers) {
+      cr_assert(FailureOf(answer) == http_failure::broken, "%s",
+                Printable(answer).c_str());
+    }
+  }
+}
+
+// Guards against a folded line that is accepted because its answer comes in
+// parts.
+Test(broken_answer, a_folded_line_is_refused_at_every_cut, .timeout = 60) {
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nX-Sound: 1\r\n Content-Length: 2\r\n\r\n";
+  constexpr std::size_t kMaxBytes = 64 * 1024;
+  for (std::size_t cut = 1; cut < answer.size(); ++cut) {
+    detail::message_parser<false> parser(kMaxBytes, kMaxBytes);
+    std::string input = answer.substr(0, cut);
+    boost::system::error_code failure;
+    parser.Feed(input, failure);
+    if (failure == boost::beast::http::error::need_more) {
+      input += answer.substr(cut);
+      parser.Feed(input, failure);
+    }
+    cr_assert(failure == boost::beast::http::error::bad_obs_fold, "%zu: %s",
+              cut, failure.message().c_str());
+  }
+}
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -204,3 +204,21 @@
     });
   }
 }
+
+// Guards against an answer that is passed on with a field under another name,
+// or with a body that is not the target's.
+Test(broken_answer, a_name_with_a_blank_is_no_field, .timeout = 120) {
+  using namespace std::string_literals;
+  for (const std::string& field :
+       {"Content-Length : 2"s, "Content\0Length: 2"s, "X Y: 1"s, "X\x01Y: 1"s,
+        " Content-Length: 2"s, "\tX: 1"s}) {
+    RequireRefused([&field](const std::string& request) {
+      return Head(request) + field + "\r\nContent-Length: 2\r\n\r\nno";
+    });
+    RequireRefused([&field](const std::string& request) {
+      return "HTTP/1.1 200 OK\r\n" + field +
+             Head(request).substr(std::string("HTTP/1.1 200 OK").size()) +
+             "Content-Length: 2\r\n\r\nno";
+    });
+  }
+}
