Let the soak's callers report answers that HTTP doesn't have

Cause: the callers read a status with atoi.

Change: the head of an answer has to have a status from 200 to 599 and tokens as names of fields; anything else is reported as MIXED.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -245,12 +245,11 @@
   }
   out.head = input_.substr(0, end + 2);
   input_.erase(0, end + 4);
-  const std::string start = "HTTP/1.1 ";
-  if (out.head.rfind(start, 0) != 0) {
+  out.status = StatusOf(out.head);
+  if (out.status == 0) {
     seen_.Report("MIXED", "no answer: '" + out.head + "'");
     return;
   }
-  out.status = std::atoi(out.head.c_str() + start.size());
   if (FieldOf(out.head, "Transfer-Encoding") == "chunked") {
     out.is_whole = ReadChunks(out);
     return;
--- a/tests/soak/sockets.cc
+++ b/tests/soak/sockets.cc
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cerrno>
+#include <regex>
 
 namespace gentian::soak {
 
@@ -108,6 +109,14 @@
   ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
 }
 
+int StatusOf(const std::string& head) {
+  static const std::regex answer(
+      "HTTP/1\\.1 ([2-5][0-9]{2})( [^\\r\\n]*)?\r\n"
+      "([-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\\r\\n]*\r\n)*");
+  std::smatch parts;
+  return std::regex_match(head, parts, answer) ? std::stoi(parts[1]) : 0;
+}
+
 std::string FieldOf(const std::string& head, const std::string& name) {
   std::size_t line = head.find("\r\n");
   while (line != std::string::npos) {
--- a/tests/soak/sockets.h
+++ b/tests/soak/sockets.h
@@ -22,6 +22,10 @@
 /** Has the socket end with a reset when it is closed. */
 void ResetOnClose(int socket);
 
+/** The status of the final answer that a head begins with; 0 if it isn't the
+   head of one: no status of HTTP, or a field whose name is not a token. */
+int StatusOf(const std::string& head);
+
 /** The value of a field in the head of an HTTP message; empty if absent. */
 std::string FieldOf(const std::string& head, const std::string& name);
 
