--- /dev/null
+++ b/tests/support/broken_answers.h
@@ -0,0 +1,59 @@
+#ifndef TESTS_SUPPORT_BROKEN_ANSWERS_H_
+#define TESTS_SUPPORT_BROKEN_ANSWERS_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/early_server.h"
+
+namespace gentian::testing {
+
+/** More than the buffers of a connection hold, so that an upload can't end. */
+constexpr std::size_t kEndlessUpload = 32 * 1024 * 1024;
+
+/** A form of broken answer, and the script that sends it. */
+struct broken_answer {
+  std::string name;
+  early_server::script send;
+};
+
+/** Answers of servers in trouble that are no answers.
+
+    @param fields      of the header
+    @param body        that would be accepted in a sound answer
+    @param has_upload  the request has a body of kEndlessUpload */
+inline std::vector<broken_answer> BrokenAnswers(const std::string& fields,
+                                                const std::string& body,
+                                                bool has_upload) {
+  const auto in_order = [](const std::string& text) {
+    return [text](const std::string&, early_server::connection& caller) {
+      caller.Send(text);
+      caller.EndSending();
+      caller.ReadRest();
+    };
+  };
+  const std::string rest = "\r\n" + body;
+  return {{"reset without a length",
+           [=](const std::string&, early_server::connection& caller) {
+             if (has_upload) {
+               caller.AwaitBlockedSender();
+             }
+             caller.Send("HTTP/1.1 200 OK\r\n" + fields + rest);
+             caller.AwaitReading();
+             caller.Reset();
+           }},
+          {"status 000",
+           in_order("HTTP/1.1 000 x\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n" + fields + rest)},
+          {"blank in a name",
+           in_order("HTTP/1.1 200 OK\r\n" + fields + "X Y: 1\r\n" + rest)},
+          {"control byte in a name",
+           in_order("HTTP/1.1 200 OK\r\n" + fields + "X\x01Y: 1\r\n" + rest)},
+          {"folded line",
+           in_order("HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n" + fields + rest)}};
+}
+
+}  // namespace gentian::testing
+
+#endif  // TESTS_SUPPORT_BROKEN_ANSWERS_H_
