Explain how a read learns of a reset

Change: EndOfInput takes no parameter, each reason stands where it applies, and what a tunnel no longer delivers is called dropped. Behaviour is the same.

--- a/source/gentian_net/byte_stream.cc
+++ b/source/gentian_net/byte_stream.cc
@@ -101,7 +101,7 @@
                         const auto on_end = std::exchange(on_end_, nullptr);
                         handler(failure, size);
                         if (on_end) {
-                          on_end(EndAfter(failure), 0);
+                          on_end(EndOfInput(), 0);
                         }
                       });
   }
@@ -140,24 +140,22 @@
   }
 
  private:
-  // How a connection ended whose read was told of an orderly end, given the
-  // result of a write. The kernel reports a reset once, to the read or to the
-  // write. A write that gets broken_pipe came after an orderly end.
-  static boost::system::error_code EndAfter(
-      boost::system::error_code write_failure) {
-    return write_failure && write_failure != asio::error::broken_pipe
-               ? write_failure
+  // The kernel reports a reset once, to a read or a write; after a write was
+  // told, a read sees an orderly end. A write fails with broken_pipe if the
+  // peer had ended its side in order before.
+  boost::system::error_code EndOfInput() const {
+    return write_failure_ && write_failure_ != asio::error::broken_pipe
+               ? write_failure_
                : asio::error::eof;
   }
 
-  // The write in progress may have been told of a reset although its handler
-  // has not run. On a connection that the peer alone has ended, it may wait for
-  // long.
+  // A write may have been told of a reset although its handler has not run yet.
+  // If only the peer has closed its side, the write may never end.
   void OnEnd(read_handler handler) {
     if (is_writing_ && IsClosedBothWays()) {
       on_end_ = std::move(handler);
     } else {
-      handler(EndAfter(write_failure_), 0);
+      handler(EndOfInput(), 0);
     }
   }
 
--- a/source/gentian_net/message_parser.cc
+++ b/source/gentian_net/message_parser.cc
@@ -17,7 +17,7 @@
 // The shortest end of a chunked message.
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
-// Of RFC 9110, section 15.
+// The statuses of RFC 9110, section 15.
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
 
--- a/source/gentian_net/tunnel_server.cc
+++ b/source/gentian_net/tunnel_server.cc
@@ -229,9 +229,9 @@
     to.Write(asio::buffer(direction.space.data(), direction.header_size + size),
              [me = shared_from_this(), &from, &to, &direction](
                  error_code write_failure, std::size_t) {
-               const bool is_unwanted =
+               const bool is_dropped =
                    &to == me->server_.get() && me->has_answer_ended_;
-               if (write_failure && !is_unwanted) {
+               if (write_failure && !is_dropped) {
                  me->Reset();
                } else if (!me->closed_) {
                  me->Copy(from, to, direction);
