Share what tests receive of an answer

Change: Receive in support/synchronous_http.h, OutcomeOf in support/broken_answers.h; the tests keep their assertions. The new tests build their texts in one place.

--- a/tests/adapters/broken_answer_test.cc
+++ b/tests/adapters/broken_answer_test.cc
@@ -14,6 +14,7 @@
 using gentian::testing::BrokenAnswers;
 using gentian::testing::early_server;
 using gentian::testing::kEndlessUpload;
+using gentian::testing::OutcomeOf;
 
 namespace {
 
@@ -54,21 +55,6 @@
             "%s", answer.name.c_str());
 }
 
-/** The outcome of an operation on a service that answers in this way. */
-kv_answer::status OutcomeOf(const broken_answer& answer,
-                            const kv_operation& operation) {
-  early_server service(answer.send);
-  io_pool pool(2);
-  std::promise<kv_answer> done;
-  etcd_key_value_store store(pool, service.address());
-  store.Call(operation, kDeadline,
-             [&done](kv_answer got) { done.set_value(std::move(got)); });
-  const kv_answer got = done.get_future().get();
-  pool.Stop();
-  service.Stop();
-  return got.outcome;
-}
-
 }  // namespace
 
 // Guards against a tool call that counts as done because of a broken answer.
@@ -132,12 +118,13 @@
   write.key = "k";
   write.value = std::string(kEndlessUpload, 'x');
   for (const broken_answer& answer : BrokenAnswers("", body, true)) {
-    cr_assert(OutcomeOf(answer, write) == kv_answer::status::no_answer, "%s",
-              answer.name.c_str());
+    cr_assert(OutcomeOf<etcd_key_value_store>(answer, write) ==
+                  kv_answer::status::no_answer,
+              "%s", answer.name.c_str());
   }
   for (const broken_answer& answer : BrokenAnswers("", body, false)) {
-    cr_assert(
-        OutcomeOf(answer, kv_list{"k", false}) == kv_answer::status::no_answer,
-        "%s", answer.name.c_str());
+    cr_assert(OutcomeOf<etcd_key_value_store>(answer, kv_list{"k", false}) ==
+                  kv_answer::status::no_answer,
+              "%s", answer.name.c_str());
   }
 }
--- a/tests/net/broken_answer_test.cc
+++ b/tests/net/broken_answer_test.cc
@@ -5,9 +5,11 @@
 #include <atomic>
 #include <boost/beast/http/error.hpp>
 #include <future>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gentian_net/message_parser.h"
@@ -20,6 +22,8 @@
 using gentian::testing::Fetch;
 using gentian::testing::IsResetReported;
 using gentian::testing::raw_server;
+using gentian::testing::Receive;
+using gentian::testing::received_answer;
 using gentian::testing::WaitFor;
 
 namespace {
@@ -30,12 +34,6 @@
 
 enum class path { direct, tunnel };
 
-/** What a client got of one answer. */
-struct received_answer {
-  std::string body;
-  bool is_whole = false;
-};
-
 /** A client that uploads to a server which answers early. */
 class uploading_client {
  public:
@@ -51,7 +49,7 @@
   }
 
   /** @param on_part  runs when a part of the body has come */
-  received_answer Upload(path way, std::function<void()> on_part) {
+  received_answer Upload(path way, std::function<void()> on_part = nullptr) {
     http_client_request request;
     request.address = server.address();
     if (way == path::tunnel) {
@@ -62,20 +60,9 @@
     request.shared_body = body_;
     request.deadline = milliseconds(20'000);
     request.confirm_end = true;
-    std::promise<bool> is_whole;
-    received_answer got;
-    http_client_handlers handlers;
-    handlers.on_body = [&](std::string_view bytes) {
-      got.body += bytes;
-      on_part();
-    };
-    handlers.on_end = [&] { is_whole.set_value(true); };
-    handlers.on_failure = [&](http_failure failure, const std::string&) {
-      cr_expect(failure == http_failure::broken);
-      is_whole.set_value(false);
-    };
-    client.Send(std::move(request), std::move(handlers));
-    got.is_whole = is_whole.get_future().get();
+    received_answer got =
+        Receive(client, std::move(request), std::move(on_part));
+    cr_assert(got.is_whole || got.failure == http_failure::broken);
     return got;
   }
 
@@ -111,6 +98,14 @@
   return failure;
 }
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts) {
+    text += part;
+  }
+  return text;
+}
+
 std::string Printable(const std::string& text) {
   return json(text).dump(-1, ' ', true, json::error_handler_t::replace);
 }
@@ -161,7 +156,7 @@
               caller.ReadRest();
             }
           });
-      const received_answer got = subject.Upload(way, [] {});
+      const received_answer got = subject.Upload(way);
       cr_assert(got.is_whole && got.body == "all", "%s, %s",
                 way == path::direct ? "direct" : "through a tunnel",
                 reads_on ? "read on" : "not read on");
@@ -223,25 +218,28 @@
                                            "Con\x1ftent: 2",
                                            "Content-Length\x7f: 2",
                                            "Content\rLength: 2",
-                                           "\x0b"
-                                           "Content: 2",
+                                           "\vContent-Length: 2",
                                            ": 2",
                                            " Content-Length: 2",
                                            "\tContent-Length: 2"};
-  const std::string end = "\r\n\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nno\r\n0\r\n";
+  const std::string length = "Content-Length: 2\r\n";
   const std::string sound = "X-Sound: 1\r\n";
+  const std::string body = "\r\nno";
   for (const std::string& field : fields) {
+    const std::string line = field + "\r\n";
     const std::vector<std::string> answers = {
-        "HTTP/1.1 200 OK\r\n" + field + end + "no",
-        "HTTP/1.1 200 OK\r\n" + sound + field + end + "no",
-        "HTTP/1.1 200 OK\r\n" + field + "\r\n" + sound + "\r\nno",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + end + "no",
-        "HTTP/1.1 100 Continue\r\n" + sound + field + end +
-            "HTTP/1.1 200 OK\r\nContent-Length: 2" + end + "no",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end +
-            "2\r\nno\r\n0\r\n" + field + end,
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + end +
-            "2\r\nno\r\n0\r\n" + sound + field + end};
+        Join({ok, line, body}),
+        Join({ok, sound, line, body}),
+        Join({ok, line, sound, body}),
+        Join({ok, length, line, body}),
+        Join({"HTTP/1.1 100 Continue\r\n", sound, line, "\r\n", ok, length,
+              body}),
+        Join({chunks, line, "\r\n"}),
+        Join({chunks, sound, line, "\r\n"})};
     for (const std::string& answer : answers) {
       cr_assert(FailureOf(answer) == http_failure::broken, "%s",
                 Printable(answer).c_str());
--- a/tests/net/byte_stream_test.cc
+++ b/tests/net/byte_stream_test.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <future>
+#include <memory>
 #include <string>
 
 #include "gentian_net/gentian_net.h"
@@ -53,14 +54,23 @@
   blocked_upload(const blocked_upload&) = delete;
   blocked_upload& operator=(const blocked_upload&) = delete;
 
-  void StartWriting() {
-    asio::post(stream->executor(), [this] {
+  /** The result of the upload. */
+  std::future<error_code> Write() {
+    const auto written = std::make_shared<std::promise<error_code>>();
+    asio::post(stream->executor(), [this, written] {
       stream->Write(asio::buffer(upload_),
-                    [this](error_code failure, std::size_t) {
-                      written.set_value(failure);
+                    [written](error_code failure, std::size_t) {
+                      written->set_value(failure);
                     });
     });
+    return written->get_future();
+  }
+
+  /** The same, once the buffers are full. */
+  std::future<error_code> StartWriting() {
+    std::future<error_code> written = Write();
     cr_assert(WaitFor([this] { return IsSendBlocked(descriptor); }));
+    return written;
   }
 
   /** The result of the next read. */
@@ -84,7 +94,6 @@
 
   io_pool pool{2};
   std::shared_ptr<detail::byte_stream> stream;
-  std::promise<error_code> written;
   int descriptor = -1;
 
  private:
@@ -103,10 +112,9 @@
 // the kernel has reported it to the writer.
 Test(byte_stream, a_reset_that_a_write_saw_is_read_as_a_reset, .timeout = 60) {
   blocked_upload subject;
-  subject.StartWriting();
+  std::future<error_code> written = subject.StartWriting();
   subject.ResetPeer();
-  cr_assert(subject.written.get_future().get() ==
-            asio::error::connection_reset);
+  cr_assert(written.get() == asio::error::connection_reset);
   const error_code read = subject.Read().get();
   cr_assert(read == asio::error::connection_reset, "%s",
             read.message().c_str());
@@ -134,10 +142,10 @@
 // no more of the upload afterwards.
 Test(byte_stream, an_orderly_end_stays_one_if_a_reset_follows, .timeout = 60) {
   blocked_upload subject;
-  subject.StartWriting();
+  std::future<error_code> written = subject.StartWriting();
   subject.EndPeer();
   subject.ResetPeer();
-  cr_assert(subject.written.get_future().get() == asio::error::broken_pipe);
+  cr_assert(written.get() == asio::error::broken_pipe);
   const error_code read = subject.Read().get();
   cr_assert(read == asio::error::eof, "%s", read.message().c_str());
 }
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -14,6 +14,8 @@
 using gentian::testing::early_server;
 using gentian::testing::fake_target;
 using gentian::testing::gateway_fixture;
+using gentian::testing::Receive;
+using gentian::testing::received_answer;
 using gentian::testing::scripted_target;
 using gentian::testing::WaitFor;
 
@@ -32,12 +34,6 @@
          "\r\nResponse-Seal: s\r\n";
 }
 
-struct received_answer {
-  int status = 0;
-  std::string body;
-  bool is_whole = false;
-};
-
 /** A gateway whose only target answers requests at the end of their header. */
 class early_target {
  public:
@@ -83,28 +79,7 @@
     request.headers.Add("X-Api-Key", "k");
     request.headers.Add("Deadline-Ms", "2000");
     request.body = body;
-    received_answer got;
-    std::promise<void> done;
-    http_client_handlers handlers;
-    handlers.on_header = [&](int status, const http_headers&) {
-      got.status = status;
-    };
-    handlers.on_body = [&](std::string_view bytes) {
-      got.body += bytes;
-      if (on_part) {
-        on_part();
-      }
-    };
-    handlers.on_end = [&] {
-      got.is_whole = true;
-      done.set_value();
-    };
-    handlers.on_failure = [&](http_failure, const std::string&) {
-      done.set_value();
-    };
-    gateway.client.Send(std::move(request), std::move(handlers));
-    done.get_future().wait();
-    return got;
+    return Receive(gateway.client, std::move(request), std::move(on_part));
   }
 
   early_server target;
--- a/tests/platform/broken_store_test.cc
+++ b/tests/platform/broken_store_test.cc
@@ -15,26 +15,12 @@
 using gentian::testing::BrokenAnswers;
 using gentian::testing::early_server;
 using gentian::testing::kEndlessUpload;
+using gentian::testing::OutcomeOf;
 
 namespace {
 
 constexpr milliseconds kDeadline{2'000};
 
-/** The outcome of an operation on a service that answers in this way. */
-kv_answer::status OutcomeOf(const broken_answer& answer,
-                            const kv_operation& operation) {
-  early_server service(answer.send);
-  io_pool pool(2);
-  std::promise<kv_answer> done;
-  metadata_store store(pool, service.address());
-  store.Call(operation, kDeadline,
-             [&done](kv_answer got) { done.set_value(std::move(got)); });
-  const kv_answer got = done.get_future().get();
-  pool.Stop();
-  service.Stop();
-  return got.outcome;
-}
-
 }  // namespace
 
 // Guards against a write that counts as done, and a listing that counts as
@@ -44,14 +30,15 @@
   write.key = "k";
   write.value = std::string(kEndlessUpload, 'x');
   for (const broken_answer& answer : BrokenAnswers("", R"({"rev":1})", true)) {
-    cr_assert(OutcomeOf(answer, write) == kv_answer::status::no_answer, "%s",
-              answer.name.c_str());
+    cr_assert(OutcomeOf<metadata_store>(answer, write) ==
+                  kv_answer::status::no_answer,
+              "%s", answer.name.c_str());
   }
   for (const broken_answer& answer :
        BrokenAnswers("", R"({"items":[],"as_of":1})", false)) {
-    cr_assert(
-        OutcomeOf(answer, kv_list{"k", false}) == kv_answer::status::no_answer,
-        "%s", answer.name.c_str());
+    cr_assert(OutcomeOf<metadata_store>(answer, kv_list{"k", false}) ==
+                  kv_answer::status::no_answer,
+              "%s", answer.name.c_str());
   }
 }
 
--- a/tests/platform/stream_end_test.cc
+++ b/tests/platform/stream_end_test.cc
@@ -13,11 +13,13 @@
 using namespace gentian;
 using gentian::testing::fake_target;
 using gentian::testing::gateway_fixture;
+using gentian::testing::Receive;
 using gentian::testing::scripted_target;
 using gentian::testing::WaitFor;
 
 using step = scripted_target::step;
 using ending = scripted_target::ending;
+using answer = gentian::testing::received_answer;
 
 namespace {
 
@@ -54,12 +56,6 @@
   return {};
 }
 
-struct answer {
-  int status = 0;
-  std::string body;
-  bool is_whole = false;
-};
-
 /** A gateway whose only target for the service "s" is a scripted one. */
 class stream_ends {
  public:
@@ -90,23 +86,7 @@
     if (!last_event.empty()) {
       request.headers.Add("Last-Event-Id", last_event);
     }
-    const auto got = std::make_shared<answer>();
-    const auto done = std::make_shared<std::promise<void>>();
-    http_client_handlers handlers;
-    handlers.on_header = [got](int status, const http_headers&) {
-      got->status = status;
-    };
-    handlers.on_body = [got](std::string_view bytes) { got->body += bytes; };
-    handlers.on_end = [got, done] {
-      got->is_whole = true;
-      done->set_value();
-    };
-    handlers.on_failure = [done](http_failure, const std::string&) {
-      done->set_value();
-    };
-    gateway.client.Send(std::move(request), std::move(handlers));
-    done->get_future().wait();
-    return *got;
+    return Receive(gateway.client, std::move(request));
   }
 
   static bool IsWarm(const std::string& request) {
--- a/tests/platform/stream_fixture.h
+++ b/tests/platform/stream_fixture.h
@@ -169,36 +169,10 @@
     return request;
   }
 
-  /** What a caller received of one answer. */
-  struct answer {
-    int status = 0;
-    http_headers headers;
-    std::string body;
-    /** The answer ended as a complete one. */
-    bool is_whole = false;
-  };
+  using answer = received_answer;
 
   answer Send(http_client_request request) {
-    const auto received = std::make_shared<answer>();
-    const auto done = std::make_shared<std::promise<void>>();
-    http_client_handlers handlers;
-    handlers.on_header = [received](int status, const http_headers& headers) {
-      received->status = status;
-      received->headers = headers;
-    };
-    handlers.on_body = [received](std::string_view bytes) {
-      received->body += bytes;
-    };
-    handlers.on_end = [received, done] {
-      received->is_whole = true;
-      done->set_value();
-    };
-    handlers.on_failure = [done](http_failure, const std::string&) {
-      done->set_value();
-    };
-    fleet.first.client.Send(std::move(request), std::move(handlers));
-    done->get_future().wait();
-    return *received;
+    return Receive(fleet.first.client, std::move(request));
   }
 
   /** Waits until each gateway sends requests to stream targets. */
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -1,10 +1,13 @@
 #ifndef TESTS_SUPPORT_BROKEN_ANSWERS_H_
 #define TESTS_SUPPORT_BROKEN_ANSWERS_H_
 
+#include <future>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "gentian_adapters/key_value_store.h"
+#include "gentian_net/gentian_net.h"
 #include "support/early_server.h"
 
 namespace gentian::testing {
@@ -54,6 +57,25 @@
            in_order("HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n" + fields + rest)}};
 }
 
+/** The outcome of an operation on a key-value service that answers in this way.
+
+    @tparam Store  the adapter */
+template <typename Store>
+kv_answer::status OutcomeOf(const broken_answer& answer,
+                            const kv_operation& operation) {
+  constexpr milliseconds kDeadline{2'000};
+  early_server service(answer.send);
+  io_pool pool(2);
+  std::promise<kv_answer> done;
+  Store store(pool, service.address());
+  store.Call(operation, kDeadline,
+             [&done](kv_answer got) { done.set_value(std::move(got)); });
+  const kv_answer got = done.get_future().get();
+  pool.Stop();
+  service.Stop();
+  return got.outcome;
+}
+
 }  // namespace gentian::testing
 
 #endif  // TESTS_SUPPORT_BROKEN_ANSWERS_H_
--- a/tests/support/early_server.h
+++ b/tests/support/early_server.h
@@ -55,17 +55,11 @@
 
     void Reset() { server_.Reset(peer_); }
 
-    /** Reads until the caller closes.
-
-        @returns  the number of bytes */
-    std::size_t ReadRest() const {
+    /** Reads and drops what comes until the caller closes. */
+    void ReadRest() const {
       std::array<char, 64 * 1024> space{};
-      std::size_t bytes = 0;
-      for (ssize_t count = 1; count > 0;) {
-        count = ::recv(peer_, space.data(), space.size(), 0);
-        bytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+      while (::recv(peer_, space.data(), space.size(), 0) > 0) {
       }
-      return bytes;
     }
 
    private:
--- a/tests/support/synchronous_http.h
+++ b/tests/support/synchronous_http.h
@@ -1,10 +1,12 @@
 #ifndef TESTS_SUPPORT_SYNCHRONOUS_HTTP_H_
 #define TESTS_SUPPORT_SYNCHRONOUS_HTTP_H_
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -36,6 +38,50 @@
   return outcome.get();
 }
 
+/** What a caller received of one answer. */
+struct received_answer {
+  int status = 0;
+  http_headers headers;
+  std::string body;
+  /** The answer ended as a complete one. */
+  bool is_whole = false;
+  std::optional<http_failure> failure;
+};
+
+/** Sends a request and waits for the end of its answer, whole or broken off.
+
+    @param on_part  runs when a part of the body has come */
+inline received_answer Receive(http_client& client,
+                               http_client_request request,
+                               std::function<void()> on_part = nullptr) {
+  const auto received = std::make_shared<received_answer>();
+  const auto done = std::make_shared<std::promise<void>>();
+  http_client_handlers handlers;
+  handlers.on_header = [received](int status, const http_headers& headers) {
+    received->status = status;
+    received->headers = headers;
+  };
+  handlers.on_body = [received,
+                      on_part = std::move(on_part)](std::string_view bytes) {
+    received->body += bytes;
+    if (on_part) {
+      on_part();
+    }
+  };
+  handlers.on_end = [received, done] {
+    received->is_whole = true;
+    done->set_value();
+  };
+  handlers.on_failure = [received, done](http_failure failure,
+                                         const std::string&) {
+    received->failure = failure;
+    done->set_value();
+  };
+  client.Send(std::move(request), std::move(handlers));
+  done->get_future().wait();
+  return *received;
+}
+
 /** A request with a JSON body. */
 inline http_client_request PostRequest(const std::string& address,
                                        const std::string& target,
