Release the tokens that no turn needs before their daemon can fail

Cause: a claim in the key-value service is one number. What a gateway had claimed ahead and what ended turns had left could only be given back by the process that had claimed it, and it did so at a planned stop, or at a change of owners for programs used in the last 2.5 s. The next owner took the rest for spent. Evidence: the stored claim is in order and full (3,360 tokens with 560 used) before the disruption, and every way of the disruption shows the same.

Related paths: the end of a turn whose owner is gone is taken over by the gateway that ran the turn, if it has certainly not reached the owner; it is sent again otherwise, and counted once; a verdict that nobody fetches holds no tokens; an account that holds tokens isn't forgotten; a substitute for an owner doesn't end a program. The stored form is the same.

--- a/source/gentian_gateway/budget_claim.cc
+++ b/source/gentian_gateway/budget_claim.cc
@@ -6,6 +6,10 @@
 
 namespace gentian {
 
+std::string ClaimKey(const std::string& program) {
+  return kClaimPrefix + program;
+}
+
 std::string EncodeClaim(const budget_claim& claim) {
   return json{{"claimed", claim.claimed}, {"write", claim.write_id}}.dump();
 }
--- a/source/gentian_gateway/budget_claim.h
+++ b/source/gentian_gateway/budget_claim.h
@@ -16,6 +16,12 @@
   std::string write_id;
 };
 
+/** Key prefix of all claims. */
+constexpr const char* kClaimPrefix = "gentianrun/budget/";
+
+/** The key of a program's claim. */
+std::string ClaimKey(const std::string& program);
+
 /** The stored form of a claim. */
 std::string EncodeClaim(const budget_claim& claim);
 
--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -11,11 +11,14 @@
 // second attempt uses a new connection and shows whether the first one took
 // effect.
 constexpr int kMaxUnansweredWrites = 2;
-// Fraction of a budget that is claimed in addition to what the waiting turns
-// need. Programs commonly use a fifth of their budget, so one or two writes are
-// enough for most. If the daemon fails, the program loses at most this
-// fraction.
-constexpr double kClaimAheadFraction = 0.25;
+// Largest fraction of a budget that is claimed in addition to what the waiting
+// turns need. Programs commonly use a fifth of their budget, so one or two
+// writes are enough for most. If the daemon fails, the program loses at most
+// this fraction.
+constexpr std::int64_t kMaxAheadDivisor = 4;
+// Nothing is claimed ahead beyond this fraction of a budget, so that a program
+// never loses more than that to claims ahead, however many daemons fail.
+constexpr std::int64_t kAheadShareDivisor = 2;
 
 }  // namespace
 
@@ -34,21 +37,22 @@
   entry.claim_ahead = request.claim_ahead;
   entry.last_used = now;
   entry.waiting.push_back(request);
-  return Advance(request.program, entry);
+  budget_commands commands = Advance(request.program, entry);
+  TrackExcess(entry, now);
+  return commands;
 }
 
 budget_commands budget_ledger::Settle(const std::string& program,
                                       std::int64_t reserved,
                                       std::int64_t used,
                                       steady_time now) {
-  const auto found = accounts_.find(program);
-  if (found == accounts_.end()) {
-    return {};
-  }
-  found->second.available += reserved - used;
-  found->second.used += used;
-  found->second.last_used = now;
-  return Advance(program, found->second);
+  account& entry = accounts_[program];
+  entry.available += reserved - used;
+  entry.used += used;
+  entry.last_used = now;
+  budget_commands commands = Advance(program, entry);
+  TrackExcess(entry, now);
+  return commands;
 }
 
 void budget_ledger::Cancel(const std::string& program, budget_ticket ticket) {
@@ -74,17 +78,49 @@
   }
 }
 
-std::int64_t budget_ledger::AmountToClaim(const account& entry) {
-  std::int64_t wanted = -entry.available;
+std::int64_t budget_ledger::WaitingTokens(const account& entry) {
+  std::int64_t tokens = 0;
   for (const token_request& next : entry.waiting) {
-    wanted += next.max_tokens;
-  }
-  const auto ahead =
-      entry.claim_ahead
-          ? static_cast<std::int64_t>(kClaimAheadFraction *
-                                      static_cast<double>(entry.budget))
-          : 0;
-  return std::min(wanted + ahead, entry.budget - entry.claimed);
+    tokens += next.max_tokens;
+  }
+  return tokens;
+}
+
+// Most tokens that this daemon keeps for turns that have not been requested.
+std::int64_t budget_ledger::MaxAhead(const account& entry) {
+  if (!entry.claim_ahead) {
+    return 0;
+  }
+  const std::int64_t needed =
+      entry.claimed - entry.available + WaitingTokens(entry);
+  return std::clamp<std::int64_t>(entry.budget / kAheadShareDivisor - needed, 0,
+                                  entry.budget / kMaxAheadDivisor);
+}
+
+std::int64_t budget_ledger::AmountToClaim(const account& entry) {
+  const std::int64_t wanted = WaitingTokens(entry) - entry.available;
+  return std::min(wanted + MaxAhead(entry), entry.budget - entry.claimed);
+}
+
+std::int64_t budget_ledger::IdleTokens(const account& entry,
+                                       steady_time since) {
+  if (entry.write || !entry.waiting.empty() || entry.available <= 0) {
+    return 0;
+  }
+  if (entry.last_used < since) {
+    return entry.available;
+  }
+  return entry.excess_since && *entry.excess_since < since
+             ? std::max<std::int64_t>(entry.available - MaxAhead(entry), 0)
+             : 0;
+}
+
+void budget_ledger::TrackExcess(account& entry, steady_time now) {
+  if (entry.available <= MaxAhead(entry)) {
+    entry.excess_since.reset();
+  } else if (!entry.excess_since) {
+    entry.excess_since = now;
+  }
 }
 
 budget_commands budget_ledger::Advance(const std::string& program,
@@ -156,13 +192,29 @@
 budget_commands budget_ledger::Resolve(const std::string& program) {
   const auto found = accounts_.find(program);
   budget_commands commands;
-  if (found != accounts_.end() && found->second.write &&
-      !found->second.writing) {
-    commands.writes.push_back(SendWrite(program, found->second));
+  if (found == accounts_.end() || found->second.writing) {
+    return commands;
+  }
+  account& entry = found->second;
+  if (entry.write) {
+    commands.writes.push_back(SendWrite(program, entry));
   }
   return commands;
 }
 
+// With an amount of 0 if the stored claim has not been read.
+budget_commands::write budget_ledger::StartRelease(const std::string& program,
+                                                   account& entry,
+                                                   std::int64_t amount) {
+  entry.excess_since.reset();
+  if (entry.version == 0) {
+    return StartWrite(program, entry, 0);
+  }
+  // Not to be granted while the release is on its way.
+  entry.available -= amount;
+  return StartWrite(program, entry, -amount);
+}
+
 budget_commands budget_ledger::ReleaseUnused(const std::string& program) {
   const auto found = accounts_.find(program);
   budget_commands commands;
@@ -170,27 +222,44 @@
     return commands;
   }
   account& entry = found->second;
-  if (entry.available > 0 && !entry.write && entry.version != 0 &&
-      entry.waiting.empty()) {
-    // Not to be granted while the release is on its way.
-    const std::int64_t released = std::exchange(entry.available, 0);
-    commands.writes.push_back(StartWrite(program, entry, -released));
+  if (entry.available > 0 && !entry.write && entry.waiting.empty()) {
+    commands.writes.push_back(StartRelease(program, entry, entry.available));
   }
   return commands;
 }
 
 budget_commands budget_ledger::ReleaseUnused(
-    const std::function<bool(const std::string& program)>& applies,
-    steady_time since) {
+    const std::function<bool(const std::string& program)>& applies) {
   budget_commands commands;
   for (const auto& [program, entry] : accounts_) {
-    if (entry.last_used >= since && entry.available > 0 && applies(program)) {
+    if (entry.available > 0 && applies(program)) {
       commands.Append(ReleaseUnused(program));
     }
   }
   return commands;
 }
 
+bool budget_ledger::HasIdle(steady_time since) const {
+  return std::any_of(
+      accounts_.begin(), accounts_.end(),
+      [since](const auto& next) { return IdleTokens(next.second, since) > 0; });
+}
+
+budget_commands budget_ledger::ReleaseIdle(steady_time since,
+                                           std::size_t max_writes) {
+  budget_commands commands;
+  for (auto& [program, entry] : accounts_) {
+    if (commands.writes.size() >= max_writes) {
+      break;
+    }
+    const std::int64_t idle = IdleTokens(entry, since);
+    if (idle > 0) {
+      commands.writes.push_back(StartRelease(program, entry, idle));
+    }
+  }
+  return commands;
+}
+
 budget_ledger::write_outcome budget_ledger::OutcomeOf(
     const claim_write& write,
     const std::optional<budget_claim>& stored) {
@@ -256,6 +325,24 @@
              : OnWriteResolved(program, found->second, version, stored);
 }
 
+budget_commands budget_ledger::OnNotCarriedOut(const std::string& program) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  account& entry = found->second;
+  entry.writing = false;
+  entry.verified = false;
+  if (entry.write->may_have_run) {
+    // An earlier try may still run.
+    budget_commands commands;
+    commands.writes.push_back(SendWrite(program, entry));
+    return commands;
+  }
+  ApplyOutcome(entry, write_outcome::not_applied);
+  return Advance(program, entry);
+}
+
 budget_commands budget_ledger::OnNoAnswer(const std::string& program,
                                           bool may_have_run) {
   const auto found = accounts_.find(program);
@@ -279,8 +366,9 @@
   if (MayStartUnclaimed(entry)) {
     entry.has_unclaimed_turn = true;
     entry.available -= entry.waiting.front().max_tokens;
-    commands.decisions.push_back(
-        {entry.waiting.front().ticket, budget_decision::granted});
+    commands.decisions.push_back({entry.waiting.front().ticket,
+                                  budget_decision::granted,
+                                  /*is_claimed=*/false});
     entry.waiting.pop_front();
   }
   for (const token_request& next : entry.waiting) {
@@ -329,7 +417,8 @@
 void budget_ledger::EvictIdle(steady_time limit) {
   for (auto next = accounts_.begin(); next != accounts_.end();) {
     const account& entry = next->second;
-    if (entry.last_used < limit && entry.waiting.empty() && !entry.writing) {
+    if (entry.last_used < limit && entry.waiting.empty() && !entry.write &&
+        entry.available <= 0) {
       next = accounts_.erase(next);
     } else {
       ++next;
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -33,8 +33,9 @@
       for the program's owner claims only what it needs, because several
       daemons may do so one after another and each would tie up tokens. */
   bool claim_ahead = true;
-  /** The program's owner may have changed lately, so that an earlier one may
-      still return tokens that it had claimed. */
+  /** Another daemon may still return tokens that it has claimed: an earlier
+      owner after a change of members, or the owner that this daemon substitutes
+      for. */
   bool others_may_release = false;
 };
 
@@ -52,6 +53,8 @@
   struct decision {
     budget_ticket ticket = 0;
     budget_decision outcome = budget_decision::unavailable;
+    /** The tokens of a granted turn were claimed before. */
+    bool is_claimed = true;
   };
   /** A conditional write of a program's claim. */
   struct write {
@@ -70,8 +73,9 @@
 
     Tokens are claimed in the key-value service before a turn may generate them.
     A daemon spends only what it has claimed, so a budget holds regardless of
-    how many daemons a program uses and which of them fail. Tokens that a daemon
-    had claimed but not used when it failed are lost to the program.
+    how many daemons a program uses and which of them fail. What a daemon had
+    claimed when it failed is lost to the program, so tokens that no turn uses
+    are released soon after the program's last turn.
 */
 class budget_ledger {
  public:
@@ -80,7 +84,9 @@
 
   budget_commands Reserve(const token_request& request, steady_time now);
 
-  /** Ends a granted turn and returns its unused tokens.
+  /** Ends a turn that this daemon granted, or that another daemon granted with
+      claimed tokens and doesn't learn the end of. Its unused tokens may serve
+      other turns.
 
       @param used  tokens that reached the caller */
   budget_commands Settle(const std::string& program,
@@ -99,6 +105,10 @@
                              std::uint64_t version,
                              const std::optional<budget_claim>& stored);
 
+  /** Handles a write that was not carried out because another write of the
+      same batch found another version. */
+  budget_commands OnNotCarriedOut(const std::string& program);
+
   /** Handles a write that was not answered or that the service refused.
 
       A write that may have run can take effect until another one has changed
@@ -114,7 +124,8 @@
   /** Repeats the write of such a program, which finds out its outcome. */
   budget_commands Resolve(const std::string& program);
 
-  /** Removes the accounts of programs last used before `limit`. */
+  /** Removes the accounts of programs last used before `limit`. Those that hold
+      tokens stay. */
   void EvictIdle(steady_time limit);
 
   /** Tokens used by the turns of a program that this daemon granted. */
@@ -124,11 +135,19 @@
      daemon can claim them. */
   budget_commands ReleaseUnused(const std::string& program);
 
-  /** Releases the unused tokens of programs for which a predicate holds and
-     which were used after `since`. */
+  /** Releases the unused tokens of programs for which a predicate holds. */
   budget_commands ReleaseUnused(
-      const std::function<bool(const std::string& program)>& applies,
-      steady_time since);
+      const std::function<bool(const std::string& program)>& applies);
+
+  /** True if ReleaseIdle would release tokens. */
+  bool HasIdle(steady_time since) const;
+
+  /** Releases tokens that no turn has needed since a time: all of a program
+      without a turn that began or ended since, and what exceeds the tokens to
+      be kept ahead of the others.
+
+      @param max_writes  of programs that are released at once */
+  budget_commands ReleaseIdle(steady_time since, std::size_t max_writes);
 
   /** Releases all tokens that are not in use, before the daemon stops.
 
@@ -181,7 +200,10 @@
     /** A turn was granted before its tokens were claimed, because the
         key-value service did not answer. */
     bool has_unclaimed_turn = false;
+    /** When a turn of the program was last requested or ended. */
     steady_time last_used;
+    /** Since when more tokens are available than are kept ahead. */
+    std::optional<steady_time> excess_since;
   };
 
   budget_commands Advance(const std::string& program, account& entry);
@@ -199,7 +221,14 @@
   static budget_commands::write SendWrite(const std::string& program,
                                           account& entry);
   void GrantWaiting(account& entry, budget_commands& commands);
+  static std::int64_t WaitingTokens(const account& entry);
+  static std::int64_t MaxAhead(const account& entry);
   static std::int64_t AmountToClaim(const account& entry);
+  static std::int64_t IdleTokens(const account& entry, steady_time since);
+  static void TrackExcess(account& entry, steady_time now);
+  budget_commands::write StartRelease(const std::string& program,
+                                      account& entry,
+                                      std::int64_t amount);
   static bool MayStartUnclaimed(const account& entry);
 
   std::string writer_;
--- a/source/gentian_gateway_daemon/gateway_call.cc
+++ b/source/gentian_gateway_daemon/gateway_call.cc
@@ -280,6 +280,7 @@
           me->turn_.emplace();
           me->turn_->ticket = verdict.ticket;
           me->turn_->reserved = most;
+          me->turn_->is_claimed = verdict.is_claimed;
         }
         me->OnTurnVerdict(verdict, owner);
       });
--- a/source/gentian_gateway_daemon/turn_request.cc
+++ b/source/gentian_gateway_daemon/turn_request.cc
@@ -55,7 +55,8 @@
 void to_json(json& out, const turn_verdict& value) {
   out = {{"outcome", NameOf(value.result)},
          {"ticket", value.ticket},
-         {"target", value.target}};
+         {"target", value.target},
+         {"claimed", value.is_claimed}};
 }
 
 void from_json(const json& in, turn_verdict& value) {
@@ -68,6 +69,7 @@
   }
   in.at("ticket").get_to(value.ticket);
   in.at("target").get_to(value.target);
+  value.is_claimed = in.value("claimed", false);
 }
 
 void to_json(json& out, const turn_end& value) {
@@ -111,4 +113,12 @@
   }
 }
 
+void to_json(json& out, const turn_end_answer& value) {
+  out = {{"known", value.is_known}};
+}
+
+void from_json(const json& in, turn_end_answer& value) {
+  value.is_known = in.value("known", true);
+}
+
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/turn_request.h
+++ b/source/gentian_gateway_daemon/turn_request.h
@@ -53,6 +53,9 @@
   turn_ticket ticket = 0;
   /** The preferred target; empty for any. */
   std::string target;
+  /** The tokens of a granted turn were claimed before. Owners of the build
+      before don't say so. */
+  bool is_claimed = false;
 };
 
 /** The stable name of an outcome. */
@@ -74,6 +77,15 @@
   /** Age of a load report with a pace; the header of a stream comes long before
       its end. */
   milliseconds load_age{0};
+  /** As in the verdict. It is not sent. */
+  bool is_claimed = false;
+};
+
+/** The owner's answer to a turn_end. */
+struct turn_end_answer {
+  /** The owner knew the turn, and counts what it has left. Owners of the build
+      before always do. */
+  bool is_known = true;
 };
 
 /** Wire formats between daemons. */
@@ -83,6 +95,8 @@
 void from_json(const json& in, turn_verdict& value);
 void to_json(json& out, const turn_end& value);
 void from_json(const json& in, turn_end& value);
+void to_json(json& out, const turn_end_answer& value);
+void from_json(const json& in, turn_end_answer& value);
 
 }  // namespace gentian
 
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -13,7 +13,10 @@
 constexpr milliseconds kPeerConnectTimeout{150};
 // Retry interval for reading a budget while the key-value service is down.
 constexpr milliseconds kOutageRetryInterval{150};
-constexpr milliseconds kReleaseInterval{300};
+constexpr milliseconds kSettleInterval{100};
+// Tries to send the end of a turn, and the pause between two of them.
+constexpr int kMaxEndTries = 4;
+constexpr milliseconds kEndRetryInterval{200};
 
 }  // namespace
 
@@ -40,11 +43,12 @@
                      round.End();
                    }
                  }),
-      releasing_(pool,
-                 kReleaseInterval,
-                 [this](const repeating_task::round& /*round*/) {
-                   ReleaseMovedPrograms();
-                 }),
+      settling_(pool,
+                kSettleInterval,
+                [this](const repeating_task::round& /*round*/) {
+                  ReleaseTokens();
+                  ResolveWrites();
+                }),
       // Tickets of an earlier start must not identify turns of this one.
       last_ticket_(StableHash(writer) >> 16U) {
   scheduler_.SetCharges([this](const waiting_turn& turn, steady_time now) {
@@ -52,7 +56,7 @@
                                      state_.targets,
                                      state_.membership.members(), now);
   });
-  releasing_.Start();
+  settling_.Start();
 }
 
 std::uint64_t turn_service::Request(const turn_request& request,
@@ -206,16 +210,61 @@
 }
 
 void turn_service::End(const turn_end& end, const std::string& owner) {
-  if (owner.empty()) {
-    EndOwned(end);
-    return;
+  if (!owner.empty()) {
+    SendEnd(std::make_shared<end_delivery>(end_delivery{end, owner, 0, false}));
+  } else if (!EndOwned(end)) {
+    SettleForOwner(end);
   }
+}
+
+// A turn's unused tokens are counted once: by its owner, or, if the end has
+// certainly not reached it, by this daemon.
+void turn_service::SendEnd(const std::shared_ptr<end_delivery>& delivery) {
+  ++delivery->tries;
   peers_.Post(
-      owner, kEndPath, end, [](const http_response&) {},
-      [this](http_failure, const std::string&) {
-        // The reserved tokens stay claimed, though unused.
-        state_.counters.Add("turn_end_lost");
+      delivery->owner, kEndPath, json(delivery->end),
+      [this, delivery](const http_response& response) {
+        OnEndAnswer(*delivery, response);
+      },
+      [this, delivery](http_failure failure, const std::string&) {
+        OnEndFailure(delivery, failure);
       });
 }
 
+void turn_service::OnEndAnswer(const end_delivery& delivery,
+                               const http_response& response) {
+  turn_end_answer answer;
+  try {
+    answer = ParseJsonMessage(response.body).get<turn_end_answer>();
+  } catch (const json::exception&) {
+    // Counts as known: the owner may have counted the tokens.
+  }
+  if (answer.is_known) {
+    return;
+  }
+  // The owner has restarted, or has given the turn up, if this is not the
+  // answer to the second of two tries that have come.
+  if (delivery.end.is_claimed && !delivery.may_have_come) {
+    SettleForOwner(delivery.end);
+  }
+}
+
+void turn_service::OnEndFailure(const std::shared_ptr<end_delivery>& delivery,
+                                http_failure failure) {
+  delivery->may_have_come |= failure != http_failure::not_sent;
+  if (delivery->end.is_claimed && !delivery->may_have_come) {
+    SettleForOwner(delivery->end);
+  } else if (delivery->end.is_claimed && delivery->tries < kMaxEndTries) {
+    pool_.After(kEndRetryInterval, [this, delivery] { SendEnd(delivery); });
+  } else {
+    // The reserved tokens stay claimed, though unused.
+    state_.counters.Add("turn_end_lost");
+  }
+}
+
+void turn_service::SettleForOwner(const turn_end& end) {
+  state_.counters.Add("turn_end_taken_over");
+  Execute(ledger_.Settle(end.program, end.reserved, end.used, BootTimeNow()));
+}
+
 }  // namespace gentian
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "gentian_adapters/gentian_adapters.h"
 #include "gentian_gateway_daemon/gateway_settings.h"
@@ -68,10 +70,22 @@
     steady_time finish_by;
     steady_time wait_deadline;
     bool budget_granted = false;
+    /** Its tokens were claimed before it was granted. */
+    bool is_claimed = false;
     std::optional<turn_verdict> verdict;
+    /** The verdict was sent to its requester. */
+    bool is_delivered = false;
     /** Receives the verdict; empty while nothing waits for it. */
     std::function<void(const turn_verdict&)> reply;
   };
+  /** Sending the end of a turn to the owner that granted it. */
+  struct end_delivery {
+    turn_end end;
+    std::string owner;
+    int tries = 0;
+    /** A try that had no answer may have reached the owner. */
+    bool may_have_come = false;
+  };
   /** A turn of this daemon's own callers that has no verdict yet. */
   struct pending_turn {
     turn_request request;
@@ -106,6 +120,12 @@
   void Answer(std::uint64_t number,
               const turn_verdict& verdict,
               const std::string& owner);
+  void SendEnd(const std::shared_ptr<end_delivery>& delivery);
+  void OnEndAnswer(const end_delivery& delivery, const http_response& response);
+  void OnEndFailure(const std::shared_ptr<end_delivery>& delivery,
+                    http_failure failure);
+  /** Ends a turn whose owner doesn't learn of its end. */
+  void SettleForOwner(const turn_end& end);
 
   // Deciding turns.
   turn_ticket AddOwned(const turn_request& request);
@@ -114,23 +134,31 @@
   void ReplyWhenDecided(turn_ticket ticket,
                         std::function<void(const turn_verdict&)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
+  void GrantBudget(turn_ticket ticket, bool is_claimed);
   void SetVerdict(owned_turn& own, const turn_verdict& verdict);
   void LogVerdict(const owned_turn& own, const turn_verdict& verdict) const;
-  void EndOwned(const turn_end& end);
+  /** Returns false if the turn is not known. */
+  bool EndOwned(const turn_end& end);
   void DropOwned(turn_ticket ticket);
   void Advance();
   void DropOverdue();
-  void ReleaseMovedPrograms();
-  /** Repeats writes of claims whose outcome is not known. */
-  void ResolveWrites();
-  void ReleaseLaterIfNotOwner(const std::string& program);
   void AnswerRequest(const std::shared_ptr<http_exchange>& exchange,
                      const json& body);
 
   // Writing claims.
-  void Execute(const budget_commands& commands);
-  void Write(const budget_commands::write& write);
-  void OnWritten(const std::string& program, const kv_answer& answer);
+  void Execute(budget_commands commands);
+  void Write(std::vector<budget_commands::write> writes);
+  void OnWritten(const std::vector<budget_commands::write>& writes,
+                 const kv_answer& answer);
+  budget_commands OutcomeOfWrite(const budget_commands::write& write,
+                                 const kv_answer& answer);
+  void WriteLast(const std::vector<budget_commands::write>& writes);
+  /** False while the key-value service does not answer or refuses writes. */
+  bool MayWriteInBackground() const;
+  /** Releases tokens that no turn needs. */
+  void ReleaseTokens();
+  /** Repeats writes of claims whose outcome is not known. */
+  void ResolveWrites();
 
   io_pool& pool_;
   key_value_store& store_;
@@ -142,14 +170,14 @@
   steady_time idle_evicted_at_;
   /** The change of members after which tokens were last released. */
   steady_time released_at_change_;
-  /** When to release the tokens of programs that this daemon doesn't own. */
-  std::map<std::string, steady_time> release_at_;
+  /** Until when nothing is written that no turn waits for. */
+  steady_time writes_paused_until_;
   /** Program of the write that ResolveWrites repeated last. */
   std::string resolved_last_;
   /** Advances the turns while there are any. */
   repeating_task advancing_;
   bool is_advancing_ = false;
-  repeating_task releasing_;
+  repeating_task settling_;
   turn_ticket last_ticket_;
   std::uint64_t last_number_ = 0;
   std::map<turn_ticket, owned_turn> owned_;
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -14,24 +14,11 @@
 
 using outcome = turn_verdict::outcome;
 
-constexpr const char* kClaimPrefix = "gentianrun/budget/";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-// Bounds one write. The key-value service answers within a few milliseconds, a
-// slow one within a few hundred.
-constexpr milliseconds kWriteTimeout{900};
-// Bounds one write while the service doesn't answer: other daemons that may
-// reach it are waiting for this one.
-constexpr milliseconds kOutageWriteTimeout{150};
 // The owner answers within this time, with `undecided` if it has no verdict, so
 // that other daemons soon detect a frozen or partitioned owner.
 constexpr milliseconds kMaxReplyDelay{250};
-constexpr milliseconds kReleaseDelay{1'500};
-// Writes that are repeated per kReleaseInterval to find out their outcome.
-// After an outage, there may be one for each program.
-constexpr std::size_t kMaxResolvedAtOnce = 8;
-// A program that has been idle for longer has most likely ended.
-constexpr milliseconds kReleaseAge{2'500};
 // A program is usually idle for only a few seconds between two turns. For one
 // that returns after this time, the claim is read from the key-value service.
 constexpr milliseconds kAccountRetention{120'000};
@@ -41,18 +28,6 @@
 // counts as excessive.
 constexpr double kExcessiveBudgetShare = 0.6;
 
-outcome OutcomeOf(budget_decision verdict) {
-  switch (verdict) {
-    case budget_decision::granted:
-      return outcome::granted;
-    case budget_decision::exhausted:
-      return outcome::budget_spent;
-    case budget_decision::unavailable:
-      return outcome::unavailable;
-  }
-  return outcome::unavailable;
-}
-
 }  // namespace
 
 turn_ticket turn_service::AddOwned(const turn_request& request) {
@@ -72,9 +47,10 @@
     advancing_.StartAfter(kAdvanceInterval);
   }
   const bool is_owner = IsOwner(request.program);
+  const bool is_stable = IsMembershipStable();
   Execute(ledger_.Reserve(
       {request.program, request.budget, request.max_output_tokens, ticket,
-       is_owner && IsMembershipStable(), is_owner, !IsMembershipStable()},
+       is_owner && is_stable, is_owner, !is_owner || !is_stable},
       now));
   return ticket;
 }
@@ -99,6 +75,7 @@
   if (own.verdict) {
     // The reply may drop the turn.
     const turn_verdict verdict = *own.verdict;
+    own.is_delivered = true;
     reply(verdict);
   } else {
     own.reply = std::move(reply);
@@ -139,6 +116,7 @@
   LogVerdict(own, verdict);
   own.verdict = verdict;
   if (own.reply) {
+    own.is_delivered = true;
     // The reply may drop the turn.
     const auto reply = std::exchange(own.reply, nullptr);
     reply(verdict);
@@ -151,37 +129,43 @@
     return;
   }
   owned_turn& own = found->second;
-  if (result == outcome::granted && !own.budget_granted) {
-    own.budget_granted = true;
-    const std::int64_t used = ledger_.UsedTokens(own.request.program);
-    const bool excessive =
-        static_cast<double>(used) >
-        kExcessiveBudgetShare * static_cast<double>(own.request.budget);
-    waiting_turn waiting{ticket,
-                         own.request.program,
-                         own.request.service,
-                         own.request.priority,
-                         own.finish_by,
-                         own.deadline,
-                         own.wait_deadline,
-                         excessive,
-                         own.request.failure_domain};
-    if (own.request.homes) {
-      waiting.homes = *own.request.homes;
-      waiting.may_run =
-          [policy = placement_policy(settings_.regions, *own.request.homes)](
-              const target_record& target) { return policy.MayRun(target); };
-    }
-    scheduler_.Add(waiting);
-    Advance();
-    return;
-  }
-  if (own.budget_granted) {
+  if (std::exchange(own.budget_granted, false)) {
     Execute(ledger_.Settle(own.request.program, own.request.max_output_tokens,
                            0, BootTimeNow()));
-    ReleaseLaterIfNotOwner(own.request.program);
   }
-  SetVerdict(own, turn_verdict{result, ticket, ""});
+  SetVerdict(found->second, turn_verdict{result, ticket, ""});
+}
+
+// A turn within its budget waits for a place at a target.
+void turn_service::GrantBudget(turn_ticket ticket, bool is_claimed) {
+  const auto found = owned_.find(ticket);
+  if (found == owned_.end()) {
+    return;
+  }
+  owned_turn& own = found->second;
+  own.budget_granted = true;
+  own.is_claimed = is_claimed;
+  const std::int64_t used = ledger_.UsedTokens(own.request.program);
+  const bool excessive =
+      static_cast<double>(used) >
+      kExcessiveBudgetShare * static_cast<double>(own.request.budget);
+  waiting_turn waiting{ticket,
+                       own.request.program,
+                       own.request.service,
+                       own.request.priority,
+                       own.finish_by,
+                       own.deadline,
+                       own.wait_deadline,
+                       excessive,
+                       own.request.failure_domain};
+  if (own.request.homes) {
+    waiting.homes = *own.request.homes;
+    waiting.may_run =
+        [policy = placement_policy(settings_.regions, *own.request.homes)](
+            const target_record& target) { return policy.MayRun(target); };
+  }
+  scheduler_.Add(waiting);
+  Advance();
 }
 
 void turn_service::Advance() {
@@ -197,8 +181,8 @@
       continue;
     }
     owned_turn& own = found->second;
-    SetVerdict(
-        own, turn_verdict{outcome::granted, decision.ticket, decision.target});
+    SetVerdict(own, turn_verdict{outcome::granted, decision.ticket,
+                                 decision.target, own.is_claimed});
   }
 }
 
@@ -216,60 +200,11 @@
   }
 }
 
-// Tokens that this daemon has claimed for programs of which another daemon is
-// the owner now would be missing there.
-void turn_service::ReleaseMovedPrograms() {
-  const steady_time now = BootTimeNow();
-  if (released_at_change_ != state_.members_changed_at) {
-    released_at_change_ = state_.members_changed_at;
-    Execute(ledger_.ReleaseUnused(
-        [this](const std::string& program) { return !IsOwner(program); },
-        now - kReleaseAge));
-  }
-  for (auto next = release_at_.begin(); next != release_at_.end();) {
-    if (now < next->second) {
-      ++next;
-      continue;
-    }
-    if (!IsOwner(next->first)) {
-      Execute(ledger_.ReleaseUnused(next->first));
-    }
-    next = release_at_.erase(next);
-  }
-  ResolveWrites();
-}
-
-void turn_service::ResolveWrites() {
-  if (!state_.store_reached) {
-    return;
-  }
-  const std::vector<std::string> programs = ledger_.UnresolvedPrograms();
-  // Goes on after the program at which the last call has stopped.
-  auto next =
-      std::upper_bound(programs.begin(), programs.end(), resolved_last_);
-  for (std::size_t i = 0; i < std::min(programs.size(), kMaxResolvedAtOnce);
-       ++i) {
-    if (next == programs.end()) {
-      next = programs.begin();
-    }
-    resolved_last_ = *next++;
-    state_.counters.Add("budget_write_repeated");
-    Execute(ledger_.Resolve(resolved_last_));
-    ReleaseLaterIfNotOwner(resolved_last_);
+bool turn_service::EndOwned(const turn_end& end) {
+  const bool is_known = owned_.count(end.ticket) > 0;
+  if (is_known) {
+    Execute(ledger_.Settle(end.program, end.reserved, end.used, BootTimeNow()));
   }
-}
-
-// A daemon that substitutes for the owner keeps unused tokens for a moment: the
-// next turn often comes to it too, and each release is a write.
-void turn_service::ReleaseLaterIfNotOwner(const std::string& program) {
-  if (!IsOwner(program)) {
-    release_at_[program] = BootTimeNow() + kReleaseDelay;
-  }
-}
-
-void turn_service::EndOwned(const turn_end& end) {
-  Execute(ledger_.Settle(end.program, end.reserved, end.used, BootTimeNow()));
-  ReleaseLaterIfNotOwner(end.program);
   if (end.load) {
     state_.targets.ReportLoad(end.target,
                               {end.load->running, end.load->waiting,
@@ -281,6 +216,7 @@
   scheduler_.Remove(end.ticket);
   owned_.erase(end.ticket);
   Advance();
+  return is_known;
 }
 
 void turn_service::DropOwned(turn_ticket ticket) {
@@ -292,11 +228,11 @@
   owned_.erase(found);
   scheduler_.Remove(ticket);
   ledger_.Cancel(dropped.request.program, ticket);
-  if (dropped.budget_granted && !dropped.verdict) {
+  if (dropped.budget_granted && !dropped.is_delivered) {
+    // It has not run.
     Execute(ledger_.Settle(dropped.request.program,
                            dropped.request.max_output_tokens, 0,
                            BootTimeNow()));
-    ReleaseLaterIfNotOwner(dropped.request.program);
   }
 }
 
@@ -308,8 +244,8 @@
   try {
     const json body = ParseJsonMessage(exchange->request().body);
     if (path == kEndPath) {
-      EndOwned(body.get<turn_end>());
-      exchange->Respond(JsonResponse(kOk, json::object()));
+      const turn_end_answer answer{EndOwned(body.get<turn_end>())};
+      exchange->Respond(JsonResponse(kOk, json(answer)));
     } else {
       AnswerRequest(exchange, body);
     }
@@ -346,65 +282,4 @@
   });
 }
 
-void turn_service::Release() {
-  for (const auto& write : ledger_.ReleaseAll()) {
-    store_.Call(kv_compare_and_swap{kClaimPrefix + write.program,
-                                    write.expected_version, write.value, 0},
-                kWriteTimeout, [](const kv_answer&) {
-                  // If the write fails, the program loses the tokens.
-                });
-  }
-}
-
-void turn_service::Execute(const budget_commands& commands) {
-  for (const auto& write : commands.writes) {
-    Write(write);
-  }
-  for (const auto& verdict : commands.decisions) {
-    Decide(verdict.ticket, OutcomeOf(verdict.outcome));
-  }
-}
-
-void turn_service::Write(const budget_commands::write& write) {
-  kv_compare_and_swap operation;
-  operation.key = kClaimPrefix + write.program;
-  operation.expected_version = write.expected_version;
-  operation.value = write.value;
-  store_.Call(operation,
-              state_.store_reached ? kWriteTimeout : kOutageWriteTimeout,
-              [this, program = write.program](const kv_answer& answer) {
-                OnWritten(program, answer);
-              });
-}
-
-void turn_service::OnWritten(const std::string& program,
-                             const kv_answer& answer) {
-  switch (answer.outcome) {
-    case kv_answer::status::ok:
-      Execute(ledger_.OnWritten(program, answer.revision));
-      return;
-    case kv_answer::status::conflict: {
-      if (answer.entries.empty()) {
-        Execute(ledger_.OnConflict(program, 0, std::nullopt));
-        return;
-      }
-      const kv_entry& stored = answer.entries.front();
-      const auto claim = DecodeClaim(stored.value);
-      if (!claim) {
-        // The tokens spent are unknown, so nothing more is granted.
-        Execute(ledger_.OnNoAnswer(program, false));
-        return;
-      }
-      Execute(ledger_.OnConflict(program, stored.version, claim));
-      return;
-    }
-    case kv_answer::status::not_sent:
-      Execute(ledger_.OnNoAnswer(program, false));
-      return;
-    default:
-      Execute(ledger_.OnNoAnswer(program, true));
-      return;
-  }
-}
-
 }  // namespace gentian
--- a/tests/gateway/budget_ledger_test.cc
+++ b/tests/gateway/budget_ledger_test.cc
@@ -1,12 +1,13 @@
 #include <criterion/criterion.h>
 
 #include <array>
-#include <utility>
 #include <vector>
 
+#include "gateway/claim_store.h"
 #include "gentian_gateway/gentian_gateway.h"
 
 using namespace gentian;
+using gentian::testing::claim_store;
 
 namespace {
 
@@ -22,57 +23,6 @@
           may_start_unclaimed, true};
 }
 
-// The stored claim that the ledgers of several daemons share.
-class claim_store {
- public:
-  /** Carries out writes until there are none; counts granted turns. */
-  int Run(budget_ledger& ledger, budget_commands commands) {
-    int granted = 0;
-    while (true) {
-      for (const auto& decision : commands.decisions) {
-        granted += decision.outcome == budget_decision::granted ? 1 : 0;
-      }
-      if (commands.writes.empty()) {
-        return granted;
-      }
-      commands = Carry(ledger, commands.writes.front());
-    }
-  }
-
-  /** Carries out one write and reports its outcome. */
-  budget_commands Carry(budget_ledger& ledger,
-                        const budget_commands::write& write) {
-    if (write.expected_version == version_) {
-      stored_ = DecodeClaim(write.value);
-      return ledger.OnWritten(write.program, ++version_);
-    }
-    return ledger.OnConflict(write.program, version_, stored_);
-  }
-
-  /** A write that is held up on its way to the store. */
-  void HoldUp(const budget_commands::write& write) { held_.push_back(write); }
-
-  /** Carries out what was held up, each write if its condition still holds. */
-  void RunHeld() {
-    for (const auto& write : std::exchange(held_, {})) {
-      RunUnanswered(write);
-    }
-  }
-
-  /** Carries out a write whose answer is lost. */
-  void RunUnanswered(const budget_commands::write& write) {
-    if (write.expected_version == version_) {
-      stored_ = DecodeClaim(write.value);
-      ++version_;
-    }
-  }
-
- private:
-  std::uint64_t version_ = 0;
-  std::optional<budget_claim> stored_;
-  std::vector<budget_commands::write> held_;
-};
-
 // Ends one of the ledger's running turns, if there is one, with a random number
 // of tokens spent.
 budget_commands SettleRandom(budget_ledger& ledger,
@@ -251,7 +201,7 @@
   // The turn was refused for another reason.
   store.Run(earlier, earlier.Settle("program", kMaxTurnTokens, 0, At(0)));
   const auto moved = [](const std::string&) { return true; };
-  store.Run(earlier, earlier.ReleaseUnused(moved, At(0)));
+  store.Run(earlier, earlier.ReleaseUnused(moved));
   budget_ledger next("next");
   int granted = 0;
   for (budget_ticket ticket = 1; ticket < 8; ++ticket) {
--- a/tests/platform/gateway_fleet.h
+++ b/tests/platform/gateway_fleet.h
@@ -18,18 +18,12 @@
       std::size_t size,
       fake_target::request_handler handler,
       milliseconds withdrawal_bound = gateway_fixture::kWithdrawalBound)
-      : first(std::move(handler), withdrawal_bound) {
+      : first(std::move(handler), withdrawal_bound),
+        withdrawal_bound_(withdrawal_bound) {
     for (std::size_t i = 1; i < size; ++i) {
       others_.push_back(std::make_unique<gateway>(first, i, withdrawal_bound));
     }
-    cr_assert(WaitFor([this] {
-      for (std::size_t i = 0; i < this->size(); ++i) {
-        if (KnownMembers(i) != this->size()) {
-          return false;
-        }
-      }
-      return true;
-    }));
+    AwaitMembers();
   }
 
   ~gateway_fleet() { StopPools(); }
@@ -39,7 +33,12 @@
   /** Ends all handlers, before the variables of a test that they use. */
   void StopPools() {
     for (const auto& other : others_) {
-      other->pool.Stop();
+      if (other->pool) {
+        other->pool->Stop();
+      }
+    }
+    if (restarted_first_) {
+      restarted_first_->pool->Stop();
     }
     first.daemon_pool.Stop();
     first.pool.Stop();
@@ -47,7 +46,58 @@
 
   /** Ends a gateway, other than the first, as a kill does: it answers nothing,
       and its record stays. */
-  void Kill(std::size_t index) { others_[index - 1]->pool.Stop(); }
+  void Kill(std::size_t index) { others_[index - 1]->pool->Stop(); }
+
+  /** As Kill, and closes the gateway's sockets, so that connections to it are
+      refused. */
+  void KillAndClose(std::size_t index) {
+    Kill(index);
+    others_[index - 1]->daemon.reset();
+    others_[index - 1]->pool.reset();
+  }
+
+  /** Ends all gateways as a kill does, and starts as many under their names.
+     The first one of them no longer is the one of the fixture. */
+  void KillAndRestartAll() {
+    const std::size_t count = size();
+    first.daemon_pool.Stop();
+    for (const auto& other : others_) {
+      other->pool->Stop();
+    }
+    killed_ = std::exchange(others_, {});
+    restarted_first_ = std::make_unique<gateway>(first, kRestartOffset,
+                                                 withdrawal_bound_, HostOf(0));
+    for (std::size_t i = 1; i < count; ++i) {
+      others_.push_back(std::make_unique<gateway>(
+          first, kRestartOffset + i, withdrawal_bound_, HostOf(i)));
+    }
+    AwaitMembers();
+  }
+
+  /** Starts another gateway. */
+  void Add() {
+    others_.push_back(
+        std::make_unique<gateway>(first, size(), withdrawal_bound_));
+    AwaitMembers();
+  }
+
+  /** Waits until all gateways know each other. */
+  void AwaitMembers() {
+    cr_assert(WaitFor([this] {
+      for (std::size_t i = 0; i < size(); ++i) {
+        if (KnownMembers(i) != size()) {
+          return false;
+        }
+      }
+      return true;
+    }));
+  }
+
+  /** The host name of the gateway with this index. */
+  static std::string HostOf(std::size_t index) {
+    return index == 0 ? gateway_fixture::Settings(0).host
+                      : "host-" + std::to_string(index);
+  }
 
   /** A request for the gateway with this index. */
   http_client_request Request(std::size_t index, const std::string& path) {
@@ -71,32 +121,45 @@
     gateway(gateway_fixture& shared,
             std::size_t index,
             milliseconds withdrawal_bound)
-        : settings(SettingsAt(index, withdrawal_bound)),
-          store_client(shared.store, pool) {
+        : gateway(shared, index, withdrawal_bound, HostOf(index)) {}
+
+    gateway(gateway_fixture& shared,
+            std::size_t index,
+            milliseconds withdrawal_bound,
+            const std::string& host)
+        : settings(SettingsAt(index, withdrawal_bound, host)),
+          store_client(shared.store, *pool) {
       daemon = std::make_unique<gateway_daemon>(
-          pool, store_client, shared.protocol, settings,
-          "start-" + std::to_string(index + 1));
+          *pool, store_client, shared.protocol, settings,
+          "start-" + std::to_string(index + 1) + "-" + host);
       cr_assert(!Failed(daemon->Start()));
     }
 
     static gateway_settings SettingsAt(std::size_t index,
-                                       milliseconds withdrawal_bound) {
+                                       milliseconds withdrawal_bound,
+                                       const std::string& host) {
       const int offset = static_cast<int>(index) * 100;
       gateway_settings settings =
           gateway_fixture::Settings(offset, withdrawal_bound);
-      settings.host = "host-" + std::to_string(index);
+      settings.host = host;
       return settings;
     }
 
     gateway_settings settings;
-    io_pool pool{1};
+    std::unique_ptr<io_pool> pool = std::make_unique<io_pool>(1);
     fake_store_client store_client;
     std::unique_ptr<gateway_daemon> daemon;
   };
 
+  // Ports of restarted gateways are those of gateways with higher indices.
+  static constexpr std::size_t kRestartOffset = 20;
+
   gateway_settings SettingsOf(std::size_t index) const {
-    return index == 0 ? gateway_fixture::Settings(0)
-                      : others_[index - 1]->settings;
+    if (index > 0) {
+      return others_[index - 1]->settings;
+    }
+    return restarted_first_ ? restarted_first_->settings
+                            : gateway_fixture::Settings(0);
   }
 
   // Number of gateways to which this one directs callers.
@@ -110,7 +173,10 @@
                : 0;
   }
 
+  milliseconds withdrawal_bound_;
   std::vector<std::unique_ptr<gateway>> others_;
+  std::unique_ptr<gateway> restarted_first_;
+  std::vector<std::unique_ptr<gateway>> killed_;
 };
 
 }  // namespace gentian::testing
