Let only programs without a claim start a turn unclaimed

Cause: budget_ledger took a program for new if this process had not read its claim, so that each start of an owner and each new owner made every program new again. What a turn used before it was claimed was claimed only with the program's next turn, and never beyond the budget. Evidence: the stored claim is 1,400 of 1,400 throughout, and turns in calm get 402; each outage's turn is let start by a process that started after the one before.

Change: unclaimed_start_policy takes a program for new if this daemon has been its owner ever since it read the list of all claims without it, over all members since then; without a list (some 4,000 claims at most, 512 pages over all daemons), after it has owned the program for longer than programs pause. Nothing is new for two minutes after a start in an outage, a loss of members in one, or for a daemon whose record may have ended, until it has listed the claims anew. What was used unclaimed is claimed as soon as the service answers and at a planned stop, also beyond the budget. The stored form is the same.

Why it works: a program that has had a turn has a claim, or its owner knows the turn, or that owner has failed in the outage. New programs start as before: from 6 s after the last change of members.

All 185 tests of the gateway's decisions, 25 of the adapters and those of token_budget, metadata_store and turn_request pass.

--- a/source/gentian_decisions/kv_operation.h
+++ b/source/gentian_decisions/kv_operation.h
@@ -32,6 +32,10 @@
   std::string prefix;
   /** The listing may be some seconds old, and costs the service less. */
   bool may_be_stale = false;
+  /** Most pages to read, after which the answer is truncated; without it, a
+      listing beyond the client's own bound fails. Services without pages ignore
+      it. */
+  std::optional<int> max_pages{};
 };
 
 /** Writes a key if its version is the expected one; 0 creates it. */
@@ -115,6 +119,8 @@
   std::uint64_t lease = 0;
   /** Why no answer came, for logs; empty if it is not known. */
   std::string reason = {};
+  /** A listing has more entries. */
+  bool is_truncated = false;
 };
 
 /** The stable name of a status, for logs. */
--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -182,7 +182,7 @@
 std::vector<std::string> budget_ledger::UnresolvedPrograms() const {
   std::vector<std::string> programs;
   for (const auto& [program, entry] : accounts_) {
-    if (entry.write && !entry.writing) {
+    if (!entry.writing && (entry.write || entry.available < 0)) {
       programs.push_back(program);
     }
   }
@@ -198,6 +198,9 @@
   account& entry = found->second;
   if (entry.write) {
     commands.writes.push_back(SendWrite(program, entry));
+  } else if (entry.available < 0) {
+    // Also beyond the budget: the tokens have reached the caller.
+    commands.writes.push_back(StartWrite(program, entry, -entry.available));
   }
   return commands;
 }
@@ -395,14 +398,15 @@
 std::vector<budget_commands::write> budget_ledger::ReleaseAll() {
   std::vector<budget_commands::write> writes;
   for (auto& [program, entry] : accounts_) {
-    if (entry.writing || entry.version == 0) {
+    const bool is_owed = entry.available < 0;
+    if (entry.writing || (entry.version == 0 && !is_owed)) {
       continue;
     }
     // If the condition of this write holds, an unresolved one has not run.
     const std::int64_t unresolved =
         entry.write ? std::max<std::int64_t>(-entry.write->amount, 0) : 0;
     entry.write.reset();
-    if (entry.available + unresolved > 0) {
+    if (entry.available + unresolved != 0) {
       entry.claimed -= entry.available + unresolved;
       entry.available = 0;
       writes.push_back(
@@ -418,7 +422,7 @@
   for (auto next = accounts_.begin(); next != accounts_.end();) {
     const account& entry = next->second;
     if (entry.last_used < limit && entry.waiting.empty() && !entry.write &&
-        entry.available <= 0) {
+        entry.available == 0) {
       next = accounts_.erase(next);
     } else {
       ++next;
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -27,7 +27,8 @@
   budget_ticket ticket = 0;
   /** The program's first turn may start before its tokens are claimed if the
       key-value service does not answer. Only one daemon may set this for a
-      program, because the users accept one turn beyond the budget. */
+      program, because the users accept one turn beyond the budget; see
+      unclaimed_start_policy. */
   bool may_start_unclaimed = false;
   /** More tokens than this turn needs may be claimed. A daemon that substitutes
       for the program's owner claims only what it needs, because several
@@ -118,14 +119,16 @@
       @param may_have_run  of this try alone */
   budget_commands OnNoAnswer(const std::string& program, bool may_have_run);
 
-  /** Programs of which a write has no known outcome and is not on its way. */
+  /** Programs with a write that has no known outcome and is not on its way, and
+      programs whose turn started before its tokens were claimed. */
   std::vector<std::string> UnresolvedPrograms() const;
 
-  /** Repeats the write of such a program, which finds out its outcome. */
+  /** Repeats the write of such a program, which finds out its outcome, or
+     claims what its turn has used. */
   budget_commands Resolve(const std::string& program);
 
   /** Removes the accounts of programs last used before `limit`. Those that hold
-      tokens stay. */
+      or owe tokens stay. */
   void EvictIdle(steady_time limit);
 
   /** Tokens used by the turns of a program that this daemon granted. */
@@ -149,7 +152,8 @@
       @param max_writes  of programs that are released at once */
   budget_commands ReleaseIdle(steady_time since, std::size_t max_writes);
 
-  /** Releases all tokens that are not in use, before the daemon stops.
+  /** Releases all tokens that are not in use and claims those that were used
+      before they were claimed, before the daemon stops.
 
       @returns  the writes; their outcome need not be reported */
   std::vector<budget_commands::write> ReleaseAll();
--- a/source/gentian_gateway/gentian_gateway.h
+++ b/source/gentian_gateway/gentian_gateway.h
@@ -42,5 +42,6 @@
 #include "gentian_gateway/target_selector.h"
 #include "gentian_gateway/target_table.h"
 #include "gentian_gateway/turn_scheduler.h"
+#include "gentian_gateway/unclaimed_start_policy.h"
 
 #endif  // GENTIAN_GATEWAY_GENTIAN_GATEWAY_H_
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -33,6 +33,7 @@
       state_(state),
       ledger_(writer),
       scheduler_(state.targets),
+      unclaimed_starts_(store, settings, state),
       advancing_(pool,
                  kAdvanceInterval,
                  [this](const repeating_task::round& round) {
@@ -46,6 +47,7 @@
       settling_(pool,
                 kSettleInterval,
                 [this](const repeating_task::round& /*round*/) {
+                  unclaimed_starts_.Update();
                   ReleaseTokens();
                   ResolveWrites();
                 }),
--- a/source/gentian_gateway_daemon/turn_service.h
+++ b/source/gentian_gateway_daemon/turn_service.h
@@ -13,6 +13,7 @@
 #include "gentian_gateway_daemon/gateway_state.h"
 #include "gentian_gateway_daemon/peer_client.h"
 #include "gentian_gateway_daemon/turn_request.h"
+#include "gentian_gateway_daemon/unclaimed_starts.h"
 
 namespace gentian {
 
@@ -130,7 +131,6 @@
   // Deciding turns.
   turn_ticket AddOwned(const turn_request& request);
   bool IsOwner(const std::string& program) const;
-  bool IsMembershipStable() const;
   void ReplyWhenDecided(turn_ticket ticket,
                         std::function<void(const turn_verdict&)> reply);
   void Decide(turn_ticket ticket, turn_verdict::outcome outcome);
@@ -157,7 +157,8 @@
   bool MayWriteInBackground() const;
   /** Releases tokens that no turn needs. */
   void ReleaseTokens();
-  /** Repeats writes of claims whose outcome is not known. */
+  /** Repeats writes of claims whose outcome is not known, and claims what was
+      used before it was claimed. */
   void ResolveWrites();
 
   io_pool& pool_;
@@ -170,6 +171,7 @@
   steady_time idle_evicted_at_;
   /** The change of members after which tokens were last released. */
   steady_time released_at_change_;
+  unclaimed_starts unclaimed_starts_;
   /** Until when nothing is written that no turn waits for. */
   steady_time writes_paused_until_;
   /** Program of the write that ResolveWrites repeated last. */
--- a/source/gentian_gateway_daemon/turn_service_owner.cc
+++ b/source/gentian_gateway_daemon/turn_service_owner.cc
@@ -19,11 +19,6 @@
 // The owner answers within this time, with `undecided` if it has no verdict, so
 // that other daemons soon detect a frozen or partitioned owner.
 constexpr milliseconds kMaxReplyDelay{250};
-// A program is usually idle for only a few seconds between two turns. For one
-// that returns after this time, the claim is read from the key-value service.
-constexpr milliseconds kAccountRetention{120'000};
-// Time without a membership change after which all daemons have the same list.
-constexpr milliseconds kMembershipStableDelay{6'000};
 // A program that has used more than this share of its budget may never end and
 // counts as excessive.
 constexpr double kExcessiveBudgetShare = 0.6;
@@ -32,8 +27,9 @@
 
 turn_ticket turn_service::AddOwned(const turn_request& request) {
   const steady_time now = BootTimeNow();
-  if (now - idle_evicted_at_ > kAccountRetention) {
-    ledger_.EvictIdle(now - kAccountRetention);
+  const milliseconds retention = ProgramRetention(state_);
+  if (now - idle_evicted_at_ > retention) {
+    ledger_.EvictIdle(now - retention);
     idle_evicted_at_ = now;
   }
   const turn_ticket ticket = ++last_ticket_;
@@ -47,10 +43,11 @@
     advancing_.StartAfter(kAdvanceInterval);
   }
   const bool is_owner = IsOwner(request.program);
-  const bool is_stable = IsMembershipStable();
+  const bool is_stable = IsMembershipStable(state_, now);
   Execute(ledger_.Reserve(
       {request.program, request.budget, request.max_output_tokens, ticket,
-       is_owner && is_stable, is_owner, !is_owner || !is_stable},
+       is_owner && is_stable && unclaimed_starts_.MayStart(request.program),
+       is_owner, !is_owner || !is_stable},
       now));
   return ticket;
 }
@@ -62,12 +59,6 @@
   return owner != nullptr && owner->host == settings_.host;
 }
 
-// True if all daemons agree on the owners, and did so before the programs'
-// current turns started.
-bool turn_service::IsMembershipStable() const {
-  return BootTimeNow() - state_.members_changed_at > kMembershipStableDelay;
-}
-
 void turn_service::ReplyWhenDecided(
     turn_ticket ticket,
     std::function<void(const turn_verdict&)> reply) {
--- a/tests/gateway/budget_release_test.cc
+++ b/tests/gateway/budget_release_test.cc
@@ -135,6 +135,36 @@
   cr_assert(Grant(store, next, 6, 2'000) == 6);
 }
 
+// Guards against tokens that a caller got and that no claim shows, because the
+// program sent no more turns after an outage. The next daemon would start
+// another turn of the program unclaimed in the next outage.
+Test(budget_release, what_was_used_unclaimed_is_claimed_without_another_turn) {
+  for (const bool is_spent : {false, true}) {
+    claim_store store;
+    if (is_spent) {
+      budget_ledger earlier("earlier");
+      cr_assert(Grant(store, earlier, 8, 0) == 8);
+    }
+    budget_ledger owner("owner");
+    token_request request = Turn(1);
+    request.may_start_unclaimed = true;
+    owner.Reserve(request, At(0));
+    owner.OnNoAnswer("program", false);
+    const budget_commands granted = owner.OnNoAnswer("program", false);
+    cr_assert(granted.decisions.size() == 1);
+    cr_assert(granted.decisions[0].outcome == budget_decision::granted);
+    cr_assert(!granted.decisions[0].is_claimed);
+    owner.Settle("program", kMaxTurnTokens, kUsedTokens, At(200));
+    for (int round = 0; round < 2; ++round) {
+      for (const std::string& program : owner.UnresolvedPrograms()) {
+        store.Run(owner, owner.Resolve(program));
+      }
+    }
+    cr_assert(store.claimed() == (is_spent ? kBudget : 0) + kUsedTokens);
+    cr_assert(owner.UnresolvedPrograms().empty());
+  }
+}
+
 namespace {
 
 // Stored claims of several programs, written in batches.
--- a/tests/platform/metadata_store_test.cc
+++ b/tests/platform/metadata_store_test.cc
@@ -116,3 +116,30 @@
     pool.Stop();
   }
 }
+
+// Guards against a listing that is read to its end although its reader can't
+// use one that long, and against one that seems complete.
+Test(metadata_store, a_listing_is_truncated_at_its_bound) {
+  io_pool pool(2);
+  int pages = 0;
+  http_server server(
+      pool, [&pages](const std::shared_ptr<http_exchange>& exchange) {
+        const std::string key = "k" + std::to_string(++pages);
+        exchange->Respond(
+            JsonResponse(200, {{"items", {Event(key.c_str(), "1", 3)}},
+                               {"truncated", pages < 5},
+                               {"as_of", 10}}));
+      });
+  cr_assert(!Failed(server.Listen("127.0.0.1:0")));
+  const kv_answer part = Call(server, pool, kv_list{"k", false, 3});
+  cr_assert(part.outcome == kv_answer::status::ok && part.is_truncated);
+  cr_assert_eq(part.entries.size(), 3);
+  cr_assert_eq(pages, 3);
+  for (const kv_list& listing : {kv_list{"k"}, kv_list{"k", false, 5}}) {
+    pages = 0;
+    const kv_answer whole = Call(server, pool, listing);
+    cr_assert(whole.outcome == kv_answer::status::ok && !whole.is_truncated);
+    cr_assert_eq(whole.entries.size(), 5);
+  }
+  pool.Stop();
+}
--- a/tests/platform/token_budget_test.cc
+++ b/tests/platform/token_budget_test.cc
@@ -414,3 +414,30 @@
   const int calls = subject.fleet.first.store.claim_calls() - before;
   cr_assert(calls <= kMaxParallelTurns + 1, "%d calls", calls);
 }
+
+// Guards against a turn beyond the budget in each outage of the key-value
+// service that follows a start of the program's owner, and against new programs
+// that are refused then.
+Test(token_budget, only_new_programs_start_unclaimed_after_a_restart) {
+  constexpr int kSmallBudget = 2 * kMaxTokens;
+  budget_fleet subject(2);
+  const std::vector<std::string> spent = {"spent-0", "spent-1", "spent-2"};
+  for (const std::string& program : spent) {
+    for (int turn = 0; turn < 2; ++turn) {
+      cr_assert_eq(subject.Turn(0, program, kSmallBudget, kMaxEvents), 200);
+    }
+  }
+  std::this_thread::sleep_for(kSettleTime);
+  subject.fleet.KillAndRestartAll();
+  std::this_thread::sleep_for(kStableTime);
+  subject.fleet.first.store.SetUnavailable(true);
+  std::this_thread::sleep_for(milliseconds(200));
+  cr_assert_eq(subject.Turn(0, "new", kSmallBudget), 200);
+  for (const std::string& program : spent) {
+    cr_assert_neq(subject.Turn(0, program, kSmallBudget), 200, "%s",
+                  program.c_str());
+  }
+  subject.fleet.first.store.SetUnavailable(false);
+  // What it used is claimed although it sends no more turns.
+  cr_assert(WaitFor([&] { return subject.Claimed("new") == kUsedTokens; }));
+}
