Say what the parts of a budget that are claimed ahead stand for

Cause: the names and comments of two constants of budget_ledger spoke of fractions, though the constants divide; a comment in turn_service counted tries in a way that needed a second reading.

Change: comments and one name.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -11,14 +11,14 @@
 // second attempt uses a new connection and shows whether the first one took
 // effect.
 constexpr int kMaxUnansweredWrites = 2;
-// Largest fraction of a budget that is claimed in addition to what the waiting
-// turns need. Programs commonly use a fifth of their budget, so one or two
-// writes are enough for most. If the daemon fails, the program loses at most
-// this fraction.
+// A fourth of a budget is claimed at most in addition to what the waiting turns
+// need. Programs commonly use a fifth of their budget, so one or two writes are
+// enough for most. If the daemon fails while a program runs, the program loses
+// it.
 constexpr std::int64_t kMaxAheadDivisor = 4;
-// Nothing is claimed ahead beyond this fraction of a budget, so that a program
+// Nothing is claimed ahead when half of a budget is claimed, so that a program
 // never loses more than that to claims ahead, however many daemons fail.
-constexpr std::int64_t kAheadShareDivisor = 2;
+constexpr std::int64_t kClaimedAheadDivisor = 2;
 
 }  // namespace
 
@@ -93,8 +93,8 @@
   }
   const std::int64_t needed =
       entry.claimed - entry.available + WaitingTokens(entry);
-  return std::clamp<std::int64_t>(entry.budget / kAheadShareDivisor - needed, 0,
-                                  entry.budget / kMaxAheadDivisor);
+  return std::clamp<std::int64_t>(entry.budget / kClaimedAheadDivisor - needed,
+                                  0, entry.budget / kMaxAheadDivisor);
 }
 
 std::int64_t budget_ledger::AmountToClaim(const account& entry) {
--- a/source/gentian_gateway_daemon/turn_service.cc
+++ b/source/gentian_gateway_daemon/turn_service.cc
@@ -244,8 +244,8 @@
   if (answer.is_known) {
     return;
   }
-  // The owner has restarted, or has given the turn up, if this is not the
-  // answer to the second of two tries that have come.
+  // The owner has restarted or has dropped the turn, unless an earlier try has
+  // come, too.
   if (delivery.end.is_claimed && !delivery.may_have_come) {
     SettleForOwner(delivery.end);
   }
