Start the turns of the budget tests in one place

Cause: the linter refuses vectors of futures that grow without reserved room, and constant strings that are returned.

Change: StartTurns in token_budget_test.

--- a/tests/gateway/unclaimed_start_policy_test.cc
+++ b/tests/gateway/unclaimed_start_policy_test.cc
@@ -31,7 +31,7 @@
                       const std::vector<std::string>& hosts) {
   const auto members = Members(hosts);
   for (int i = 0;; ++i) {
-    const std::string program = "program-" + std::to_string(i);
+    std::string program = "program-" + std::to_string(i);
     const member_record* found =
         OwnerOf(program, members, [](const member_record&) { return true; });
     if (found->host == owner) {
@@ -67,7 +67,7 @@
   const std::string moved = [] {
     // A program of b that a owns without it.
     for (int i = 0;; ++i) {
-      const std::string program = "moved-" + std::to_string(i);
+      std::string program = "moved-" + std::to_string(i);
       const auto any = [](const member_record&) { return true; };
       if (OwnerOf(program, Members({"a", "b", "c"}), any)->host == "b" &&
           OwnerOf(program, Members({"a", "c"}), any)->host == "a") {
--- a/tests/platform/token_budget_test.cc
+++ b/tests/platform/token_budget_test.cc
@@ -64,7 +64,7 @@
     members[MemberKey(host)].host = host;
   }
   for (int i = 0;; ++i) {
-    const std::string program = "owned-" + std::to_string(i);
+    std::string program = "owned-" + std::to_string(i);
     const auto any = [](const member_record&) { return true; };
     if (OwnerOf(program, members, any)->host == owner) {
       return program;
@@ -72,6 +72,18 @@
   }
 }
 
+// Starts turns at the same time.
+std::vector<std::future<int>> StartTurns(
+    int count,
+    const std::function<int(int number)>& turn) {
+  std::vector<std::future<int>> turns;
+  turns.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    turns.push_back(std::async(std::launch::async, turn, i));
+  }
+  return turns;
+}
+
 class budget_fleet {
  public:
   explicit budget_fleet(std::size_t size)
@@ -111,12 +123,10 @@
 
       @returns  how many were served */
   int Turns(const std::string& program, int count) {
-    std::vector<std::future<int>> turns;
-    for (int i = 0; i < count; ++i) {
-      turns.push_back(std::async(std::launch::async, [this, &program, i] {
-        return Turn(static_cast<std::size_t>(i) % fleet.size(), program);
-      }));
-    }
+    std::vector<std::future<int>> turns =
+        StartTurns(count, [this, &program](int i) {
+          return Turn(static_cast<std::size_t>(i) % fleet.size(), program);
+        });
     int served = 0;
     for (std::future<int>& turn : turns) {
       served += turn.get() == 200 ? 1 : 0;
@@ -196,12 +206,8 @@
   constexpr int kTurns = 2;
   budget_fleet subject(2);
   const std::string program = subject.ProgramOf(1);
-  std::vector<std::future<int>> turns;
-  for (int i = 0; i < kTurns; ++i) {
-    turns.push_back(std::async(std::launch::async, [&subject, &program] {
-      return subject.Turn(0, program);
-    }));
-  }
+  std::vector<std::future<int>> turns =
+      StartTurns(kTurns, [&](int) { return subject.Turn(0, program); });
   cr_assert(
       WaitFor([&] { return subject.fleet.first.target.runs() == kTurns; }));
   subject.fleet.KillAndClose(1);
@@ -393,12 +399,9 @@
 Test(token_budget, releases_of_several_programs_share_a_call) {
   budget_fleet subject(1);
   const int before = subject.fleet.first.store.claim_calls();
-  std::vector<std::future<int>> turns;
-  for (int i = 0; i < kMaxParallelTurns; ++i) {
-    turns.push_back(std::async(std::launch::async, [&subject, i] {
-      return subject.Turn(0, "program-" + std::to_string(i));
-    }));
-  }
+  std::vector<std::future<int>> turns = StartTurns(
+      kMaxParallelTurns,
+      [&](int i) { return subject.Turn(0, "program-" + std::to_string(i)); });
   for (std::future<int>& turn : turns) {
     cr_assert_eq(turn.get(), 200);
   }
