Name batches in the counters of kv_client

Cause: kv_client names operations by their index in kv_operation, and kv_write_batch has moved those after it.

Change: the name is there, and the number of names is checked at compile time.

--- a/source/gentian_decisions/kv_client.cc
+++ b/source/gentian_decisions/kv_client.cc
@@ -1,6 +1,7 @@
 #include "gentian_decisions/kv_client.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -22,9 +23,10 @@
 using status = kv_answer::status;
 
 const char* KindOf(const kv_operation& operation) {
-  static constexpr const char* kNames[] = {
-      "get",         "list", "compare_and_swap", "delete", "grant_lease",
-      "renew_lease", "watch"};
+  static constexpr std::array kNames = {
+      "get",    "list",        "compare_and_swap", "write_batch",
+      "delete", "grant_lease", "renew_lease",      "watch"};
+  static_assert(kNames.size() == std::variant_size_v<kv_operation>);
   return kNames[operation.index()];
 }
 
@@ -43,6 +45,7 @@
   std::uint64_t expected_version = 0;
 };
 
+// A batch has no single key to read back; none is sent through a kv_client.
 std::optional<guarded_key> GuardedKeyOf(const kv_operation& operation) {
   if (const auto* write = std::get_if<kv_compare_and_swap>(&operation)) {
     return guarded_key{write->key, write->expected_version};
