--- a/tests/platform/token_budget_test.cc
+++ b/tests/platform/token_budget_test.cc
@@ -388,9 +388,15 @@
         WaitFor([&] { return subject.fleet.first.Gauge("members") == 2; }));
     cr_assert_eq(subject.Turn(0, program), 200);
     cr_assert(WaitFor([&] { return owner.ends() > 0; }));
-    const int tokens = next.is_taken_over ? kUsedTokens : kMaxTokens;
+    if (next.is_taken_over) {
+      cr_assert(
+          WaitFor([&] { return subject.Claimed(program) == kUsedTokens; }),
+          "%s", next.name);
+    }
     std::this_thread::sleep_for(kSettleTime);
-    cr_assert_eq(subject.Claimed(program), tokens, "%s", next.name);
+    cr_assert_eq(subject.Claimed(program),
+                 next.is_taken_over ? kUsedTokens : kMaxTokens, "%s",
+                 next.name);
   }
 }
 
