Don't copy the members for each turn in unclaimed_start_policy

Cause: MayStart runs for each turn that an owner decides, and copied the map of all members, though OwnerOf takes a predicate.

Change: the predicate leaves out members that are long gone.

--- a/source/gentian_gateway/unclaimed_start_policy.cc
+++ b/source/gentian_gateway/unclaimed_start_policy.cc
@@ -75,14 +75,10 @@
       claimed_.count(StableHash(program)) > 0) {
     return false;
   }
-  std::map<std::string, member_record> since;
-  for (const auto& [key, member] : owners_) {
-    if (!IsPast(key, now)) {
-      since.emplace(key, member);
-    }
-  }
   const member_record* owner =
-      OwnerOf(program, since, [](const member_record&) { return true; });
+      OwnerOf(program, owners_, [this, now](const member_record& member) {
+        return left_at_.empty() || !IsPast(MemberKey(member.host), now);
+      });
   return owner != nullptr && MemberKey(owner->host) == self_;
 }
 
