Count tokens that are being released apart from those of running turns

Cause: while a release is on its way, the end of a turn that another daemon had granted found these tokens and counted them as the turn's, so that the account's claim became negative. Found by reading.

Change: the end takes over what exceeds the tokens of this daemon's own running turns.

Result: budget_*/* (34 tests) pass.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -50,9 +50,11 @@
                                       std::int64_t used,
                                       steady_time now) {
   account& entry = accounts_[program];
+  const std::int64_t releasing =
+      entry.write ? std::max<std::int64_t>(-entry.write->amount, 0) : 0;
+  const std::int64_t running = InUse(entry) - entry.own_spent - releasing;
   // The rest was claimed by the daemon that granted the turn.
-  entry.own_claimed +=
-      std::max<std::int64_t>(reserved - (InUse(entry) - entry.own_spent), 0);
+  entry.own_claimed += std::max<std::int64_t>(reserved - running, 0);
   entry.available += reserved - used;
   entry.own_spent += used;
   entry.used += used;
