Satisfy clang in the spending records

Cause: clang does not construct a nested type with default members in place, and clang-tidy asks for a handler that is moved.

Change: the recording is assigned; the handler is moved into the second callback.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -405,9 +405,10 @@
   entry.available += std::max<std::int64_t>(write.amount, 0);
   entry.records.reset();
   if (write.holder && IsOwn(*write.holder)) {
-    entry.records.emplace();
-    entry.records->write_id = write.holder->write_id;
-    entry.records->recorder = write.holder->recorder;
+    recording started;
+    started.write_id = write.holder->write_id;
+    started.recorder = write.holder->recorder;
+    entry.records = std::move(started);
   }
 }
 
--- a/source/gentian_gateway_daemon/spending_recorder.cc
+++ b/source/gentian_gateway_daemon/spending_recorder.cc
@@ -58,19 +58,20 @@
     handler(false);
     return;
   }
-  peers_.Post(
-      store->address, kStoreSpendingPath, EncodeSpending(record),
+  const auto on_answer =
       [this, handler, address = store->address](const http_response& response) {
         if (response.status != kOk && response.status != kConflict) {
           peers_.Avoid(address);
         }
         handler(response.status == kOk);
-      },
-      [this, handler, address = store->address](http_failure,
-                                                const std::string&) {
-        peers_.Avoid(address);
-        handler(false);
-      });
+      };
+  peers_.Post(store->address, kStoreSpendingPath, EncodeSpending(record),
+              on_answer,
+              [this, handler = std::move(handler), address = store->address](
+                  http_failure, const std::string&) {
+                peers_.Avoid(address);
+                handler(false);
+              });
 }
 
 void spending_recorder::Seal(const std::string& host,
