Share what the spending records repeat

Cause: the handlers that store a turn and a spending record counted and answered their outcomes by two copies of one function, and the ledger looked up an awaited record twice with the same lines.

Change: turn_store_daemon::RespondWhenStored serves both writes with a table of their counters; budget_ledger::FindRecording looks up the record, like FindResolving. No change of behaviour.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -507,45 +507,49 @@
 budget_commands budget_ledger::OnRecorded(const std::string& program,
                                           const std::string& write_id,
                                           std::int64_t sequence) {
-  const auto found = accounts_.find(program);
-  if (found == accounts_.end() ||
-      !IsAwaited(found->second, write_id, sequence)) {
+  account* entry = FindRecording(program, write_id, sequence);
+  if (entry == nullptr) {
     return {};
   }
-  account& entry = found->second;
-  entry.records->limit = *std::exchange(entry.records->sent, std::nullopt);
-  budget_commands commands = Advance(program, entry);
-  Record(program, entry, commands);
+  entry->records->limit = *std::exchange(entry->records->sent, std::nullopt);
+  budget_commands commands = Advance(program, *entry);
+  Record(program, *entry, commands);
   return commands;
 }
 
 budget_commands budget_ledger::OnNotRecorded(const std::string& program,
                                              const std::string& write_id,
                                              std::int64_t sequence) {
-  const auto found = accounts_.find(program);
-  if (found == accounts_.end() ||
-      !IsAwaited(found->second, write_id, sequence)) {
+  account* entry = FindRecording(program, write_id, sequence);
+  if (entry == nullptr) {
     return {};
   }
-  account& entry = found->second;
-  entry.records->sent.reset();
-  entry.recorder.clear();
+  entry->records->sent.reset();
+  entry->recorder.clear();
   budget_commands commands;
-  if (!entry.write && !entry.is_resolving) {
-    const std::int64_t amount = std::min(WaitingTokens(entry) - entry.available,
-                                         entry.budget - entry.claimed);
-    entry.available += std::min<std::int64_t>(amount, 0);
-    commands.writes.push_back(StartWrite(program, entry, amount, false));
+  if (!entry->write && !entry->is_resolving) {
+    const std::int64_t amount =
+        std::min(WaitingTokens(*entry) - entry->available,
+                 entry->budget - entry->claimed);
+    entry->available += std::min<std::int64_t>(amount, 0);
+    commands.writes.push_back(StartWrite(program, *entry, amount, false));
   }
   return commands;
 }
 
-bool budget_ledger::IsAwaited(const account& entry,
-                              const std::string& write_id,
-                              std::int64_t sequence) {
-  return entry.records && entry.records->sent &&
-         entry.records->write_id == write_id &&
-         entry.records->sequence == sequence;
+budget_ledger::account* budget_ledger::FindRecording(
+    const std::string& program,
+    const std::string& write_id,
+    std::int64_t sequence) {
+  const auto found = accounts_.find(program);
+  if (found == accounts_.end()) {
+    return nullptr;
+  }
+  const std::optional<recording>& records = found->second.records;
+  const bool is_recording = records && records->sent &&
+                            records->write_id == write_id &&
+                            records->sequence == sequence;
+  return is_recording ? &found->second : nullptr;
 }
 
 budget_ledger::account* budget_ledger::FindResolving(
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -347,10 +347,11 @@
   static void AskHolder(const std::string& program,
                         account& entry,
                         budget_commands& commands);
-  /** True if this spending record is on its way. */
-  static bool IsAwaited(const account& entry,
-                        const std::string& write_id,
-                        std::int64_t sequence);
+  /** Null unless this spending record is on its way. */
+  account* FindRecording(const std::string& program,
+                         const std::string& write_id,
+                         std::int64_t sequence);
+  /** Null unless the outcome of this holder is awaited. */
   account* FindResolving(const std::string& program,
                          const std::string& write_id);
   /** The daemon's tokens belong to a successor. */
--- a/source/gentian_turn_daemon/turn_store_daemon.h
+++ b/source/gentian_turn_daemon/turn_store_daemon.h
@@ -42,6 +42,9 @@
     const char* path;
     void (turn_store_daemon::*answer)(const exchange_pointer& exchange);
   };
+  struct write_report;
+  static const write_report kTurnReport;
+  static const write_report kSpendingReport;
 
   // Interface.
   void Answer(const exchange_pointer& exchange);
@@ -54,6 +57,12 @@
   void StoreSpending(const exchange_pointer& exchange);
   void SealSpending(const exchange_pointer& exchange);
   bool TakesWrites() const;
+  /** Answers once the outcome of a write is known.
+
+      @param report  outlives the write */
+  turn_storage::store_handler RespondWhenStored(
+      const exchange_pointer& exchange,
+      const write_report& report);
   void ShowMetrics(const exchange_pointer& exchange);
 
   // Registration.
--- a/source/gentian_turn_daemon/turn_store_interface.cc
+++ b/source/gentian_turn_daemon/turn_store_interface.cc
@@ -31,6 +31,24 @@
 
 }  // namespace
 
+/** How the outcomes of one kind of write are counted and answered. */
+struct turn_store_daemon::write_report {
+  const char* stored;
+  const char* conflicting;
+  const char* refused;
+  const char* latency;
+  int failure_status;
+};
+
+const turn_store_daemon::write_report turn_store_daemon::kTurnReport = {
+    "turns_stored", "turns_conflicting", "turns_refused", "store",
+    kUnavailable};
+
+// A failed write of a spending record may be stored after all.
+const turn_store_daemon::write_report turn_store_daemon::kSpendingReport = {
+    "spending_stored", "spending_conflicting", "spending_refused",
+    "store_spending", kFailed};
+
 void turn_store_daemon::Answer(const exchange_pointer& exchange) {
   static constexpr std::array<endpoint, 9> kEndpoints = {
       {{kStoreTurnPath, &turn_store_daemon::StoreTurn},
@@ -57,6 +75,23 @@
   return registered_ && !stopping_ && drain_status_key_.empty();
 }
 
+turn_storage::store_handler turn_store_daemon::RespondWhenStored(
+    const exchange_pointer& exchange,
+    const write_report& report) {
+  return [this, exchange, &report,
+          started_at = BootTimeNow()](const result<store_outcome>& outcome) {
+    if (Failed(outcome)) {
+      counters_.Add(report.refused);
+      Respond(*exchange, report.failure_status);
+      return;
+    }
+    const bool stored = ValueOf(outcome) == store_outcome::stored;
+    counters_.Add(stored ? report.stored : report.conflicting);
+    metrics_.AddLatency(report.latency, BootTimeNow() - started_at);
+    Respond(*exchange, stored ? kOk : kConflict);
+  };
+}
+
 void turn_store_daemon::StoreTurn(const exchange_pointer& exchange) {
   result<kept_turn> turn = DecodeTurn(exchange->request().body);
   if (Failed(turn)) {
@@ -64,24 +99,12 @@
     return;
   }
   if (!TakesWrites()) {
-    counters_.Add("turns_refused");
+    counters_.Add(kTurnReport.refused);
     Respond(*exchange, kUnavailable);
     return;
   }
-  const steady_time started_at = BootTimeNow();
-  storage_->Store(
-      std::move(ValueOf(turn)),
-      [this, exchange, started_at](const result<store_outcome>& outcome) {
-        if (Failed(outcome)) {
-          counters_.Add("turns_refused");
-          Respond(*exchange, kUnavailable);
-          return;
-        }
-        const bool stored = ValueOf(outcome) == store_outcome::stored;
-        counters_.Add(stored ? "turns_stored" : "turns_conflicting");
-        metrics_.AddLatency("store", BootTimeNow() - started_at);
-        Respond(*exchange, stored ? kOk : kConflict);
-      });
+  storage_->Store(std::move(ValueOf(turn)),
+                  RespondWhenStored(exchange, kTurnReport));
 }
 
 void turn_store_daemon::ReadChain(const exchange_pointer& exchange) {
@@ -214,25 +237,12 @@
     return;
   }
   if (!TakesWrites()) {
-    counters_.Add("spending_refused");
+    counters_.Add(kSpendingReport.refused);
     Respond(*exchange, kUnavailable);
     return;
   }
-  const steady_time started_at = BootTimeNow();
-  storage_->StoreSpending(
-      std::move(ValueOf(record)),
-      [this, exchange, started_at](const result<store_outcome>& outcome) {
-        if (Failed(outcome)) {
-          counters_.Add("spending_refused");
-          // It may be stored after all.
-          Respond(*exchange, kFailed);
-          return;
-        }
-        const bool stored = ValueOf(outcome) == store_outcome::stored;
-        counters_.Add(stored ? "spending_stored" : "spending_conflicting");
-        metrics_.AddLatency("store_spending", BootTimeNow() - started_at);
-        Respond(*exchange, stored ? kOk : kConflict);
-      });
+  storage_->StoreSpending(std::move(ValueOf(record)),
+                          RespondWhenStored(exchange, kSpendingReport));
 }
 
 void turn_store_daemon::SealSpending(const exchange_pointer& exchange) {
