Store a claim's first spending record before the claim

Callers saw: after a kill between a claim and its first spending record, some milliseconds with each claim, a program got 503 with up to a quarter of its budget claimed by nobody.

Cause: a successor takes all tokens to be in use of which it finds no record, and the first record was sent once the claim was written.

Change: the record is stored first, under the ID of the write that follows, and the write is sent without tokens ahead if the store doesn't take it. Until the write's outcome is known, grants stay within what its record says as well. If that outcome stays unknown, what the daemon held before counts as lost, too: a successor may have released it.

In budget_holder, two checks that counted on the order of the calls count writes at the store now; the one on a store that fails has become two.

--- a/source/gentian_gateway/budget_ledger.cc
+++ b/source/gentian_gateway/budget_ledger.cc
@@ -159,8 +159,25 @@
   commands.questions.push_back({program, *entry.holder});
 }
 
+// What is in use once the first waiting turns have got what there is then.
+std::int64_t budget_ledger::InUseAfterClaim(const account& entry,
+                                            std::int64_t amount) {
+  std::int64_t left = entry.available + amount;
+  for (const token_request& next : entry.waiting) {
+    if (next.max_tokens > left) {
+      break;
+    }
+    left -= next.max_tokens;
+  }
+  return entry.own_claimed + amount - left;
+}
+
+// Also by the record of a write that is on its way: a successor finds that one
+// once the write has taken effect.
 bool budget_ledger::IsGrantRecorded(const account& entry, std::int64_t tokens) {
-  return !entry.records || InUse(entry) + tokens <= entry.records->limit;
+  const std::int64_t in_use = InUse(entry) + tokens;
+  return (!entry.records || in_use <= entry.records->limit) &&
+         (!entry.write || in_use - entry.write->spent <= entry.write->limit);
 }
 
 void budget_ledger::Record(const std::string& program,
@@ -169,14 +186,7 @@
   if (!entry.records || entry.records->sent || entry.writing) {
     return;
   }
-  std::int64_t left = entry.available;
-  for (const token_request& next : entry.waiting) {
-    if (next.max_tokens > left) {
-      break;
-    }
-    left -= next.max_tokens;
-  }
-  const std::int64_t in_use = entry.own_claimed - left;
+  const std::int64_t in_use = InUseAfterClaim(entry, 0);
   recording& records = *entry.records;
   if (in_use == records.limit && entry.own_spent == records.used) {
     return;
@@ -213,7 +223,7 @@
     } else if (NeedsHolder(entry)) {
       AskHolder(program, entry, commands);
     } else {
-      commands.writes.push_back(StartWrite(program, entry, amount, true));
+      StartWrite(program, entry, amount, true, commands);
     }
   }
   if (!entry.writing && !entry.is_resolving) {
@@ -241,7 +251,7 @@
       (!is_certain || entry.is_spent_estimated)) {
     // Another daemon may have released tokens since the claim was read.
     entry.verified = true;
-    commands.writes.push_back(StartWrite(program, entry, 0, true));
+    StartWrite(program, entry, 0, true, commands);
     return;
   }
   const bool may_have_more = entry.is_spent_estimated && others_hold_tokens &&
@@ -253,10 +263,13 @@
   entry.waiting.pop_front();
 }
 
-budget_commands::write budget_ledger::StartWrite(const std::string& program,
-                                                 account& entry,
-                                                 std::int64_t amount,
-                                                 bool may_hold) {
+// The record of a claim is stored before the claim: a successor takes all
+// tokens to be in use of which it finds no record.
+void budget_ledger::StartWrite(const std::string& program,
+                               account& entry,
+                               std::int64_t amount,
+                               bool may_hold,
+                               budget_commands& commands) {
   claim_write started;
   started.id = writer_ + "-" + std::to_string(++last_write_);
   started.expected_version = entry.version;
@@ -267,9 +280,17 @@
     started.holder = entry.holder;
   } else if (may_hold && MayHold(entry) && tokens > 0) {
     started.holder = claim_holder{started.id, tokens, entry.recorder};
+    started.limit = InUseAfterClaim(entry, amount) - started.spent;
+    started.is_recording = true;
+    commands.records.push_back({program, entry.recorder, started.id,
+                                budget_commands::record::kFirstSequence,
+                                started.limit, 0});
   }
+  entry.writing = true;
   entry.write = std::move(started);
-  return SendWrite(program, entry);
+  if (!entry.write->is_recording) {
+    commands.writes.push_back(SendWrite(program, entry));
+  }
 }
 
 budget_commands::write budget_ledger::SendWrite(const std::string& program,
@@ -304,22 +325,24 @@
     commands.writes.push_back(SendWrite(program, entry));
   } else if (entry.available < 0) {
     // Also beyond the budget: the tokens have reached the caller.
-    commands.writes.push_back(StartWrite(program, entry, -entry.available,
-                                         entry.records.has_value()));
+    StartWrite(program, entry, -entry.available, entry.records.has_value(),
+               commands);
   }
   return commands;
 }
 
 // With an amount of 0 if the stored claim has not been read.
-budget_commands::write budget_ledger::StartRelease(const std::string& program,
-                                                   account& entry) {
+void budget_ledger::StartRelease(const std::string& program,
+                                 account& entry,
+                                 budget_commands& commands) {
   entry.available_since.reset();
   if (entry.version == 0) {
-    return StartWrite(program, entry, 0, false);
+    StartWrite(program, entry, 0, false, commands);
+    return;
   }
   // Not to be granted while the release is on its way.
   const std::int64_t amount = std::exchange(entry.available, 0);
-  return StartWrite(program, entry, -amount, false);
+  StartWrite(program, entry, -amount, false, commands);
 }
 
 budget_commands budget_ledger::ReleaseUnused(const std::string& program) {
@@ -331,7 +354,7 @@
   account& entry = found->second;
   if (entry.available > 0 && !entry.write && !entry.is_resolving &&
       entry.waiting.empty()) {
-    commands.writes.push_back(StartRelease(program, entry));
+    StartRelease(program, entry, commands);
   }
   return commands;
 }
@@ -363,7 +386,7 @@
       break;
     }
     if (NeedsRelease(entry, since, recorded_since)) {
-      commands.writes.push_back(StartRelease(program, entry));
+      StartRelease(program, entry, commands);
     }
   }
   return commands;
@@ -399,15 +422,21 @@
       (is_applied ? write.amount : std::min<std::int64_t>(write.amount, 0)) -
       write.spent;
   entry.own_spent -= write.spent;
+  const bool is_holder = write.holder && IsOwn(*write.holder);
   if (!is_applied) {
+    if (is_holder) {
+      // A successor may have released all tokens that it named.
+      LoseClaim(entry);
+    }
     return;
   }
   entry.available += std::max<std::int64_t>(write.amount, 0);
   entry.records.reset();
-  if (write.holder && IsOwn(*write.holder)) {
+  if (is_holder) {
     recording started;
     started.write_id = write.holder->write_id;
     started.recorder = write.holder->recorder;
+    started.limit = write.limit;
     entry.records = std::move(started);
   }
 }
@@ -507,12 +536,18 @@
 budget_commands budget_ledger::OnRecorded(const std::string& program,
                                           const std::string& write_id,
                                           std::int64_t sequence) {
+  budget_commands commands;
+  if (account* entry = FindRecordingWrite(program, write_id)) {
+    entry->write->is_recording = false;
+    commands.writes.push_back(SendWrite(program, *entry));
+    return commands;
+  }
   account* entry = FindRecording(program, write_id, sequence);
   if (entry == nullptr) {
-    return {};
+    return commands;
   }
   entry->records->limit = *std::exchange(entry->records->sent, std::nullopt);
-  budget_commands commands = Advance(program, *entry);
+  commands = Advance(program, *entry);
   Record(program, *entry, commands);
   return commands;
 }
@@ -520,19 +555,26 @@
 budget_commands budget_ledger::OnNotRecorded(const std::string& program,
                                              const std::string& write_id,
                                              std::int64_t sequence) {
+  if (account* entry = FindRecordingWrite(program, write_id)) {
+    entry->write.reset();
+    entry->writing = false;
+    entry->verified = false;
+    entry->recorder.clear();
+    return Advance(program, *entry);
+  }
+  budget_commands commands;
   account* entry = FindRecording(program, write_id, sequence);
   if (entry == nullptr) {
-    return {};
+    return commands;
   }
   entry->records->sent.reset();
   entry->recorder.clear();
-  budget_commands commands;
   if (!entry->write && !entry->is_resolving) {
     const std::int64_t amount =
         std::min(WaitingTokens(*entry) - entry->available,
                  entry->budget - entry->claimed);
     entry->available += std::min<std::int64_t>(amount, 0);
-    commands.writes.push_back(StartWrite(program, *entry, amount, false));
+    StartWrite(program, *entry, amount, false, commands);
   }
   return commands;
 }
@@ -552,6 +594,16 @@
   return is_recording ? &found->second : nullptr;
 }
 
+budget_ledger::account* budget_ledger::FindRecordingWrite(
+    const std::string& program,
+    const std::string& write_id) {
+  const auto found = accounts_.find(program);
+  const bool is_recording = found != accounts_.end() && found->second.write &&
+                            found->second.write->is_recording &&
+                            found->second.write->id == write_id;
+  return is_recording ? &found->second : nullptr;
+}
+
 budget_ledger::account* budget_ledger::FindResolving(
     const std::string& program,
     const std::string& write_id) {
--- a/source/gentian_gateway/budget_ledger.h
+++ b/source/gentian_gateway/budget_ledger.h
@@ -73,6 +73,7 @@
 
   /** A spending record of a claim, for the turn store at a host. */
   struct record {
+    static constexpr std::int64_t kFirstSequence = 1;
     std::string program;
     std::string recorder;
     std::string write_id;
@@ -102,9 +103,9 @@
 
     A daemon that fails must not keep tokens that no turn uses. It claims what
     its turns need and releases what they have left at their end; or it claims
-    tokens ahead and records at a turn store what is in use of them, before it
-    grants more than that. Its successor seals the record and releases the
-    others.
+    tokens ahead and records at a turn store what is in use of them, before the
+    claim and before it grants more than that. Its successor seals the record
+    and releases the others.
 */
 class budget_ledger {
  public:
@@ -234,6 +235,10 @@
     std::int64_t spent = 0;
     /** The holder that it stores. */
     std::optional<claim_holder> holder;
+    /** Most tokens that may be in use once it has taken effect. */
+    std::int64_t limit = std::numeric_limits<std::int64_t>::max();
+    /** It waits for its spending record, which says `limit`. */
+    bool is_recording = false;
     /** A try that had no answer may have run, or may run later. */
     bool may_have_run = false;
     /** Tries without an answer, one after the other. */
@@ -253,8 +258,8 @@
     std::string recorder;
     /** Least number of tokens that a successor may find to be in use. No more
         may be granted. */
-    std::int64_t limit = std::numeric_limits<std::int64_t>::max();
-    std::int64_t sequence = 0;
+    std::int64_t limit = 0;
+    std::int64_t sequence = budget_commands::record::kFirstSequence;
     /** The used tokens that the latest record names. */
     std::int64_t used = 0;
     /** What the record that is on its way says to be in use. */
@@ -288,7 +293,7 @@
     std::optional<recording> records;
     /** The stored claim was read since the budget was found too small. */
     bool verified = false;
-    /** `write` is on its way. */
+    /** `write`, or its spending record, is on its way. */
     bool writing = false;
     /** As in the last request. */
     bool claim_ahead = false;
@@ -318,10 +323,13 @@
   void ApplyOutcome(account& entry, write_outcome outcome) const;
   static void ApplyStored(account& entry,
                           const std::optional<budget_claim>& stored);
-  budget_commands::write StartWrite(const std::string& program,
-                                    account& entry,
-                                    std::int64_t amount,
-                                    bool may_hold);
+  /** @param amount    see claim_write
+      @param may_hold  this daemon may be the holder */
+  void StartWrite(const std::string& program,
+                  account& entry,
+                  std::int64_t amount,
+                  bool may_hold,
+                  budget_commands& commands);
   static budget_commands::write SendWrite(const std::string& program,
                                           account& entry);
   void GrantWaiting(account& entry, budget_commands& commands);
@@ -337,8 +345,9 @@
                            steady_time recorded_since);
   static bool HasUnreported(const account& entry);
   static void TrackAvailable(account& entry, steady_time now);
-  budget_commands::write StartRelease(const std::string& program,
-                                      account& entry);
+  void StartRelease(const std::string& program,
+                    account& entry,
+                    budget_commands& commands);
   static bool MayStartUnclaimed(const account& entry);
 
   bool IsOwn(const claim_holder& holder) const;
@@ -351,11 +360,16 @@
   account* FindRecording(const std::string& program,
                          const std::string& write_id,
                          std::int64_t sequence);
+  /** Null unless the first spending record of this write is on its way. */
+  account* FindRecordingWrite(const std::string& program,
+                              const std::string& write_id);
   /** Null unless the outcome of this holder is awaited. */
   account* FindResolving(const std::string& program,
                          const std::string& write_id);
   /** The daemon's tokens belong to a successor. */
   static void LoseClaim(account& entry);
+  static std::int64_t InUseAfterClaim(const account& entry,
+                                      std::int64_t amount);
   static bool IsGrantRecorded(const account& entry, std::int64_t tokens);
   /** Records what is in use, and more if turns wait that need it. */
   static void Record(const std::string& program,
--- a/tests/gateway/budget_holder_test.cc
+++ b/tests/gateway/budget_holder_test.cc
@@ -52,12 +52,7 @@
 budget_decision Ask(claim_store& store, budget_ledger& ledger) {
   budget_commands commands = ledger.Reserve(Turn(1), At(0));
   while (commands.decisions.empty()) {
-    if (!commands.writes.empty()) {
-      commands = store.Carry(ledger, commands.writes.front());
-    } else {
-      cr_assert(!commands.questions.empty());
-      commands = store.records.Seal(ledger, commands.questions.front());
-    }
+    cr_assert(store.CarryNext(ledger, commands));
   }
   return commands.decisions.front().outcome;
 }
@@ -86,16 +81,12 @@
 Test(budget_holder, turns_share_a_claim) {
   claim_store store;
   budget_ledger daemon("daemon");
-  int writes = 0;
   for (int turn = 0; turn < 8; ++turn) {
-    budget_commands commands = daemon.Reserve(Turn(1), At(turn));
-    writes += static_cast<int>(commands.writes.size());
-    cr_assert(store.Run(daemon, commands) == 1);
-    commands = daemon.Settle("program", kMaxTurnTokens, kUsedTokens, At(turn));
-    writes += static_cast<int>(commands.writes.size());
-    store.Run(daemon, commands);
+    cr_assert(store.Run(daemon, daemon.Reserve(Turn(1), At(turn))) == 1);
+    store.Run(daemon,
+              daemon.Settle("program", kMaxTurnTokens, kUsedTokens, At(turn)));
   }
-  cr_assert(writes == 1, "%d writes", writes);
+  cr_assert(store.writes() == 1, "%d writes", store.writes());
 }
 
 // Guards against tokens that a frozen daemon grants after its successor has
@@ -149,13 +140,11 @@
   budget_ledger next("next");
   budget_commands commands = next.Reserve(Turn(1), At(0));
   while (commands.questions.empty()) {
-    commands = store.Carry(next, commands.writes.front());
+    cr_assert(store.CarryNext(next, commands));
   }
   const std::string claim = commands.questions.front().holder.write_id;
   commands = next.OnHolderUnresolved("program", claim, false);
-  while (!commands.writes.empty()) {
-    commands = store.Carry(next, commands.writes.front());
-  }
+  store.Run(next, std::move(commands));
   // It took what was left, and left the holder's tokens alone.
   cr_assert(store.stored()->holder->write_id == claim);
   cr_assert(Grant(store, next, 4) == 4);
@@ -169,15 +158,54 @@
   claim_store store;
   budget_ledger daemon("daemon");
   budget_commands commands = daemon.Reserve(Turn(1), At(0));
-  commands = store.Carry(daemon, commands.writes.front());
   cr_assert(commands.records.size() == 1);
   const auto record = commands.records.front();
-  store.Run(daemon,
-            daemon.OnNotRecorded("program", record.write_id, record.sequence));
+  cr_assert(store.Run(daemon, daemon.OnNotRecorded("program", record.write_id,
+                                                   record.sequence)) == 1);
   cr_assert(store.claimed() == kMaxTurnTokens);
   cr_assert(!store.stored()->holder);
 }
 
+// Guards against a turn store that fails while tokens are claimed ahead.
+Test(budget_holder, tokens_ahead_are_released_when_records_fail) {
+  claim_store store;
+  budget_ledger daemon("daemon");
+  cr_assert(Grant(store, daemon, 1) == 1);
+  cr_assert(store.claimed() > kMaxTurnTokens);
+  const budget_commands commands = daemon.Reserve(Turn(2), At(0));
+  cr_assert(commands.records.size() == 1 && commands.decisions.empty());
+  const auto record = commands.records.front();
+  cr_assert(store.Run(daemon, daemon.OnNotRecorded("program", record.write_id,
+                                                   record.sequence)) == 1);
+  cr_assert(store.claimed() == 2 * kMaxTurnTokens);
+  cr_assert(!store.stored()->holder);
+}
+
+// Guards against tokens that a daemon has claimed ahead and that count as in
+// use, because it was killed before it could record that they aren't.
+Test(budget_holder, a_kill_between_two_calls_loses_no_tokens) {
+  constexpr int kMaxTurns = 4;
+  for (int turns = 1; turns <= kMaxTurns; ++turns) {
+    bool is_finished = false;
+    for (int calls = 0; !is_finished; ++calls) {
+      claim_store store;
+      {
+        budget_ledger killed("killed");
+        cr_assert(Grant(store, killed, turns - 1) == turns - 1);
+        budget_commands commands = killed.Reserve(Turn(turns), At(0));
+        for (int call = 0; call < calls && !is_finished; ++call) {
+          is_finished = !store.CarryNext(killed, commands);
+        }
+      }
+      budget_ledger next("next");
+      const int left = kBudget / kMaxTurnTokens - turns;
+      const int granted = Grant(store, next, left);
+      cr_assert(granted == left, "%d of %d after %d turns and %d calls",
+                granted, left, turns, calls);
+    }
+  }
+}
+
 // Guards against a claim of an earlier build that counts as unused.
 Test(budget_holder, claims_of_earlier_builds_count_as_spent) {
   claim_store store;
--- a/tests/gateway/claim_store.h
+++ b/tests/gateway/claim_store.h
@@ -59,36 +59,34 @@
  */
 class claim_store {
  public:
-  /** Carries out writes until there are none; counts granted turns. */
+  /** Carries out calls until there are none; counts granted turns. */
   int Run(budget_ledger& ledger, budget_commands commands) {
-    int granted = 0;
-    while (true) {
-      for (const auto& decision : commands.decisions) {
-        granted += decision.outcome == budget_decision::granted ? 1 : 0;
-      }
-      if (!commands.writes.empty()) {
-        const auto write = commands.writes.front();
-        commands.writes.erase(commands.writes.begin());
-        commands.decisions.clear();
-        commands.Append(Carry(ledger, write));
-      } else if (!commands.records.empty()) {
-        const auto record = commands.records.front();
-        commands = records.Store(record)
-                       ? ledger.OnRecorded(record.program, record.write_id,
-                                           record.sequence)
-                       : ledger.OnNotRecorded(record.program, record.write_id,
-                                              record.sequence);
-      } else if (!commands.questions.empty()) {
-        commands = records.Seal(ledger, commands.questions.front());
-      } else {
-        return granted;
-      }
+    int granted = TakeGranted(commands);
+    while (CarryNext(ledger, commands)) {
+      granted += TakeGranted(commands);
+    }
+    return granted;
+  }
+
+  /** Carries out the first call and replaces it by what follows from it; false
+      if there is none. */
+  bool CarryNext(budget_ledger& ledger, budget_commands& commands) {
+    if (!commands.writes.empty()) {
+      commands.Append(Carry(ledger, TakeFirst(commands.writes)));
+    } else if (!commands.records.empty()) {
+      commands.Append(Carry(ledger, TakeFirst(commands.records)));
+    } else if (!commands.questions.empty()) {
+      commands.Append(records.Seal(ledger, TakeFirst(commands.questions)));
+    } else {
+      return false;
     }
+    return true;
   }
 
   /** Carries out one write and reports its outcome. */
   budget_commands Carry(budget_ledger& ledger,
                         const budget_commands::write& write) {
+    ++writes_;
     if (write.expected_version == version_) {
       stored_ = DecodeClaim(write.value);
       return ledger.OnWritten(write.program, ++version_);
@@ -96,6 +94,16 @@
     return ledger.OnConflict(write.program, version_, stored_);
   }
 
+  /** Stores one record and reports the outcome. */
+  budget_commands Carry(budget_ledger& ledger,
+                        const budget_commands::record& record) {
+    return records.Store(record)
+               ? ledger.OnRecorded(record.program, record.write_id,
+                                   record.sequence)
+               : ledger.OnNotRecorded(record.program, record.write_id,
+                                      record.sequence);
+  }
+
   /** A write that is held up on its way to the store. */
   void HoldUp(const budget_commands::write& write) { held_.push_back(write); }
 
@@ -123,11 +131,29 @@
   /** Tokens that are claimed. */
   std::int64_t claimed() const { return stored_ ? stored_->claimed : 0; }
   const std::optional<budget_claim>& stored() const { return stored_; }
+  /** Writes that were carried out and answered. */
+  int writes() const { return writes_; }
 
   /** Of the tokens that the daemons hold. */
   record_store records;
 
  private:
+  template <typename Command>
+  static Command TakeFirst(std::vector<Command>& commands) {
+    Command first = std::move(commands.front());
+    commands.erase(commands.begin());
+    return first;
+  }
+
+  static int TakeGranted(budget_commands& commands) {
+    int granted = 0;
+    for (const auto& decision : std::exchange(commands.decisions, {})) {
+      granted += decision.outcome == budget_decision::granted ? 1 : 0;
+    }
+    return granted;
+  }
+
+  int writes_ = 0;
   std::uint64_t version_ = 0;
   std::optional<budget_claim> stored_;
   std::vector<budget_commands::write> held_;
