End a start that fails for want of memory, instead of waiting for it

Callers saw: a process with too little address space neither started nor ended, and took no signal.

Cause: RunOnPool caught what the start had thrown on the pool's thread, and built the text of an error there. Without memory this threw again, the pool went on without a report, and the main thread waited for a result for ever.

Change: the exception is passed on to the main thread, which unwinds the daemon before it describes the failure. The function moves into pool_call.h, so that it has a test.

--- a/source/gentian_app/platform_process.cc
+++ b/source/gentian_app/platform_process.cc
@@ -5,8 +5,6 @@
 #include <unistd.h>
 
 #include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <csignal>
 #include <cstdint>
 #include <cxxopts.hpp>
@@ -117,20 +115,6 @@
   }
 }
 
-result<success> detail::RunOnPool(
-    io_pool& pool,
-    const std::function<result<success>()>& action) {
-  std::promise<result<success>> done;
-  boost::asio::post(pool.context(), [&action, &done] {
-    try {
-      done.set_value(action());
-    } catch (const std::exception& failure) {
-      done.set_value(NoResources(failure));
-    }
-  });
-  return done.get_future().get();
-}
-
 void detail::BoundAllocator() {
   // By default, the allocator raises this threshold with each large buffer that
   // is freed. Later ones then come from the heap, and what is freed there goes
--- a/source/gentian_app/platform_process.h
+++ b/source/gentian_app/platform_process.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "gentian_app/crash_report.h"
+#include "gentian_app/pool_call.h"
 #include "gentian_app/process_signals.h"
 #include "gentian_app/startup_wait.h"
 #include "gentian_app/text_file.h"
@@ -60,12 +61,6 @@
                                         char** argv,
                                         platform_options& options);
 
-/** Runs a function on the thread of the pool, as everything later does.
-
-    @returns  error_kind::internal if it threw an exception */
-result<success> RunOnPool(io_pool& pool,
-                          const std::function<result<success>()>& action);
-
 /** Has the allocator use little address space, and give freed buffers back to
     the host. Precondition: there is one thread. */
 void BoundAllocator();
@@ -119,7 +114,8 @@
   const io_pool_stop stop_first(pool);
   const result<success> started =
       RetryUntilReady(settings.stop_grace + detail::kPredecessorMargin, [&] {
-        return detail::RunOnPool(pool, [&daemon] { return daemon.Start(); });
+        // As everything later runs.
+        return RunOnPool(pool, [&daemon] { return daemon.Start(); });
       });
   if (Failed(started)) {
     pool.Stop();
