--- a/tests/process/pool_call_test.cc
+++ b/tests/process/pool_call_test.cc
@@ -8,6 +8,12 @@
 
 using namespace gentian;
 
+namespace {
+
+struct unknown_failure {};
+
+}  // namespace
+
 Test(pool_call, returns_the_result) {
   io_pool pool(1);
   cr_assert(RunOnPool(pool, [] { return 3; }) == 3);
@@ -16,7 +22,6 @@
 // Guards against a process that neither starts nor ends, because the pool's
 // thread had no memory left to say why it failed.
 Test(pool_call, passes_on_any_exception, .timeout = 10) {
-  struct unknown_failure {};
   io_pool pool(1, [](const std::string& /*reason*/) {});
   cr_assert_throw(RunOnPool(pool, []() -> int { throw std::bad_alloc(); }),
                   std::bad_alloc);
